--- /dev/null
+++ b/gullstall/membership.hpp
@@ -0,0 +1,9 @@
+#ifndef GULLSTALL_MEMBERSHIP_HPP
+#define GULLSTALL_MEMBERSHIP_HPP
+
+/// Membership module: who is there, who leaves, who is gone.
+
+#include "gullstall/src/membership/member.hpp"
+#include "gullstall/src/membership/member_table.hpp"
+
+#endif
--- /dev/null
+++ b/gullstall/src/core/json.cpp
@@ -0,0 +1,2 @@
+/// Boost.JSON's own source, compiled once here.
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/gullstall/src/node/internal.hpp
@@ -0,0 +1,64 @@
+#ifndef GULLSTALL_NODE_INTERNAL_HPP
+#define GULLSTALL_NODE_INTERNAL_HPP
+
+#include "gullstall/src/node/node.hpp"
+
+/// Parts of step(). One call passes through them in this order: entry.cpp takes
+/// it and sends it on, serve.cpp queues and runs it beside its upstream, and
+/// entry.cpp takes the reply and answers the caller.
+namespace gullstall::internal {
+
+/// The node in the middle of one step.
+struct turn
+{
+    node &n;
+    time_point now;
+    actions &out;
+};
+
+// entry.cpp: calls that this node has taken
+void on_call_arrived(turn &t, call_arrived &e);
+void on_call_abandoned(turn &t, call_ref id);
+void on_reply(turn &t, const std::string &from, wire::reply_message &reply);
+void on_peer_unreachable(turn &t, const peer_unreachable &e);
+void expire_calls(turn &t);
+void cancel_call(turn &t, call_ref id);
+
+// serve.cpp: calls that this node runs on its worker
+void on_call(turn &t, const std::string &from, wire::call_message &call);
+void on_cancel(turn &t, const std::string &from, std::uint64_t correlation);
+void on_worker_answered(turn &t, worker_answered &e);
+void expire_runs(turn &t);
+std::string print_context(const node &n, run_ref run);
+std::optional<run_ref> parse_context(const node &n, const std::string &context);
+
+// control.cpp: membership, bundles and the platform
+void on_control_tick(turn &t);
+void on_platform_answered(turn &t, platform_answered &e);
+void on_worker_announced(turn &t, const worker_announced &e);
+void on_worker_leaving(turn &t);
+void on_stop_requested(turn &t);
+void on_control_frame(turn &t, wire::frame_message &frame);
+void finish_stop(turn &t);
+
+// admin.cpp
+void on_admin_asked(turn &t, const admin_asked &e);
+
+// send.cpp
+void send_to(turn &t, const std::string &instance, wire::frame_message frame);
+void ask(turn &t, platform_purpose purpose, platform_request what);
+void log(turn &t, write_log::severity level, const char *part, std::string text);
+std::uint64_t next_id(node &n);
+member own_member(const node &n);
+
+template <class Message>
+wire::frame_message frame_of(Message message)
+{
+    wire::frame_message out;
+    out.payload.Set(std::move(message));
+    return out;
+}
+
+}  // namespace gullstall::internal
+
+#endif
--- /dev/null
+++ b/gullstall/src/node/node.hpp
@@ -0,0 +1,130 @@
+#ifndef GULLSTALL_NODE_NODE_HPP
+#define GULLSTALL_NODE_NODE_HPP
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "gullstall/bundle.hpp"
+#include "gullstall/core.hpp"
+#include "gullstall/membership.hpp"
+#include "gullstall/overload.hpp"
+#include "gullstall/retry.hpp"
+#include "gullstall/route.hpp"
+#include "gullstall/settings.hpp"
+#include "gullstall/src/node/action.hpp"
+#include "gullstall/src/node/event.hpp"
+#include "gullstall/timeline.hpp"
+
+namespace gullstall {
+
+/// One send of a call to an upstream.
+struct attempt
+{
+    std::uint64_t correlation = 0;
+    std::string instance;
+    std::uint32_t share = 0;  ///< allowance given along
+    time_point sent_at{};
+};
+
+/// A call that this node has taken and not yet answered.
+struct pending_call
+{
+    call_ref id{};
+    std::optional<run_ref> parent;  ///< run on the own worker that makes the call
+    wire::call_message request;     ///< correlation, allowance and time are set at each send
+    time_point taken_at{};
+    time_point deadline{};
+    allowance retries{};
+    std::optional<attempt> current;
+    std::vector<std::string> tried;
+    bool may_have_run = false;  ///< an attempt ended without anyone knowing
+};
+
+/// A call that this node runs, or will run, on its own worker.
+struct active_run
+{
+    run_ref id{};
+    std::string origin;  ///< instance of the node that sent the call
+    wire::call_message call;
+    time_point deadline{};
+    time_point queued_at{};
+    std::optional<time_point> started_at;
+    allowance retries{};
+    std::set<call_ref> children;                     ///< calls that the run has made
+    std::map<std::string, admission_level> touched;  ///< services reached below it
+};
+
+/// What a request to the platform was for.
+enum class platform_purpose
+{
+    member_lease,
+    member_scan,
+    bundle_head,
+    bundle_object
+};
+
+/// Counters that the admin port shows.
+struct node_counters
+{
+    std::uint64_t calls_taken = 0;
+    std::uint64_t calls_answered = 0;
+    std::uint64_t calls_resent = 0;
+    std::uint64_t contexts_unknown = 0;
+    std::uint64_t runs_started = 0;
+    std::uint64_t runs_lost = 0;
+    std::map<std::string, std::uint64_t> refusals;  ///< by reason and class
+};
+
+/// State of one node. It holds no socket, thread or clock.
+/// \see make_node, step
+struct node
+{
+    node_settings settings;
+    std::uint64_t incarnation = 0;
+    random_source random;
+
+    rollout bundles;
+    member_table members;
+    router routes;
+    level_control level;
+    run_queue queue;
+    touch_table touches;
+    std::map<std::string, retry_budget> budgets;  ///< by service
+    timeline events;
+    node_counters counters;
+
+    std::unordered_map<call_ref, pending_call> calls;
+    std::unordered_map<std::uint64_t, call_ref> attempts;  ///< by correlation
+    std::multimap<time_point, call_ref> call_deadlines;
+    std::unordered_map<run_ref, active_run> runs;
+    std::map<std::pair<std::string, std::uint64_t>, run_ref> served;  ///< by origin, correlation
+    std::multimap<time_point, run_ref> run_deadlines;
+    std::unordered_map<platform_ref, platform_purpose> platform_waiting;
+
+    std::uint32_t slots = 0;  ///< of the own worker, 0: it has not announced itself
+    std::uint32_t slots_used = 0;
+    bool worker_leaves = false;
+    bool stopping = false;
+    bool stopped = false;
+    std::uint64_t last_id = 0;
+};
+
+/// Makes a node.
+/// \param incarnation higher than that of any earlier process of the instance,
+/// usually the time of its start in microseconds
+/// \param seed of the node's random choices
+/// \returns the node, or out_of_range for settings that no node can have
+result<node> make_node(const node_settings &settings, std::uint64_t incarnation,
+                       std::uint64_t seed);
+
+/// Lets a node take in one event.
+/// \param now must not go back between steps
+/// \returns what the node asks of its surroundings, in order
+actions step(node &it, time_point now, event what);
+
+}  // namespace gullstall
+
+#endif
--- /dev/null
+++ b/gullstall/src/node/serve.cpp
@@ -0,0 +1,252 @@
+#include <algorithm>
+
+#include "gullstall/src/node/internal.hpp"
+
+namespace gullstall::internal {
+
+namespace {
+
+priority priority_of(const wire::call_message &it)
+{
+    return make_priority(it.class_priority, it.rank);
+}
+
+/// Sends the reply to the node that the call came from. It carries this
+/// service's level and those of the services that the call touched.
+void reply_to(turn &t, const std::string &origin, wire::reply_message reply,
+              const std::map<std::string, admission_level> &touched)
+{
+    const std::string &self = t.n.settings.node.instance;
+    reply.leaving = t.n.stopping || t.n.worker_leaves;
+    reply.running = t.n.slots_used;
+    reply.touched.push_back(t.n.settings.node.service);
+    reply.levels.push_back(t.n.level.level.highest);
+    for (const auto &[service, level] : touched) {
+        reply.touched.push_back(service);
+        reply.levels.push_back(level.highest);
+    }
+    if (origin == self) {
+        on_reply(t, self, reply);
+        return;
+    }
+    send_to(t, origin, frame_of(std::move(reply)));
+}
+
+void refuse(turn &t, const std::string &origin, const wire::call_message &call, wire::refusal why)
+{
+    wire::reply_message reply;
+    reply.correlation = call.correlation;
+    reply.outcome = wire::outcome::not_run;
+    reply.refusal = why;
+    reply.refused_by = t.n.settings.node.service;
+    reply.unspent = call.allowance;
+    reply_to(t, origin, std::move(reply), {});
+}
+
+/// Takes the run out of all tables.
+active_run forget_run(turn &t, run_ref id)
+{
+    auto found = t.n.runs.find(id);
+    active_run run = std::move(found->second);
+    t.n.runs.erase(found);
+    t.n.served.erase({run.origin, run.call.correlation});
+    auto [begin, end] = t.n.run_deadlines.equal_range(run.deadline);
+    for (auto it = begin; it != end; ++it) {
+        if (it->second == id) {
+            t.n.run_deadlines.erase(it);
+            break;
+        }
+    }
+    return run;
+}
+
+void start_run(turn &t, run_ref id)
+{
+    active_run &run = t.n.runs.at(id);
+    run.started_at = t.now;
+    ++t.n.slots_used;
+    ++t.n.counters.runs_started;
+    note_wait(t.n.level, t.now - run.queued_at);
+    note_event(t.n.events, t.now, event_kind::run_started, run.call.request_id,
+               t.n.settings.node.instance, run.call.operation);
+    t.out.emplace_back(run_on_worker{id, run.call.request_id, run.call.key, print_context(t.n, id),
+                                     run.call.operation, run.deadline - t.now,
+                                     std::move(run.call.body)});
+}
+
+void refuse_queued(turn &t, run_ref id, wire::refusal why)
+{
+    active_run run = forget_run(t, id);
+    refuse(t, run.origin, run.call, why);
+}
+
+void start_queued(turn &t)
+{
+    while (t.n.slots_used < t.n.slots) {
+        std::optional<run_ref> next = dequeue(t.n.queue);
+        if (!next) {
+            return;
+        }
+        start_run(t, *next);
+    }
+}
+
+/// Breaks off what the run has asked of other services.
+void cancel_children(turn &t, const active_run &run)
+{
+    std::set<call_ref> children = run.children;
+    for (call_ref child : children) {
+        cancel_call(t, child);
+    }
+}
+
+/// Breaks a run off and forgets it.
+active_run break_off(turn &t, run_ref id)
+{
+    cancel_children(t, t.n.runs.at(id));
+    active_run run = forget_run(t, id);
+    if (run.started_at) {
+        --t.n.slots_used;
+        t.out.emplace_back(cancel_on_worker{id});
+        note_event(t.n.events, t.now, event_kind::run_cancelled, run.call.request_id,
+                   t.n.settings.node.instance, "");
+    } else {
+        remove_run(t.n.queue, priority_of(run.call), id);
+    }
+    return run;
+}
+
+std::optional<wire::refusal> reason_to_refuse(turn &t, const wire::call_message &call)
+{
+    if (t.n.stopping || t.n.worker_leaves) {
+        return wire::refusal::leaving;
+    }
+    if (t.n.slots == 0) {
+        return wire::refusal::starting;
+    }
+    bool admitted = admits(t.n.level.level, priority_of(call));
+    note_arrival(t.n.level, priority_of(call), admitted);
+    if (!admitted) {
+        return wire::refusal::overload;
+    }
+    return std::nullopt;
+}
+
+wire::reply_message reply_of(const active_run &run, worker_answered &e, const std::string &service)
+{
+    wire::reply_message out;
+    out.correlation = run.call.correlation;
+    out.unspent = run.retries.left;
+    switch (e.end) {
+        case worker_end::answered:
+            out.outcome = wire::outcome::ran;
+            out.status = e.status;
+            out.content_type = std::move(e.content_type);
+            out.body = std::move(e.body);
+            return out;
+        case worker_end::refused:
+            out.outcome = wire::outcome::not_run;
+            out.refusal = wire::refusal::busy;
+            break;
+        case worker_end::not_sent:
+            out.outcome = wire::outcome::not_run;
+            out.refusal = wire::refusal::connection_lost;
+            break;
+        case worker_end::lost:
+            out.outcome = wire::outcome::unknown;
+            out.refusal = wire::refusal::connection_lost;
+            break;
+    }
+    out.refused_by = service;
+    return out;
+}
+
+}  // namespace
+
+std::string print_context(const node &n, run_ref run)
+{
+    return n.settings.node.instance + ":" + std::to_string(n.incarnation) + ":" +
+           std::to_string(static_cast<std::uint64_t>(run));
+}
+
+std::optional<run_ref> parse_context(const node &n, const std::string &context)
+{
+    std::size_t last = context.rfind(':');
+    if (last == std::string::npos) {
+        return std::nullopt;
+    }
+    run_ref run{std::strtoull(context.c_str() + last + 1, nullptr, 10)};
+    if (n.runs.count(run) == 0 || print_context(n, run) != context) {
+        return std::nullopt;
+    }
+    return run;
+}
+
+void on_call(turn &t, const std::string &from, wire::call_message &call)
+{
+    if (std::optional<wire::refusal> why = reason_to_refuse(t, call)) {
+        refuse(t, from, call, *why);
+        return;
+    }
+    run_ref id{next_id(t.n)};
+    active_run run;
+    run.id = id;
+    run.origin = from;
+    run.deadline = t.now + microseconds(call.left_us);
+    run.queued_at = t.now;
+    run.retries.left = call.allowance;
+    run.call = std::move(call);
+    priority of_run = priority_of(run.call);
+    t.n.served[{from, run.call.correlation}] = id;
+    t.n.run_deadlines.emplace(run.deadline, id);
+    t.n.runs.emplace(id, std::move(run));
+    if (t.n.slots_used < t.n.slots) {
+        start_run(t, id);
+        return;
+    }
+    if (std::optional<run_ref> displaced = enqueue(t.n.queue, of_run, id)) {
+        refuse_queued(t, *displaced, wire::refusal::overload);
+    }
+}
+
+void on_cancel(turn &t, const std::string &from, std::uint64_t correlation)
+{
+    auto found = t.n.served.find({from, correlation});
+    if (found == t.n.served.end()) {
+        return;
+    }
+    break_off(t, found->second);
+    start_queued(t);
+}
+
+void on_worker_answered(turn &t, worker_answered &e)
+{
+    if (t.n.runs.count(e.run) == 0) {
+        return;  // broken off before
+    }
+    cancel_children(t, t.n.runs.at(e.run));
+    active_run run = forget_run(t, e.run);
+    --t.n.slots_used;
+    t.n.counters.runs_lost += e.end == worker_end::lost ? 1 : 0;
+    note_event(t.n.events, t.now, event_kind::run_finished, run.call.request_id,
+               t.n.settings.node.instance, std::to_string(e.status));
+    reply_to(t, run.origin, reply_of(run, e, t.n.settings.node.service), run.touched);
+    start_queued(t);
+}
+
+void expire_runs(turn &t)
+{
+    while (!t.n.run_deadlines.empty() && t.n.run_deadlines.begin()->first <= t.now) {
+        active_run run = break_off(t, t.n.run_deadlines.begin()->second);
+        wire::reply_message reply;
+        reply.correlation = run.call.correlation;
+        reply.outcome = run.started_at ? wire::outcome::unknown : wire::outcome::not_run;
+        reply.refusal = wire::refusal::deadline;
+        reply.refused_by = t.n.settings.node.service;
+        reply.unspent = run.retries.left;
+        reply_to(t, run.origin, std::move(reply), run.touched);
+    }
+    start_queued(t);
+}
+
+}  // namespace gullstall::internal
--- /dev/null
+++ b/gullstall/src/node/step.cpp
@@ -0,0 +1,120 @@
+#include "gullstall/src/node/internal.hpp"
+
+namespace gullstall {
+
+namespace {
+
+using internal::turn;
+
+void on_frame(turn &t, wire::frame_message &frame)
+{
+    merge_clock(t.n.events, frame.clock, t.now);
+    switch (frame.payload.type) {
+        case wire::payload::call:
+            internal::on_call(t, frame.sender, *frame.payload.Ascall());
+            break;
+        case wire::payload::reply:
+            internal::on_reply(t, frame.sender, *frame.payload.Asreply());
+            break;
+        case wire::payload::cancel:
+            internal::on_cancel(t, frame.sender, frame.payload.Ascancel()->correlation);
+            break;
+        default:
+            break;
+    }
+    internal::on_control_frame(t, frame);
+}
+
+void on_tick(turn &t)
+{
+    update_level(t.n.level, t.now);
+    internal::expire_calls(t);
+    internal::expire_runs(t);
+    internal::on_control_tick(t);
+}
+
+struct event_visitor
+{
+    turn &t;
+
+    void operator()(call_arrived &e) const
+    {
+        internal::on_call_arrived(t, e);
+    }
+    void operator()(call_abandoned &e) const
+    {
+        internal::on_call_abandoned(t, e.call);
+    }
+    void operator()(worker_answered &e) const
+    {
+        internal::on_worker_answered(t, e);
+    }
+    void operator()(worker_announced &e) const
+    {
+        internal::on_worker_announced(t, e);
+    }
+    void operator()(worker_leaving &) const
+    {
+        internal::on_worker_leaving(t);
+    }
+    void operator()(frame_arrived &e) const
+    {
+        on_frame(t, e.frame);
+    }
+    void operator()(peer_unreachable &e) const
+    {
+        internal::on_peer_unreachable(t, e);
+    }
+    void operator()(platform_answered &e) const
+    {
+        internal::on_platform_answered(t, e);
+    }
+    void operator()(admin_asked &e) const
+    {
+        internal::on_admin_asked(t, e);
+    }
+    void operator()(stop_requested &) const
+    {
+        internal::on_stop_requested(t);
+    }
+    void operator()(tick &) const
+    {
+        on_tick(t);
+    }
+};
+
+}  // namespace
+
+result<node> make_node(const node_settings &settings, std::uint64_t incarnation, std::uint64_t seed)
+{
+    if (settings.node.instance.empty() || settings.worker.slots == 0) {
+        return error{error_code::out_of_range, "node: needs an instance name and worker slots"};
+    }
+    node out;
+    out.settings = settings;
+    out.incarnation = incarnation;
+    out.random.seed(seed);
+    out.queue.limit = settings.worker.slots;
+    member self;
+    self.instance = settings.node.instance;
+    self.zone = settings.node.zone;
+    self.region = settings.node.region;
+    self.service = settings.node.service;
+    self.address = settings.listen.address;
+    self.port = settings.listen.peers_port;
+    self.incarnation = incarnation;
+    self.state = wire::member_state::leaving;  // until the worker has announced itself
+    out.members.members[self.instance] = self;
+    return out;
+}
+
+actions step(node &it, time_point now, event what)
+{
+    actions out;
+    turn t{it, now, out};
+    std::visit(event_visitor{t}, what);
+    internal::finish_stop(t);
+    return out;
+}
+
+}  // namespace gullstall
--- /dev/null
+++ b/gullstall/src/overload/run_queue.cpp
@@ -0,0 +1,41 @@
+#include "gullstall/src/overload/run_queue.hpp"
+
+#include <iterator>
+
+namespace gullstall {
+
+std::optional<run_ref> enqueue(run_queue &it, priority of_run, run_ref run)
+{
+    it.waiting.emplace(of_run, run);
+    if (it.waiting.size() <= it.limit) {
+        return std::nullopt;
+    }
+    auto last = std::prev(it.waiting.end());
+    run_ref displaced = last->second;
+    it.waiting.erase(last);
+    return displaced;
+}
+
+std::optional<run_ref> dequeue(run_queue &it)
+{
+    if (it.waiting.empty()) {
+        return std::nullopt;
+    }
+    run_ref first = it.waiting.begin()->second;
+    it.waiting.erase(it.waiting.begin());
+    return first;
+}
+
+bool remove_run(run_queue &it, priority of_run, run_ref run)
+{
+    auto [begin, end] = it.waiting.equal_range(of_run);
+    for (auto entry = begin; entry != end; ++entry) {
+        if (entry->second == run) {
+            it.waiting.erase(entry);
+            return true;
+        }
+    }
+    return false;
+}
+
+}  // namespace gullstall
--- /dev/null
+++ b/gullstall/src/runtime/daemon.cpp
@@ -0,0 +1,418 @@
+#include "gullstall/src/runtime/daemon.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <cstdlib>
+#include <random>
+#include <thread>
+
+#include "gullstall/node.hpp"
+#include "gullstall/src/runtime/callers_http.hpp"
+#include "gullstall/src/runtime/http_client.hpp"
+#include "gullstall/src/runtime/log.hpp"
+#include "gullstall/src/runtime/mailbox.hpp"
+#include "gullstall/src/runtime/peer_transport.hpp"
+#include "gullstall/src/runtime/platform_http.hpp"
+
+namespace gullstall::runtime {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/// Entries of each ring. It is above the number of calls in flight that the
+/// connection limits allow, so rings that carry answers are never full.
+constexpr std::size_t ring_entries = 131072;
+
+/// The admin port is for operators: few connections, small requests.
+constexpr http_limits admin_limits{4096, 8192, 64, seconds(5)};
+
+/// Time that a request to the worker may take beyond its time left, so that
+/// the node's own deadline comes first.
+constexpr duration worker_grace = seconds(1);
+
+using worker_order = std::variant<run_on_worker, cancel_on_worker>;
+using admin_order = std::variant<answer_admin, write_log>;
+
+/// Time since the epoch of the process's start, on a clock that never goes back.
+class daemon_clock
+{
+public:
+    daemon_clock()
+        : origin_(duration_cast<duration>(std::chrono::system_clock::now().time_since_epoch())),
+          start_(std::chrono::steady_clock::now())
+    {
+    }
+
+    time_point now() const
+    {
+        return time_point(origin_ +
+                          duration_cast<duration>(std::chrono::steady_clock::now() - start_));
+    }
+
+private:
+    duration origin_;
+    std::chrono::steady_clock::time_point start_;
+};
+
+tcp::endpoint endpoint_of(const std::string &address, std::uint16_t port)
+{
+    return tcp::endpoint(asio::ip::make_address(address), port);
+}
+
+/// One thread with its io_context.
+struct duty
+{
+    asio::io_context io{1};
+    asio::executor_work_guard<asio::io_context::executor_type> guard = asio::make_work_guard(io);
+    std::thread thread;
+
+    void start()
+    {
+        thread = std::thread([this] { io.run(); });
+    }
+    void finish()
+    {
+        io.stop();
+        if (thread.joinable()) {
+            thread.join();
+        }
+    }
+};
+
+/// The node with its threads: callers, worker, peers, platform, admin (with the
+/// log) and, on the thread that runs it, the decisions.
+class daemon
+{
+public:
+    daemon(const node_settings &settings, node &&made);
+    void run();
+
+private:
+    void apply(event &&what);
+    void carry_out(action &&what);
+    void schedule_tick();
+    void on_callers_request(std::uint64_t id, http_request &&request);
+    void on_admin_request(std::uint64_t id, const http_request &request);
+    void on_worker_order(worker_order &&order);
+    asio::awaitable<void> run_call(run_on_worker order, std::shared_ptr<exchange_handle> handle);
+    asio::awaitable<void> ask(ask_platform order);
+    void on_admin_order(admin_order &&order);
+    void wait_signal();
+    void send(send_frame &&order);
+
+    /// For what must not be lost: a full ring is then a broken invariant.
+    template <class T>
+    static void push_always(mailbox<T> &ring, T entry)
+    {
+        if (!ring.push(entry)) {
+            std::abort();
+        }
+    }
+
+    node_settings settings_;
+    daemon_clock clock_;
+    node node_;
+    std::optional<time_point> stop_at_;
+
+    duty decisions_;
+    duty callers_;
+    duty worker_;
+    duty peers_;
+    duty platform_;
+    duty admin_;
+
+    mailbox<event> from_callers_;
+    mailbox<event> from_worker_;
+    mailbox<event> from_peers_;
+    mailbox<event> from_platform_;
+    mailbox<event> from_admin_;
+    mailbox<answer_call> to_callers_;
+    mailbox<worker_order> to_worker_;
+    mailbox<send_frame> to_peers_;
+    mailbox<ask_platform> to_platform_;
+    mailbox<admin_order> to_admin_;
+
+    asio::steady_timer tick_timer_;
+    asio::signal_set signals_;
+    http_server callers_server_;
+    http_server admin_server_;
+    http_client worker_client_;
+    http_client platform_client_;
+    peer_transport transport_;
+    std::unordered_map<run_ref, std::shared_ptr<exchange_handle>> running_;
+};
+
+daemon::daemon(const node_settings &settings, node &&made)
+    : settings_(settings),
+      node_(std::move(made)),
+      from_callers_(decisions_.io, ring_entries, [this](event &&e) { apply(std::move(e)); }),
+      from_worker_(decisions_.io, ring_entries, [this](event &&e) { apply(std::move(e)); }),
+      from_peers_(decisions_.io, ring_entries, [this](event &&e) { apply(std::move(e)); }),
+      from_platform_(decisions_.io, ring_entries, [this](event &&e) { apply(std::move(e)); }),
+      from_admin_(decisions_.io, ring_entries, [this](event &&e) { apply(std::move(e)); }),
+      to_callers_(callers_.io, ring_entries,
+                  [this](answer_call &&it) {
+                      callers_server_.answer(static_cast<std::uint64_t>(it.call),
+                                             encode_caller_answer(std::move(it.answer)));
+                  }),
+      to_worker_(worker_.io, ring_entries,
+                 [this](worker_order &&it) { on_worker_order(std::move(it)); }),
+      to_peers_(
+          peers_.io, ring_entries,
+          [this](send_frame &&it) { transport_.send(it.instance, it.to, std::move(it.frame)); }),
+      to_platform_(platform_.io, ring_entries,
+                   [this](ask_platform &&it) {
+                       asio::co_spawn(platform_.io, ask(std::move(it)), asio::detached);
+                   }),
+      to_admin_(admin_.io, ring_entries,
+                [this](admin_order &&it) { on_admin_order(std::move(it)); }),
+      tick_timer_(decisions_.io),
+      signals_(admin_.io, SIGTERM, SIGINT),
+      callers_server_(
+          callers_.io, endpoint_of(settings.listen.address, settings.listen.callers_port),
+          http_limits{settings.listen.body_limit_bytes, settings.listen.header_limit_bytes,
+                      settings.listen.connection_limit,
+                      milliseconds(settings.listen.read_timeout_ms)},
+          http_handlers{[this](std::uint64_t id, http_request &&request) {
+                            on_callers_request(id, std::move(request));
+                        },
+                        [this](std::uint64_t id) {
+                            push_always(from_callers_, event{call_abandoned{call_ref{id}}});
+                        }}),
+      admin_server_(
+          admin_.io, endpoint_of(settings.listen.address, settings.listen.admin_port), admin_limits,
+          http_handlers{
+              [this](std::uint64_t id, http_request &&request) { on_admin_request(id, request); },
+              [](std::uint64_t) {}}),
+      worker_client_(worker_.io, endpoint_of(settings.worker.address, settings.worker.port),
+                     settings.listen.body_limit_bytes),
+      platform_client_(platform_.io, endpoint_of(settings.platform.address, settings.platform.port),
+                       settings.listen.body_limit_bytes),
+      transport_(
+          peers_.io, endpoint_of(settings.listen.address, settings.listen.peers_port),
+          peer_handlers{
+              [this](wire::frame_message &&frame) {
+                  event arrived{frame_arrived{std::move(frame)}};
+                  return from_peers_.push(arrived);
+              },
+              [this](const std::string &instance, std::vector<std::uint64_t> unsent) {
+                  push_always(from_peers_, event{peer_unreachable{instance, std::move(unsent)}});
+              },
+              [](const std::string &reason) {
+                  write_line(write_log{write_log::severity::warning, "peers", reason});
+              }})
+{
+}
+
+void daemon::apply(event &&what)
+{
+    for (action &it : step(node_, clock_.now(), std::move(what))) {
+        carry_out(std::move(it));
+    }
+}
+
+void daemon::send(send_frame &&order)
+{
+    if (to_peers_.push(order)) {
+        return;
+    }
+    // The ring to the peers is full. A call in the frame gets its refusal at
+    // once, as if the peer had given it; other frames are sent again later by
+    // those who own them.
+    const wire::call_message *call = order.frame.payload.Ascall();
+    if (call == nullptr) {
+        return;
+    }
+    wire::reply_message reply;
+    reply.correlation = call->correlation;
+    reply.outcome = wire::outcome::not_run;
+    reply.refusal = wire::refusal::busy;
+    reply.unspent = call->allowance;
+    wire::frame_message frame;
+    frame.sender = order.instance;
+    frame.payload.Set(std::move(reply));
+    asio::post(decisions_.io,
+               [this, held = std::make_shared<wire::frame_message>(std::move(frame))] {
+                   apply(event{frame_arrived{std::move(*held)}});
+               });
+}
+
+void daemon::carry_out(action &&what)
+{
+    std::visit(
+        [this](auto &it) {
+            using kind = std::decay_t<decltype(it)>;
+            if constexpr (std::is_same_v<kind, answer_call>) {
+                push_always(to_callers_, std::move(it));
+            } else if constexpr (std::is_same_v<kind, send_frame>) {
+                send(std::move(it));
+            } else if constexpr (std::is_same_v<kind, run_on_worker> ||
+                                 std::is_same_v<kind, cancel_on_worker>) {
+                push_always(to_worker_, worker_order{std::move(it)});
+            } else if constexpr (std::is_same_v<kind, ask_platform>) {
+                push_always(to_platform_, std::move(it));
+            } else if constexpr (std::is_same_v<kind, answer_admin> ||
+                                 std::is_same_v<kind, write_log>) {
+                push_always(to_admin_, admin_order{std::move(it)});
+            } else {
+                static_assert(std::is_same_v<kind, stop_now>, "an action is not carried out");
+                // The last answers are still on their way out of the other threads.
+                constexpr duration flush_time = milliseconds(200);
+                stop_at_ = clock_.now() + flush_time;
+            }
+        },
+        what);
+}
+
+void daemon::schedule_tick()
+{
+    tick_timer_.expires_after(tick_interval);
+    tick_timer_.async_wait([this](const boost::system::error_code &ec) {
+        if (ec) {
+            return;
+        }
+        apply(event{tick{}});
+        if (stop_at_ && clock_.now() >= *stop_at_) {
+            decisions_.io.stop();
+            return;
+        }
+        schedule_tick();
+    });
+}
+
+void daemon::on_callers_request(std::uint64_t id, http_request &&request)
+{
+    result<callers_request> read = decode_callers_request(std::move(request));
+    if (!succeeded(read)) {
+        callers_server_.answer(id, encode_bad_request(error_of(read)));
+        return;
+    }
+    callers_request &what = value_of(read);
+    if (auto *call = std::get_if<caller_call>(&what)) {
+        event arrived{call_arrived{call_ref{id}, std::move(*call)}};
+        if (!from_callers_.push(arrived)) {
+            callers_server_.answer(
+                id, encode_caller_answer(caller_answer{
+                        wire::outcome::not_run, wire::refusal::busy, "", "", 0, 1000, 0, "", {}}));
+        }
+        return;
+    }
+    if (auto *announced = std::get_if<worker_announced>(&what)) {
+        push_always(from_callers_, event{*announced});
+    } else {
+        push_always(from_callers_, event{worker_leaving{}});
+    }
+    callers_server_.answer(id, encode_notice_taken());
+}
+
+void daemon::on_admin_request(std::uint64_t id, const http_request &request)
+{
+    push_always(from_admin_, event{admin_asked{admin_ref{id}, std::string(request.target())}});
+}
+
+void daemon::on_admin_order(admin_order &&order)
+{
+    if (auto *line = std::get_if<write_log>(&order)) {
+        write_line(*line);
+        return;
+    }
+    auto &answer = std::get<answer_admin>(order);
+    http_response response{static_cast<boost::beast::http::status>(answer.status), 11};
+    response.set(boost::beast::http::field::content_type, answer.content_type);
+    response.body().assign(answer.body.begin(), answer.body.end());
+    response.prepare_payload();
+    admin_server_.answer(static_cast<std::uint64_t>(answer.question), std::move(response));
+}
+
+void daemon::on_worker_order(worker_order &&order)
+{
+    if (auto *run = std::get_if<run_on_worker>(&order)) {
+        auto handle = std::make_shared<exchange_handle>();
+        running_[run->run] = handle;
+        asio::co_spawn(worker_.io, run_call(std::move(*run), handle), asio::detached);
+        return;
+    }
+    auto it = running_.find(std::get<cancel_on_worker>(order).run);
+    if (it != running_.end()) {
+        http_client::cancel(*it->second);
+    }
+}
+
+asio::awaitable<void> daemon::run_call(run_on_worker order, std::shared_ptr<exchange_handle> handle)
+{
+    run_ref id = order.run;
+    duration timeout = order.time_left + worker_grace;
+    exchange it =
+        co_await worker_client_.send(encode_run(std::move(order)), timeout, std::move(handle));
+    running_.erase(id);
+    worker_answered answer{id, worker_end::lost, 0, "", {}};
+    if (it.end == exchange_end::not_sent) {
+        answer.end = worker_end::not_sent;
+    } else if (it.end == exchange_end::answered) {
+        answer.end =
+            it.response[header::outcome] == "not-run" ? worker_end::refused : worker_end::answered;
+        answer.status = static_cast<std::uint16_t>(it.response.result_int());
+        answer.content_type = std::string(it.response[boost::beast::http::field::content_type]);
+        answer.body = std::move(it.response.body());
+    }
+    push_always(from_worker_, event{std::move(answer)});
+}
+
+asio::awaitable<void> daemon::ask(ask_platform order)
+{
+    platform_answer answer = co_await ask_over_http(platform_client_, std::move(order.what),
+                                                    milliseconds(settings_.platform.timeout_ms));
+    push_always(from_platform_, event{platform_answered{order.request, std::move(answer)}});
+}
+
+void daemon::wait_signal()
+{
+    signals_.async_wait([this](const boost::system::error_code &ec, int) {
+        if (ec) {
+            return;
+        }
+        push_always(from_admin_, event{stop_requested{}});
+        wait_signal();
+    });
+}
+
+void daemon::run()
+{
+    wait_signal();
+    schedule_tick();
+    for (duty *it : {&callers_, &worker_, &peers_, &platform_, &admin_}) {
+        it->start();
+    }
+    decisions_.io.run();
+    for (duty *it : {&callers_, &worker_, &peers_, &platform_, &admin_}) {
+        it->finish();
+    }
+}
+
+}  // namespace
+
+result<done> run_daemon(const node_settings &settings)
+{
+    open_log(settings.node.instance, settings.log.level);
+    daemon_clock clock;
+    auto incarnation = static_cast<std::uint64_t>(clock.now().time_since_epoch().count());
+    result<node> made = make_node(settings, incarnation, std::random_device{}());
+    if (!succeeded(made)) {
+        return error_of(made);
+    }
+    try {
+        daemon it(settings, value_of(std::move(made)));
+        write_line(write_log{write_log::severity::info, "node", "started"});
+        it.run();
+    } catch (const boost::system::system_error &e) {
+        return error{error_code::unavailable, std::string("cannot listen: ") + e.what()};
+    }
+    write_line(write_log{write_log::severity::info, "node", "stopped"});
+    return done{};
+}
+
+}  // namespace gullstall::runtime
--- /dev/null
+++ b/gullstall/src/runtime/http_client.cpp
@@ -0,0 +1,103 @@
+#include "gullstall/src/runtime/http_client.hpp"
+
+#include <sys/socket.h>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace gullstall::runtime {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+/// \returns whether an idle connection can carry a request: readable means
+/// that the server closed it or sent what nobody asked for
+bool is_fresh(asio::ip::tcp::socket &socket)
+{
+    char byte = 0;
+    ssize_t n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace
+
+http_client::http_client(asio::io_context &io, asio::ip::tcp::endpoint to, std::uint64_t body_limit)
+    : io_(io), to_(std::move(to)), body_limit_(body_limit)
+{
+}
+
+std::unique_ptr<beast::tcp_stream> http_client::take_idle()
+{
+    while (!idle_.empty()) {
+        std::unique_ptr<beast::tcp_stream> stream = std::move(idle_.back());
+        idle_.pop_back();
+        if (is_fresh(stream->socket())) {
+            return stream;
+        }
+    }
+    return nullptr;
+}
+
+asio::awaitable<exchange> http_client::send(http_request request, duration timeout,
+                                            std::shared_ptr<exchange_handle> handle)
+{
+    error_code ec;
+    exchange out{exchange_end::not_sent, {}};
+    std::unique_ptr<beast::tcp_stream> stream = take_idle();
+    bool connected = stream != nullptr;
+    if (!connected) {
+        stream = std::make_unique<beast::tcp_stream>(io_);
+    }
+    if (handle) {
+        handle->stream = stream.get();
+    }
+    stream->expires_after(timeout);
+    if (!connected) {
+        co_await stream->async_connect(to_, asio::redirect_error(asio::use_awaitable, ec));
+        if (!ec) {
+            stream->socket().set_option(asio::ip::tcp::no_delay(true), ec);
+        }
+    }
+    bool cancelled = handle && handle->cancelled;
+    if (!ec && !cancelled) {
+        out.end = exchange_end::lost;
+        request.prepare_payload();
+        co_await http::async_write(*stream, request, asio::redirect_error(asio::use_awaitable, ec));
+        beast::flat_buffer buf;
+        http::response_parser<http::vector_body<std::uint8_t>> parser;
+        parser.body_limit(body_limit_);
+        if (!ec) {
+            co_await http::async_read(*stream, buf, parser,
+                                      asio::redirect_error(asio::use_awaitable, ec));
+        }
+        if (!ec) {
+            out.end = exchange_end::answered;
+            out.response = parser.release();
+        }
+    }
+    if (handle) {
+        handle->stream = nullptr;
+    }
+    if (out.end == exchange_end::answered && out.response.keep_alive()) {
+        stream->expires_never();
+        idle_.push_back(std::move(stream));
+    }
+    co_return out;
+}
+
+void http_client::cancel(exchange_handle &handle)
+{
+    handle.cancelled = true;
+    if (handle.stream != nullptr) {
+        handle.stream->close();
+    }
+}
+
+}  // namespace gullstall::runtime
--- /dev/null
+++ b/gullstall/src/runtime/http_server.cpp
@@ -0,0 +1,231 @@
+#include "gullstall/src/runtime/http_server.hpp"
+
+#include <sys/socket.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <cerrno>
+
+namespace gullstall::runtime {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using namespace asio::experimental::awaitable_operators;
+
+namespace {
+
+constexpr auto idle_timeout = std::chrono::minutes(5);
+constexpr auto write_timeout = std::chrono::seconds(30);
+
+http_response make_refusal(http::status status, const std::string &reason)
+{
+    http_response out{status, 11};
+    std::string text = reason + "\n";
+    out.set(http::field::content_type, "text/plain");
+    out.set("Gullstall-Outcome", "not-run");
+    out.set("Gullstall-Reason", reason);
+    out.body().assign(text.begin(), text.end());
+    out.keep_alive(false);
+    out.prepare_payload();
+    return out;
+}
+
+struct read_refusal
+{
+    http::status status;
+    const char *reason;
+};
+
+/// \returns how an unreadable request is refused, none when nobody is there to
+/// be told
+std::optional<read_refusal> refusal_for(const error_code &ec)
+{
+    if (ec == http::error::body_limit) {
+        return read_refusal{http::status::payload_too_large, "body-too-large"};
+    }
+    if (ec == http::error::header_limit) {
+        return read_refusal{http::status::request_header_fields_too_large, "header-too-large"};
+    }
+    if (ec == beast::error::timeout) {
+        return read_refusal{http::status::request_timeout, "request-too-slow"};
+    }
+    if (ec == http::error::partial_message || ec == http::error::end_of_stream ||
+        ec.category() != http::make_error_code(http::error::bad_method).category()) {
+        return std::nullopt;
+    }
+    return read_refusal{http::status::bad_request, "bad-request"};
+}
+
+/// \returns whether the other side has closed the connection
+bool is_closed(asio::ip::tcp::socket &socket)
+{
+    char byte = 0;
+    ssize_t n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+}  // namespace
+
+http_server::http_server(asio::io_context &io, const asio::ip::tcp::endpoint &at,
+                         http_limits limits, http_handlers handlers)
+    : io_(io), acceptor_(io, at), limits_(limits), handlers_(std::move(handlers))
+{
+    asio::co_spawn(io_, accept_loop(), asio::detached);
+}
+
+void http_server::answer(std::uint64_t id, http_response &&response)
+{
+    auto it = waiting_.find(id);
+    if (it == waiting_.end()) {
+        return;
+    }
+    it->second->response = std::move(response);
+    it->second->signal.cancel();
+}
+
+void http_server::stop()
+{
+    stopping_ = true;
+    error_code ec;
+    acceptor_.close(ec);
+}
+
+asio::awaitable<void> http_server::accept_loop()
+{
+    while (!stopping_) {
+        error_code ec;
+        asio::ip::tcp::socket socket =
+            co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, ec));
+        if (ec == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (ec) {
+            // Out of descriptors: the accept fails at once again, so wait a moment.
+            asio::steady_timer pause(io_, std::chrono::milliseconds(10));
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            continue;
+        }
+        socket.set_option(asio::ip::tcp::no_delay(true), ec);
+        asio::co_spawn(io_, serve(beast::tcp_stream(std::move(socket))), asio::detached);
+    }
+}
+
+asio::awaitable<void> http_server::refuse(beast::tcp_stream &stream, http::status status,
+                                          const std::string &reason)
+{
+    error_code ec;
+    http_response response = make_refusal(status, reason);
+    stream.expires_after(write_timeout);
+    co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, ec));
+    // What the client still sends is read for a moment: closing with unread
+    // bytes would reset the connection, and the client would not see the reason.
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    constexpr std::size_t drain_bytes = 65536;
+    constexpr std::uint64_t drain_limit = 64U << 20U;
+    std::vector<char> sink(drain_bytes);
+    stream.expires_after(std::chrono::seconds(2));
+    std::uint64_t total = 0;
+    while (!ec && total < drain_limit) {
+        total += co_await stream.async_read_some(asio::buffer(sink),
+                                                 asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
+asio::awaitable<std::optional<http_request>> http_server::read_request(beast::tcp_stream &stream,
+                                                                       beast::flat_buffer &buf)
+{
+    error_code ec;
+    if (buf.size() == 0) {
+        // Between two requests the connection may be idle for long.
+        stream.expires_after(idle_timeout);
+        constexpr std::size_t first_read = 4096;
+        std::size_t n = co_await stream.async_read_some(
+            buf.prepare(first_read), asio::redirect_error(asio::use_awaitable, ec));
+        if (ec) {
+            co_return std::nullopt;
+        }
+        buf.commit(n);
+    }
+    http::request_parser<http::vector_body<std::uint8_t>> parser;
+    parser.body_limit(limits_.body_bytes);
+    parser.header_limit(limits_.header_bytes);
+    stream.expires_after(limits_.read_timeout);
+    co_await http::async_read(stream, buf, parser, asio::redirect_error(asio::use_awaitable, ec));
+    stream.expires_never();
+    if (ec) {
+        if (auto refusal = refusal_for(ec)) {
+            co_await refuse(stream, refusal->status, refusal->reason);
+        }
+        co_return std::nullopt;
+    }
+    co_return parser.release();
+}
+
+asio::awaitable<std::optional<http_response>> http_server::wait_answer(beast::tcp_stream &stream,
+                                                                       http_request &&request)
+{
+    std::uint64_t id = ++last_id_;
+    auto entry = std::make_shared<waiter>(waiter{asio::steady_timer(io_), std::nullopt});
+    entry->signal.expires_at(asio::steady_timer::time_point::max());
+    waiting_[id] = entry;
+    handlers_.on_request(id, std::move(request));
+    error_code ec;
+    error_code read_ec;
+    while (!entry->response) {
+        co_await (entry->signal.async_wait(asio::redirect_error(asio::use_awaitable, ec)) ||
+                  stream.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                             asio::redirect_error(asio::use_awaitable, read_ec)));
+        if (entry->response) {
+            break;
+        }
+        if (read_ec || is_closed(stream.socket())) {
+            waiting_.erase(id);
+            handlers_.on_abandoned(id);
+            co_return std::nullopt;
+        }
+        // Bytes of a further request are there: it waits for its turn.
+        co_await entry->signal.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    waiting_.erase(id);
+    co_return std::move(entry->response);
+}
+
+asio::awaitable<void> http_server::serve(beast::tcp_stream stream)
+{
+    if (open_ >= limits_.connections) {
+        co_await refuse(stream, http::status::service_unavailable, "too-many-connections");
+        co_return;
+    }
+    ++open_;
+    beast::flat_buffer buf;
+    error_code ec;
+    bool keep = true;
+    while (keep && !ec) {
+        std::optional<http_request> request = co_await read_request(stream, buf);
+        if (!request) {
+            break;
+        }
+        keep = request->keep_alive();
+        std::optional<http_response> response = co_await wait_answer(stream, std::move(*request));
+        if (!response) {
+            break;
+        }
+        keep = keep && !stopping_ && response->keep_alive();
+        response->keep_alive(keep);
+        stream.expires_after(write_timeout);
+        co_await http::async_write(stream, *response,
+                                   asio::redirect_error(asio::use_awaitable, ec));
+    }
+    --open_;
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+}
+
+}  // namespace gullstall::runtime
--- /dev/null
+++ b/gullstall/src/settings/node_settings.cpp
@@ -0,0 +1,219 @@
+#include "gullstall/src/settings/node_settings.hpp"
+
+#include <array>
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
+#include <boost/lexical_cast/try_lexical_convert.hpp>
+
+#include "gullstall/src/core/hex.hpp"
+#include "gullstall/src/settings/section_reader.hpp"
+
+namespace gullstall {
+
+namespace {
+
+constexpr std::size_t public_key_bytes = 32;
+constexpr std::uint64_t max_port = 65535;
+
+constexpr std::array node_rules{field_rule{"instance", true}, field_rule{"zone", true},
+                                field_rule{"region", false}, field_rule{"service", true}};
+constexpr std::array listen_rules{field_rule{"address", true},
+                                  field_rule{"callers_port", true, 1, max_port},
+                                  field_rule{"peers_port", true, 1, max_port},
+                                  field_rule{"admin_port", true, 1, max_port},
+                                  field_rule{"body_limit_bytes", false, 1024, 67108864},
+                                  field_rule{"connection_limit", false, 1, 100000},
+                                  field_rule{"header_limit_bytes", false, 1024, 1048576},
+                                  field_rule{"read_timeout_ms", false, 10, 600000}};
+constexpr std::array worker_rules{
+    field_rule{"address", true}, field_rule{"port", true, 1, max_port},
+    field_rule{"slots", true, 1, 100000}, field_rule{"connections", true, 1, 100000}};
+constexpr std::array platform_rules{field_rule{"address", true},
+                                    field_rule{"port", true, 1, max_port},
+                                    field_rule{"timeout_ms", false, 10, 60000}};
+constexpr std::array membership_rules{field_rule{"seeds", false},
+                                      field_rule{"gossip_interval_ms", false, 50, 60000},
+                                      field_rule{"lease_ms", false, 1000, 600000}};
+constexpr std::array trust_rules{field_rule{"keys", true}};
+constexpr std::array log_rules{field_rule{"level", false}};
+
+std::vector<std::string> split_list(std::string_view text)
+{
+    std::vector<std::string> parts;
+    boost::algorithm::split(parts, text, boost::algorithm::is_any_of(","));
+    std::vector<std::string> out;
+    for (std::string &it : parts) {
+        boost::algorithm::trim(it);
+        if (!it.empty()) {
+            out.push_back(it);
+        }
+    }
+    return out;
+}
+
+result<std::vector<endpoint>> parse_endpoints(std::string_view text)
+{
+    std::vector<endpoint> out;
+    for (const std::string &it : split_list(text)) {
+        std::size_t colon = it.rfind(':');
+        std::uint16_t port = 0;
+        bool good = colon != std::string::npos && colon > 0 &&
+                    boost::conversion::try_lexical_convert(it.substr(colon + 1), port) && port != 0;
+        if (!good) {
+            return error{error_code::wrong_type, "found '" + it + "', expected address:port"};
+        }
+        out.push_back(endpoint{it.substr(0, colon), port});
+    }
+    return out;
+}
+
+/// Reads the section of kind \a kind into \a values; it may be absent unless
+/// one of its keys is required.
+template <class Table>
+result<done> load(const ini_document &document, const std::string &kind,
+                  std::span<const field_rule> rules, typename Table::NativeTableType &values)
+{
+    for (const ini_section &section : document.sections) {
+        if (section.kind != kind) {
+            continue;
+        }
+        result<typename Table::NativeTableType> read =
+            read_section<Table>(document, section, rules);
+        if (!succeeded(read)) {
+            return error_of(read);
+        }
+        values = value_of(std::move(read));
+        return done{};
+    }
+    for (const field_rule &rule : rules) {
+        if (rule.required) {
+            return error{error_code::missing, document.name + ": lacks the section [" + kind + "]"};
+        }
+    }
+    return done{};
+}
+
+result<done> check_sections(const ini_document &document)
+{
+    constexpr std::array<std::string_view, 7> known{"node",       "listen", "worker", "platform",
+                                                    "membership", "trust",  "log"};
+    for (const ini_section &it : document.sections) {
+        bool found = std::find(known.begin(), known.end(), it.kind) != known.end();
+        if (!found || !it.words.empty()) {
+            return ini_error(error_code::unknown_name, document.name, it.line,
+                             "found unknown section [" + it.kind +
+                                 (it.words.empty() ? "" : " " + it.words.front()) +
+                                 "], allowed are node, listen, worker, platform, membership, "
+                                 "trust, log");
+        }
+    }
+    return done{};
+}
+
+int line_of(const ini_document &document, std::string_view kind, std::string_view key)
+{
+    for (const ini_section &section : document.sections) {
+        for (const ini_entry &it : section.entries) {
+            if (section.kind == kind && it.key == key) {
+                return it.line;
+            }
+        }
+    }
+    return 0;
+}
+
+error at_key(const ini_document &document, const std::string &kind, const std::string &key,
+             const error &e)
+{
+    return ini_error(e.code, document.name, line_of(document, kind, key),
+                     "key '" + key + "': " + e.message);
+}
+
+}  // namespace
+
+result<std::vector<trusted_key>> parse_trusted_keys(std::string_view text)
+{
+    std::vector<trusted_key> out;
+    for (const std::string &it : split_list(text)) {
+        std::size_t equals = it.find('=');
+        if (equals == std::string::npos || equals == 0) {
+            return error{error_code::wrong_type, "found '" + it + "', expected name=hex key"};
+        }
+        result<std::string> key = from_hex(it.substr(equals + 1));
+        if (!succeeded(key) || value_of(key).size() != public_key_bytes) {
+            return error{error_code::wrong_type,
+                         "found '" + it + "', expected a key of 64 hexadecimal digits"};
+        }
+        out.push_back(trusted_key{it.substr(0, equals), value_of(key)});
+    }
+    return out;
+}
+
+result<node_settings> parse_settings(const std::string &name, std::string_view text)
+{
+    result<ini_document> parsed = parse_ini(name, text);
+    if (!succeeded(parsed)) {
+        return error_of(parsed);
+    }
+    const ini_document &document = value_of(parsed);
+    node_settings out;
+    settings::trust_section_values trust;
+    const std::array<result<done>, 8> steps{
+        check_sections(document),
+        load<settings::node_section>(document, "node", node_rules, out.node),
+        load<settings::listen_section>(document, "listen", listen_rules, out.listen),
+        load<settings::worker_section>(document, "worker", worker_rules, out.worker),
+        load<settings::platform_section>(document, "platform", platform_rules, out.platform),
+        load<settings::membership_section>(document, "membership", membership_rules,
+                                           out.membership),
+        load<settings::trust_section>(document, "trust", trust_rules, trust),
+        load<settings::log_section>(document, "log", log_rules, out.log)};
+    for (const result<done> &it : steps) {
+        if (!succeeded(it)) {
+            return error_of(it);
+        }
+    }
+    result<std::vector<endpoint>> seeds = parse_endpoints(out.membership.seeds);
+    if (!succeeded(seeds)) {
+        return at_key(document, "membership", "seeds", error_of(seeds));
+    }
+    out.seeds = value_of(std::move(seeds));
+    result<std::vector<trusted_key>> keys = parse_trusted_keys(trust.keys);
+    if (!succeeded(keys)) {
+        return at_key(document, "trust", "keys", error_of(keys));
+    }
+    out.trusted_keys = value_of(std::move(keys));
+    return out;
+}
+
+std::string print_settings(const node_settings &it)
+{
+    auto number = [](auto n) { return std::to_string(n); };
+    std::string keys;
+    for (const trusted_key &key : it.trusted_keys) {
+        keys += (keys.empty() ? "" : ", ") + key.name + "=" + to_hex(key.public_key);
+    }
+    return "[node]\ninstance = " + it.node.instance + "\nzone = " + it.node.zone +
+           "\nregion = " + it.node.region + "\nservice = " + it.node.service +
+           "\n\n[listen]\naddress = " + it.listen.address +
+           "\ncallers_port = " + number(it.listen.callers_port) +
+           "\npeers_port = " + number(it.listen.peers_port) +
+           "\nadmin_port = " + number(it.listen.admin_port) +
+           "\nbody_limit_bytes = " + number(it.listen.body_limit_bytes) +
+           "\nconnection_limit = " + number(it.listen.connection_limit) +
+           "\nheader_limit_bytes = " + number(it.listen.header_limit_bytes) +
+           "\nread_timeout_ms = " + number(it.listen.read_timeout_ms) +
+           "\n\n[worker]\naddress = " + it.worker.address + "\nport = " + number(it.worker.port) +
+           "\nslots = " + number(it.worker.slots) +
+           "\nconnections = " + number(it.worker.connections) +
+           "\n\n[platform]\naddress = " + it.platform.address +
+           "\nport = " + number(it.platform.port) +
+           "\ntimeout_ms = " + number(it.platform.timeout_ms) +
+           "\n\n[membership]\nseeds = " + it.membership.seeds +
+           "\ngossip_interval_ms = " + number(it.membership.gossip_interval_ms) +
+           "\nlease_ms = " + number(it.membership.lease_ms) + "\n\n[trust]\nkeys = " + keys +
+           "\n\n[log]\nlevel = " + it.log.level + "\n";
+}
+
+}  // namespace gullstall
--- /dev/null
+++ b/gullstall/src/settings/section_reader.hpp
@@ -0,0 +1,56 @@
+#ifndef GULLSTALL_SETTINGS_SECTION_READER_HPP
+#define GULLSTALL_SETTINGS_SECTION_READER_HPP
+
+#include <flatbuffers/flatbuffers.h>
+#include <flatbuffers/minireflect.h>
+
+#include <cstdint>
+#include <limits>
+#include <span>
+#include <string_view>
+
+#include "gullstall/src/settings/ini.hpp"
+
+namespace gullstall {
+
+/// What is allowed for a key beyond its type. A key without a rule is optional.
+struct field_rule
+{
+    std::string_view key;
+    bool required = false;
+    std::uint64_t min = 0;
+    std::uint64_t max = std::numeric_limits<std::uint64_t>::max();
+};
+
+namespace internal {
+
+/// Writes the entries of \a section as a table of \a type into \a builder.
+result<done> build_section(flatbuffers::FlatBufferBuilder &builder,
+                           const flatbuffers::TypeTable &type, const ini_document &document,
+                           const ini_section &section, std::span<const field_rule> rules);
+
+}  // namespace internal
+
+/// Reads \a section into the value type generated for the schema's \a Table.
+/// Keys and types come from the schema's reflection data.
+/// \returns the values, or an error with file, line, key, what was found and
+/// what is allowed
+template <class Table>
+result<typename Table::NativeTableType> read_section(const ini_document &document,
+                                                     const ini_section &section,
+                                                     std::span<const field_rule> rules)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    result<done> built =
+        internal::build_section(builder, *Table::MiniReflectTypeTable(), document, section, rules);
+    if (!succeeded(built)) {
+        return error_of(built);
+    }
+    typename Table::NativeTableType values;
+    flatbuffers::GetRoot<Table>(builder.GetBufferPointer())->UnPackTo(&values);
+    return values;
+}
+
+}  // namespace gullstall
+
+#endif
--- /dev/null
+++ b/test/support/world.hpp
@@ -0,0 +1,297 @@
+#ifndef GULLSTALL_TEST_SUPPORT_WORLD_HPP
+#define GULLSTALL_TEST_SUPPORT_WORLD_HPP
+
+#include <functional>
+#include <map>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gullstall/node.hpp"
+#include "test/standins/platform_store.hpp"
+
+namespace gullstall::test {
+
+/// A virtual-time queue that hands frames, platform answers and timers between
+/// nodes, with delay, loss, cuts and pauses. It has no topology and no model of
+/// machines; what a worker does is the test's own function.
+class world
+{
+public:
+    /// Called when a node runs a call on its worker; it answers by answer_run().
+    using worker_function = std::function<void(const std::string &instance, run_on_worker &&run)>;
+    /// Called with every final answer.
+    using answer_function =
+        std::function<void(const std::string &instance, call_ref call, caller_answer &&answer)>;
+
+    explicit world(std::uint64_t seed) : random(seed) {}
+
+    time_point now{seconds(1000)};
+    random_source random;
+    standin::platform_store platform;
+    std::map<std::string, node> nodes;
+    worker_function on_run;
+    std::function<void(const std::string &instance, run_ref run)> on_cancel;
+    answer_function on_answer;
+
+    duration link_delay = microseconds(500);
+    duration platform_delay = milliseconds(2);
+    double loss = 0;                                     ///< share of frames that vanish
+    std::set<std::pair<std::string, std::string>> cuts;  ///< zones that cannot hear each other
+    std::set<std::string> platform_cuts;                 ///< zones cut off from the platform
+    std::map<std::string, std::uint64_t> bytes_sent;     ///< by instance, when count_bytes
+    bool count_bytes = false;
+
+    /// Calls \a what at \a when.
+    void at(time_point when, std::function<void()> what)
+    {
+        queue_.push(entry{when, ++last_, std::move(what)});
+    }
+    void after(duration d, std::function<void()> what)
+    {
+        at(now + d, std::move(what));
+    }
+
+    /// Runs everything that is due until \a end.
+    void run_until(time_point end)
+    {
+        while (!queue_.empty() && queue_.top().when <= end) {
+            entry next = queue_.top();
+            queue_.pop();
+            now = next.when;
+            next.what();
+        }
+        now = end;
+    }
+    void run_for(duration d)
+    {
+        run_until(now + d);
+    }
+
+    /// Adds a node and starts its ticks; its worker announces itself at once
+    /// unless \a announce is false.
+    node &add_node(const node_settings &settings, bool announce = true)
+    {
+        const std::string &name = settings.node.instance;
+        auto incarnation = static_cast<std::uint64_t>(now.time_since_epoch().count());
+        nodes.insert_or_assign(name, value_of(make_node(settings, incarnation, random())));
+        ++lives_[name];
+        paused_.erase(name);
+        tick_on(name, lives_[name]);
+        if (announce) {
+            feed(name, worker_announced{settings.worker.slots});
+        }
+        return nodes.at(name);
+    }
+
+    /// Kills a node: it says nothing more, its peers see their connections break.
+    void kill(const std::string &name)
+    {
+        nodes.erase(name);
+        ++lives_[name];
+        paused_.erase(name);
+        for (auto &[other, n] : nodes) {
+            std::string peer = other;
+            after(link_delay, [this, peer, name] { feed(peer, peer_unreachable{name, {}}); });
+        }
+    }
+
+    /// Freezes a node: what comes for it waits until resume().
+    void pause(const std::string &name)
+    {
+        paused_[name];
+    }
+    void resume(const std::string &name)
+    {
+        auto held = std::move(paused_[name]);
+        paused_.erase(name);
+        for (event &it : held) {
+            feed(name, std::move(it));
+        }
+    }
+
+    /// Hands an event to a node, now, and carries out its actions.
+    void feed(const std::string &name, event what)
+    {
+        auto it = nodes.find(name);
+        if (it == nodes.end()) {
+            return;
+        }
+        auto frozen = paused_.find(name);
+        if (frozen != paused_.end()) {
+            if (!std::holds_alternative<tick>(what)) {
+                frozen->second.push_back(std::move(what));
+            }
+            return;
+        }
+        for (action &done : step(it->second, now, std::move(what))) {
+            carry_out(name, std::move(done));
+        }
+    }
+
+    /// A caller asks \a entry for a call.
+    call_ref call(const std::string &entry, caller_call request)
+    {
+        call_ref id{++last_call_};
+        feed(entry, call_arrived{id, std::move(request)});
+        return id;
+    }
+
+    /// The worker of \a instance ends a run.
+    void answer_run(const std::string &instance, run_ref run, worker_end end,
+                    std::uint16_t status = 200, body_bytes body = {})
+    {
+        feed(instance, worker_answered{run, end, status, "", std::move(body)});
+    }
+
+    bool are_cut(const std::string &zone_a, const std::string &zone_b) const
+    {
+        return cuts.count({zone_a, zone_b}) > 0 || cuts.count({zone_b, zone_a}) > 0;
+    }
+
+private:
+    struct entry
+    {
+        time_point when;
+        std::uint64_t order;
+        std::function<void()> what;
+
+        bool operator<(const entry &other) const
+        {
+            return std::tie(when, order) > std::tie(other.when, other.order);
+        }
+    };
+
+    void tick_on(const std::string &name, std::uint64_t life)
+    {
+        after(tick_interval, [this, name, life] {
+            if (lives_[name] != life) {
+                return;
+            }
+            feed(name, tick{});
+            tick_on(name, life);
+        });
+    }
+
+    void carry_out(const std::string &name, action &&what)
+    {
+        if (auto *frame = std::get_if<send_frame>(&what)) {
+            send(name, std::move(*frame));
+        } else if (auto *ask = std::get_if<ask_platform>(&what)) {
+            ask_for(name, std::move(*ask));
+        } else if (auto *run = std::get_if<run_on_worker>(&what)) {
+            if (on_run) {
+                on_run(name, std::move(*run));
+            }
+        } else if (auto *cancel = std::get_if<cancel_on_worker>(&what)) {
+            if (on_cancel) {
+                on_cancel(name, cancel->run);
+            }
+        } else if (auto *answer = std::get_if<answer_call>(&what)) {
+            if (on_answer) {
+                on_answer(name, answer->call, std::move(answer->answer));
+            }
+        }
+    }
+
+    std::string resolve(const send_frame &order) const
+    {
+        if (!order.instance.empty()) {
+            return order.instance;
+        }
+        for (const auto &[name, n] : nodes) {
+            const auto &listen = n.settings.listen;
+            if (endpoint{listen.address, listen.peers_port} == order.to) {
+                return name;
+            }
+        }
+        return "";
+    }
+
+    void send(const std::string &from, send_frame &&order)
+    {
+        std::string to = resolve(order);
+        if (count_bytes) {
+            bytes_sent[from] += encode_frame(order.frame).size();
+        }
+        auto receiver = nodes.find(to);
+        const std::string zone = nodes.at(from).settings.node.zone;
+        if (receiver == nodes.end() || are_cut(zone, receiver->second.settings.node.zone)) {
+            after(link_delay, [this, from, to] { feed(from, peer_unreachable{to, {}}); });
+            return;
+        }
+        if (loss > 0 && draw_fraction(random) < loss) {
+            return;
+        }
+        auto held = std::make_shared<wire::frame_message>(std::move(order.frame));
+        after(link_delay, [this, to, held] { feed(to, frame_arrived{std::move(*held)}); });
+    }
+
+    void ask_for(const std::string &from, ask_platform &&order)
+    {
+        bool cut = platform_cuts.count(nodes.at(from).settings.node.zone) > 0;
+        platform_answer answer =
+            cut ? platform_answer{platform_status::unavailable, {}, {}} : platform.ask(order.what);
+        std::uint64_t life = lives_[from];
+        platform_ref id = order.request;
+        after(platform_delay, [this, from, life, id, answer] {
+            if (lives_[from] == life) {
+                feed(from, platform_answered{id, answer});
+            }
+        });
+    }
+
+    std::priority_queue<entry> queue_;
+    std::map<std::string, std::uint64_t> lives_;
+    std::map<std::string, std::vector<event>> paused_;
+    std::uint64_t last_ = 0;
+    std::uint64_t last_call_ = 0;
+};
+
+/// \returns settings of a node for tests; \a number gives it ports of its own
+inline node_settings make_settings(const std::string &instance, const std::string &zone,
+                                   const std::string &service, std::uint16_t number,
+                                   std::uint32_t slots, std::vector<trusted_key> keys)
+{
+    constexpr std::uint16_t first_port = 20000;
+    node_settings out;
+    out.node.instance = instance;
+    out.node.zone = zone;
+    out.node.service = service;
+    out.listen.address = "127.0.0.1";
+    out.listen.peers_port = static_cast<std::uint16_t>(first_port + number);
+    out.worker.slots = slots;
+    out.worker.connections = slots;
+    out.trusted_keys = std::move(keys);
+    return out;
+}
+
+/// A signer for tests, and bundles published straight into the platform.
+struct test_publisher
+{
+    key_pair keys = value_of(make_key_pair());
+
+    std::vector<trusted_key> trusted() const
+    {
+        return {trusted_key{"board", keys.public_key}};
+    }
+
+    /// Signs \a text and makes it the published bundle.
+    void publish(standin::platform_store &platform, const std::string &text) const
+    {
+        signed_bundle made{
+            text, {bundle_signature{"board", value_of(sign_text(text, keys.private_key))}}};
+        std::string stored = print_signed(made);
+        std::string digest = digest_of(stored);
+        platform.objects[bundle_object_name(digest)] = stored;
+        table_row &row = platform.rows[bundle_head_key];
+        std::uint64_t version = value_of(parse_bundle("test", text)).head.version;
+        row = table_row{bundle_head_key, row.version + 1,
+                        print_head(bundle_head{version, digest, "test"})};
+    }
+};
+
+}  // namespace gullstall::test
+
+#endif
