Split the node's control by duty

Cause: membership and bundles are about to grow in one file. Change: member_control.cpp and bundle_control.cpp, no behaviour changed. Measured: test_node_path 4 passed before and after.

--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -32,7 +32,7 @@
 std::string print_context(const node &n, run_ref run);
 std::optional<run_ref> parse_context(const node &n, const std::string &context);
 
-// control.cpp: membership, bundles and the platform
+// control.cpp: the platform's answers, the worker's notices and the stop
 void on_control_tick(turn &t);
 void on_platform_answered(turn &t, platform_answered &e);
 void on_worker_announced(turn &t, const worker_announced &e);
@@ -41,6 +41,19 @@
 void on_control_frame(turn &t, wire::frame_message &frame);
 void finish_stop(turn &t);
 
+// member_control.cpp: membership
+void on_member_tick(turn &t);
+void on_member_frame(turn &t, wire::frame_message &frame);
+void on_lease_answer(turn &t, const platform_answer &answer);
+void on_scan_answer(turn &t, const platform_answer &answer);
+void set_own_state(turn &t, wire::member_state state);
+
+// bundle_control.cpp: bundles
+void on_bundle_tick(turn &t);
+void on_bundle_frame(turn &t, wire::frame_message &frame);
+void on_head_answer(turn &t, const platform_answer &answer);
+void on_bundle_object(turn &t, const platform_answer &answer);
+
 // admin.cpp
 void on_admin_asked(turn &t, const admin_asked &e);
 
