Bound re-sends over the whole chain; join repeats in flight

Cause: nothing showed that the allowance holds over a tree, and a client's repeat ran as a request of its own with a fresh allowance. Ruled out: a shared counter for the request (needs a message per re-send); refusing repeats (the caller of the repeat would get no answer). Change: repeats with the same id, target and body wait for the call in flight; another body is refused. Guards can be switched off by tests.

--- a/gullstall/src/node/admin.cpp
+++ b/gullstall/src/node/admin.cpp
@@ -55,6 +55,7 @@
     std::string out = metric("calls_taken_total", n.counters.calls_taken) +
                       metric("calls_answered_total", n.counters.calls_answered) +
                       metric("calls_resent_total", n.counters.calls_resent) +
+                      metric("repeats_joined_total", n.counters.repeats_joined) +
                       metric("contexts_unknown_total", n.counters.contexts_unknown) +
                       metric("runs_started_total", n.counters.runs_started) +
                       metric("runs_lost_total", n.counters.runs_lost) +
--- a/gullstall/src/node/entry.cpp
+++ b/gullstall/src/node/entry.cpp
@@ -46,6 +46,14 @@
             run->second.children.erase(call.id);
             run->second.retries.left += call.retries.left;
         }
+    } else {
+        auto entered = t.n.entered.find(call.request.request_id);
+        if (entered != t.n.entered.end() && entered->second == call.id) {
+            t.n.entered.erase(entered);
+        }
+    }
+    for (call_ref waiter : call.waiters) {
+        t.n.joined.erase(waiter);
     }
     t.n.calls.erase(call.id);
 }
@@ -76,11 +84,19 @@
         note_event(t.n.events, t.now, event_kind::call_answered, call.request.request_id,
                    call.request.service, std::to_string(reply.status));
     }
-    ++t.n.counters.calls_answered;
-    t.out.emplace_back(answer_call{
-        id, caller_answer{reply.outcome, reply.refusal, reply.refused_by, call.request.request_id,
-                          reply.status, reply.retry_after_ms, call.request.bundle_version,
-                          std::move(reply.content_type), std::move(reply.body)}});
+    caller_answer answer{reply.outcome,
+                         reply.refusal,
+                         reply.refused_by,
+                         call.request.request_id,
+                         reply.status,
+                         reply.retry_after_ms,
+                         call.request.bundle_version,
+                         std::move(reply.content_type),
+                         std::move(reply.body)};
+    for (call_ref waiter : call.waiters) {
+        ++t.n.counters.calls_answered;
+        t.out.emplace_back(answer_call{waiter, answer});
+    }
     forget_call(t, call);
 }
 
@@ -102,7 +118,8 @@
         return;
     }
     std::uint64_t correlation = next_id(t.n);
-    std::uint32_t share = take_share(call.retries);
+    std::uint32_t share =
+        t.n.guards.divide_allowance ? take_share(call.retries) : call.retries.left;
     call.current = attempt{correlation, *upstream, share, t.now};
     call.tried.push_back(*upstream);
     t.n.attempts[correlation] = id;
@@ -199,7 +216,8 @@
         request.bundle_version = run.call.bundle_version;
         request.depth = static_cast<std::uint8_t>(run.call.depth + 1);
         call.deadline = std::min(call.deadline, run.deadline);
-        call.retries.left = take_share(run.retries);
+        call.retries.left =
+            t.n.guards.divide_allowance ? take_share(run.retries) : run.retries.left;
         run.children.insert(call.id);
         return;
     }
@@ -232,6 +250,29 @@
                                                      {}}});
 }
 
+/// Lets a caller's repeat wait for the call in flight with the same request id,
+/// in place of running it a second time with an allowance of its own.
+/// \returns whether the repeat was taken care of
+bool join_call_in_flight(turn &t, const call_arrived &e)
+{
+    auto entered = t.n.entered.find(e.request.request_id);
+    if (!t.n.guards.join_repeats || entered == t.n.entered.end()) {
+        return false;
+    }
+    pending_call &call = t.n.calls.at(entered->second);
+    bool same = call.request.service == e.request.service &&
+                call.request.operation == e.request.operation &&
+                call.request.key == e.request.key && call.request.body == e.request.body;
+    if (!same) {
+        refuse_unready(t, e.call, wire::refusal::key_mismatch, e.request);
+        return true;
+    }
+    ++t.n.counters.repeats_joined;
+    call.waiters.push_back(e.call);
+    t.n.joined[e.call] = call.id;
+    return true;
+}
+
 }  // namespace
 
 void on_call_arrived(turn &t, call_arrived &e)
@@ -246,8 +287,12 @@
         refuse_unready(t, e.call, wire::refusal::leaving, e.request);
         return;
     }
+    if (!parent && join_call_in_flight(t, e)) {
+        return;
+    }
     pending_call call;
     call.id = e.call;
+    call.waiters.push_back(e.call);
     call.parent = parent;
     call.taken_at = t.now;
     call.request.service = e.request.service;
@@ -262,6 +307,9 @@
     earn_retry(t.n.budgets[call.request.service],
                t.n.bundles.in_force->content.limits.retry_budget_percent);
     t.n.call_deadlines.emplace(call.deadline, e.call);
+    if (!parent) {
+        t.n.entered.try_emplace(call.request.request_id, e.call);
+    }
     t.n.calls.emplace(e.call, std::move(call));
     if (!parent) {
         if (auto by = refusing_service(t.n.touches, type, of_call, t.now)) {
@@ -295,7 +343,17 @@
 
 void on_call_abandoned(turn &t, call_ref id)
 {
-    cancel_call(t, id);
+    auto repeat = t.n.joined.find(id);
+    auto found = t.n.calls.find(repeat == t.n.joined.end() ? id : repeat->second);
+    if (found == t.n.calls.end()) {
+        return;
+    }
+    std::vector<call_ref> &waiters = found->second.waiters;
+    waiters.erase(std::remove(waiters.begin(), waiters.end(), id), waiters.end());
+    t.n.joined.erase(id);
+    if (waiters.empty()) {
+        cancel_call(t, found->first);
+    }
 }
 
 void on_reply(turn &t, const std::string &from, wire::reply_message &reply)
--- a/gullstall/src/node/node.hpp
+++ b/gullstall/src/node/node.hpp
@@ -40,7 +40,8 @@
     allowance retries{};
     std::optional<attempt> current;
     std::vector<std::string> tried;
-    bool may_have_run = false;  ///< an attempt ended without anyone knowing
+    bool may_have_run = false;      ///< an attempt ended without anyone knowing
+    std::vector<call_ref> waiters;  ///< callers that get the answer, repeats included
 };
 
 /// A call that this node runs, or will run, on its own worker.
@@ -72,17 +73,26 @@
     std::uint64_t calls_taken = 0;
     std::uint64_t calls_answered = 0;
     std::uint64_t calls_resent = 0;
+    std::uint64_t repeats_joined = 0;
     std::uint64_t contexts_unknown = 0;
     std::uint64_t runs_started = 0;
     std::uint64_t runs_lost = 0;
     std::map<std::string, std::uint64_t> refusals;  ///< by reason and class
 };
 
+/// Guards that a test may switch off, to show the failure that each prevents.
+struct node_guards
+{
+    bool divide_allowance = true;  ///< off: every call gets a copy of the allowance
+    bool join_repeats = true;      ///< off: a repeat in flight is a call of its own
+};
+
 /// State of one node. It holds no socket, thread or clock.
 /// \see make_node, step
 struct node
 {
     node_settings settings;
+    node_guards guards;
     std::uint64_t incarnation = 0;
     random_source random;
 
@@ -97,6 +107,8 @@
     node_counters counters;
 
     std::unordered_map<call_ref, pending_call> calls;
+    std::unordered_map<std::string, call_ref> entered;     ///< by request id, no worker's calls
+    std::unordered_map<call_ref, call_ref> joined;         ///< a repeat, and the call it waits for
     std::unordered_map<std::uint64_t, call_ref> attempts;  ///< by correlation
     std::multimap<time_point, call_ref> call_deadlines;
     std::unordered_map<run_ref, active_run> runs;
