Break off runs whose entry node is gone

Cause: when an entry node died, the upstreams below worked on to the deadline for callers who can get no answer. Ruled out: waiting for the reply to fail (the slot is lost until then). Change: peer_unreachable breaks off what that node sent, but for non-idempotent runs that have started. Measured: test_node_cancel, before: 0 of 2 runs cancelled 5 ms after the kill and 2 slots in use; after: 2 cancelled, none in use.

--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -219,6 +219,25 @@
     start_queued(t);
 }
 
+/// Breaks off what \a origin sent: nobody there waits for the replies any more,
+/// and slots that work for nobody are missing for requests that can be answered.
+/// A non-idempotent run that has started goes on, so that it ends whole.
+void on_origin_lost(turn &t, const std::string &origin)
+{
+    std::vector<run_ref> lost;
+    for (auto it = t.n.served.lower_bound({origin, 0});
+         it != t.n.served.end() && it->first.first == origin; ++it) {
+        const active_run &run = t.n.runs.at(it->second);
+        if (!run.started_at || !run.call.non_idempotent) {
+            lost.push_back(it->second);
+        }
+    }
+    for (run_ref id : lost) {
+        break_off(t, id);
+    }
+    start_queued(t);
+}
+
 void on_worker_answered(turn &t, worker_answered &e)
 {
     if (t.n.runs.count(e.run) == 0) {
--- a/gullstall/src/node/step.cpp
+++ b/gullstall/src/node/step.cpp
@@ -64,6 +64,7 @@
     void operator()(peer_unreachable &e) const
     {
         internal::on_peer_unreachable(t, e);
+        internal::on_origin_lost(t, e.instance);
     }
     void operator()(platform_answered &e) const
     {
