Show dispatches running twice under kills and freezes

Cause: a caller that gets no answer sends its dispatch again through another node, and nothing there knows of the first.

--- a/test/standins/worker.cpp
+++ b/test/standins/worker.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <deque>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <set>
@@ -33,6 +34,7 @@
     std::uint16_t node_port = 0;
     std::uint32_t slots = 1;
     std::uint32_t service_ms = 10;
+    std::string run_log;              ///< file that gets a line for each run that starts
     std::string crash_on;             ///< request id that kills the process
     std::vector<std::string> chains;  ///< operation=service/operation
 };
@@ -109,6 +111,7 @@
     /// Runs the call: the service time, then the calls that it makes in turn.
     asio::awaitable<void> run(std::uint64_t id, rt::http_request request)
     {
+        log_run(request);
         double jitter = 0.5 + gullstall::draw_fraction(random_);
         asio::steady_timer timer(io_);
         timer.expires_after(std::chrono::microseconds(
@@ -131,6 +134,18 @@
         }
     }
 
+    /// The line is on disk before the run has any effect, so that a kill at any
+    /// moment leaves no run unseen.
+    void log_run(const rt::http_request &request)
+    {
+        if (options_.run_log.empty()) {
+            return;
+        }
+        std::ofstream out(options_.run_log, std::ios::app);
+        out << std::string(request.target()) + " " + std::string(request[rt::header::key]) + "\n"
+            << std::flush;
+    }
+
     asio::awaitable<http::status> call_on(const std::string &target, const rt::http_request &parent,
                                           bool abandoned)
     {
@@ -176,6 +191,7 @@
     app.add_option("--node-port", options.node_port, "callers' port of its node")->required();
     app.add_option("--slots", options.slots);
     app.add_option("--service-ms", options.service_ms);
+    app.add_option("--run-log", options.run_log);
     app.add_option("--crash-on", options.crash_on);
     app.add_option("--chain", options.chains, "OPERATION=SERVICE/OPERATION");
     CLI11_PARSE(app, argc, argv);
