Chain bundles, settle publications and spread versions among nodes

Cause: a bundle's `previous` was not checked, the digest covered the signatures (a second signature changed it), publishing could not settle a lost answer, and every node read the head row each second. Ruled out: a digest over the stored bytes (adding a signature would break the chain); going back from the newest version over `previous` (the store is addressed by stored bytes, and peers hold versions by number).

--- a/gullstall/src/bundle/signature.cpp
+++ b/gullstall/src/bundle/signature.cpp
@@ -4,10 +4,12 @@
 #include <openssl/sha.h>
 
 #include <algorithm>
-#include <array>
+#include <boost/lexical_cast/try_lexical_convert.hpp>
 #include <memory>
+#include <optional>
 #include <set>
 
+#include "gullstall/src/bundle/canonical.hpp"
 #include "gullstall/src/core/hex.hpp"
 
 namespace gullstall {
@@ -17,6 +19,7 @@
 constexpr std::size_t key_bytes = 32;
 constexpr std::size_t signature_bytes = 64;
 constexpr std::string_view signature_word = "signature ";
+constexpr std::string_view size_word = "bundle ";
 
 struct key_free
 {
@@ -78,6 +81,30 @@
     return bundle_signature{std::string(rest.substr(0, space)), value_of(bytes)};
 }
 
+/// Takes the first line off \a rest.
+/// \returns the line, none when no line end is left
+std::optional<std::string_view> take_line(std::string_view &rest)
+{
+    std::size_t end = rest.find('\n');
+    if (end == std::string_view::npos) {
+        return std::nullopt;
+    }
+    std::string_view line = rest.substr(0, end);
+    rest.remove_prefix(end + 1);
+    return line;
+}
+
+result<std::size_t> take_size_line(std::string_view &rest)
+{
+    std::optional<std::string_view> line = take_line(rest);
+    std::size_t n = 0;
+    if (!line || line->substr(0, size_word.size()) != size_word ||
+        !boost::conversion::try_lexical_convert(std::string(line->substr(size_word.size())), n)) {
+        return error{error_code::bad_syntax, "bundle: expected a first line 'bundle BYTES'"};
+    }
+    return n;
+}
+
 }  // namespace
 
 result<key_pair> make_key_pair()
@@ -117,7 +144,7 @@
 
 std::string print_signed(const signed_bundle &it)
 {
-    std::string out;
+    std::string out = std::string(size_word) + std::to_string(it.text.size()) + "\n";
     for (const bundle_signature &signature : it.signatures) {
         out +=
             std::string(signature_word) + signature.signer + " " + to_hex(signature.bytes) + "\n";
@@ -132,23 +159,32 @@
                                                 " bytes, allowed are " +
                                                 std::to_string(max_bundle_bytes)};
     }
+    result<std::size_t> n = take_size_line(stored);
+    if (!succeeded(n)) {
+        return error_of(n);
+    }
     signed_bundle out;
     while (true) {
-        std::size_t end = stored.find('\n');
-        if (end == std::string_view::npos) {
+        std::optional<std::string_view> line = take_line(stored);
+        if (!line) {
             return error{error_code::bad_syntax, "bundle: cut off before its text"};
         }
-        std::string_view line = stored.substr(0, end);
-        stored.remove_prefix(end + 1);
-        if (line.empty()) {
+        if (line->empty()) {
             break;
         }
-        result<bundle_signature> signature = parse_signature_line(line);
+        result<bundle_signature> signature = parse_signature_line(*line);
         if (!succeeded(signature)) {
             return error_of(signature);
         }
         out.signatures.push_back(value_of(signature));
     }
+    if (stored.size() != value_of(n)) {
+        return error{error_code::bad_syntax,
+                     std::string("bundle: ") +
+                         (stored.size() < value_of(n) ? "cut off" : "too long") + ", found " +
+                         std::to_string(stored.size()) + " of " + std::to_string(value_of(n)) +
+                         " bytes of its text"};
+    }
     out.text = std::string(stored);
     return out;
 }
@@ -182,12 +218,49 @@
                      "bundle: found " + std::to_string(signers.size()) + " signers, " +
                          std::to_string(signers_required) + " are required"};
     }
+    result<std::string> canonical = canonical_text("bundle", it.text);
+    if (!succeeded(canonical) || value_of(canonical) != it.text) {
+        return succeeded(canonical)
+                   ? error{error_code::bad_syntax, "bundle: the text is not in canonical form"}
+                   : error_of(canonical);
+    }
     result<bundle> content = parse_bundle("bundle", it.text);
     if (!succeeded(content)) {
         return error_of(content);
     }
-    return verified_bundle{value_of(content), digest_of(stored),
+    return verified_bundle{value_of(content), digest_of(it.text),
                            std::vector<std::string>(signers.begin(), signers.end())};
 }
 
+result<std::string> add_signature(const std::string &name, std::string_view content,
+                                  const std::string &signer, std::string_view private_key)
+{
+    signed_bundle it;
+    if (content.substr(0, size_word.size()) == size_word) {
+        result<signed_bundle> parsed = parse_signed(content);
+        if (!succeeded(parsed)) {
+            return error_of(parsed);
+        }
+        it = value_of(std::move(parsed));
+    } else {
+        result<std::string> text = canonical_text(name, content);
+        if (!succeeded(text)) {
+            return error_of(text);
+        }
+        it.text = value_of(std::move(text));
+    }
+    result<bundle> read = parse_bundle(name, it.text);
+    if (!succeeded(read)) {
+        return error_of(read);
+    }
+    result<std::string> signature = sign_text(it.text, private_key);
+    if (!succeeded(signature)) {
+        return error_of(signature);
+    }
+    std::erase_if(it.signatures,
+                  [&](const bundle_signature &other) { return other.signer == signer; });
+    it.signatures.push_back(bundle_signature{signer, value_of(signature)});
+    return print_signed(it);
+}
+
 }  // namespace gullstall
--- a/gullstall/src/bundle/signature.hpp
+++ b/gullstall/src/bundle/signature.hpp
@@ -41,7 +41,7 @@
 struct verified_bundle
 {
     bundle content;
-    std::string digest;  ///< SHA-256 of the stored bytes, hexadecimal
+    std::string digest;  ///< SHA-256 of the canonical text, hexadecimal
     std::vector<std::string> signers;
 
     bool operator==(const verified_bundle &) const = default;
@@ -56,7 +56,8 @@
 /// \returns SHA-256 of \a bytes as hexadecimal digits
 std::string digest_of(std::string_view bytes);
 
-/// \returns the stored form: a line for each signature, an empty line, the text
+/// \returns the stored form: a line with the text's size, a line for each
+/// signature, an empty line, the text
 std::string print_signed(const signed_bundle &it);
 
 /// Reads the stored form.
@@ -64,13 +65,20 @@
 
 /// Reads the stored form and checks it: every signature is by a trusted key and
 /// good, there are at least \a signers_required different signers, and the text
-/// is a bundle.
+/// is a bundle in canonical form.
 /// \returns the bundle, or too_large, bad_syntax, bad_signature or what
 /// parse_bundle finds
 result<verified_bundle> verify_bundle(std::string_view stored,
                                       const std::vector<trusted_key> &trusted,
                                       std::uint32_t signers_required);
 
+/// Signs a bundle's text, in its canonical form, or adds a signature to a bundle
+/// that is signed already.
+/// \param name how errors call the content, usually its file
+/// \returns the stored form, or what parsing finds
+result<std::string> add_signature(const std::string &name, std::string_view content,
+                                  const std::string &signer, std::string_view private_key);
+
 }  // namespace gullstall
 
 #endif
--- a/gullstall/src/node/admin.cpp
+++ b/gullstall/src/node/admin.cpp
@@ -21,6 +21,7 @@
                                           {"region", it.region},
                                           {"address", it.address},
                                           {"port", it.port},
+                                          {"admin_port", it.admin_port},
                                           {"incarnation", it.incarnation},
                                           {"state", wire::EnumNamemember_state(it.state)}});
     }
@@ -40,6 +41,9 @@
             signers.emplace_back(it);
         }
         out["digest"] = n.bundles.in_force->digest;
+        out["author"] = n.bundles.in_force->content.head.author;
+        out["reference"] = n.bundles.in_force->content.head.reference;
+        out["heard_version"] = std::max(version_in_force(n.bundles), n.bundles.follow.target);
         out["signers"] = signers;
     }
     return boost::json::serialize(out) + "\n";
--- a/gullstall/src/node/bundle_control.cpp
+++ b/gullstall/src/node/bundle_control.cpp
@@ -1,56 +1,310 @@
+#include <limits>
+
 #include "gullstall/src/node/internal.hpp"
 
+/// How a node follows the bundles. What is heard, fetched and begun with is
+/// decided in gullstall/src/bundle/follow.hpp; this file turns it into frames
+/// and requests to the platform.
 namespace gullstall::internal {
 
 namespace {
 
-constexpr duration head_poll_interval = seconds(1);
+/// No row has this version: a conditional write that expects it changes nothing
+/// and is answered with the rows as they stand.
+constexpr std::uint64_t impossible_version = std::numeric_limits<std::uint64_t>::max();
+
+bundle_follow &follow_of(turn &t)
+{
+    return t.n.bundles.follow;
+}
+
+std::vector<std::string> draw_members(turn &t, std::size_t n)
+{
+    std::vector<std::string> names;
+    for (const auto &[instance, it] : t.n.members.members) {
+        if (instance != t.n.settings.node.instance && it.state != wire::member_state::dead) {
+            names.push_back(instance);
+        }
+    }
+    n = std::min(n, names.size());
+    for (std::size_t i = 0; i < n; ++i) {
+        std::swap(names[i], names[i + draw_below(t.n.random, names.size() - i)]);
+    }
+    names.resize(n);
+    return names;
+}
+
+std::size_t count_zone_members(const node &n)
+{
+    std::size_t out = 0;
+    for (const auto &[instance, it] : n.members.members) {
+        out += it.zone == n.settings.node.zone && it.state != wire::member_state::dead ? 1 : 0;
+    }
+    return out;
+}
+
+/// Tells some members which version is in force here; the frame names it.
+void push_version(turn &t, std::size_t fanout)
+{
+    for (const std::string &it : draw_members(t, fanout)) {
+        send_to(t, it, frame_of(wire::bundle_content_message{}));
+    }
+}
+
+void fetch_next(turn &t)
+{
+    auto order = begin_fetch(follow_of(t), version_in_force(t.n.bundles), t.now);
+    if (!order) {
+        return;
+    }
+    if (order->from.instance.empty()) {
+        ask(t, platform_purpose::bundle_row, table_read{{bundle_version_key(order->version)}});
+        return;
+    }
+    wire::bundle_fetch_message message;
+    message.version = order->version;
+    send_to_address(t, order->from.instance, endpoint{}, frame_of(message));
+}
+
+void note_refused(turn &t, const error &why)
+{
+    log(t, write_log::severity::warning, "bundle", why.message);
+    note_event(t.n.events, t.now, event_kind::bundle_refused, "", "", why.message);
+}
+
+/// Puts a bundle in force or says why not.
+bool take_bundle(turn &t, const std::string &stored)
+{
+    result<done> applied = apply_bundle(t.n.bundles, stored, t.n.settings.trusted_keys, t.now,
+                                        t.n.settings.trust.signers_required);
+    if (!succeeded(applied)) {
+        note_refused(t, error_of(applied));
+        return false;
+    }
+    std::string version = std::to_string(version_in_force(t.n.bundles));
+    log(t, write_log::severity::info, "bundle", "version " + version + " is in force");
+    note_event(t.n.events, t.now, event_kind::bundle_applied, "", version,
+               t.n.bundles.in_force->digest);
+    if (version_in_force(t.n.bundles) >= follow_of(t).target) {
+        push_version(t, push_fanout);
+    }
+    offer_own_worker(t);
+    return true;
+}
+
+/// Ends a fetch with what came for it, and goes on to the next link.
+void end_fetch(turn &t, const std::string &stored)
+{
+    if (!stored.empty() && take_bundle(t, stored)) {
+        fetch_succeeded(follow_of(t));
+    } else {
+        fetch_failed(follow_of(t), t.now);
+    }
+    fetch_next(t);
+}
+
+/// Notes a bundle that a fresh node may begin with.
+void consider_first(turn &t, const std::string &stored)
+{
+    result<verified_bundle> verified =
+        verify_bundle(stored, t.n.settings.trusted_keys, t.n.settings.trust.signers_required);
+    if (!succeeded(verified)) {
+        note_refused(t, error_of(verified));
+        return;
+    }
+    offer_candidate(follow_of(t), first_candidate{value_of(verified).content.head.version, stored});
+}
+
+/// A fresh node asks the table, its seeds and some members for the highest
+/// version.
+void ask_for_first(turn &t)
+{
+    bundle_follow &it = follow_of(t);
+    // A plain read may be answered from a stale copy, and this process knows no
+    // version below which it must not go. A conditional write that cannot
+    // succeed is answered with the row as it stands.
+    ask(t, platform_purpose::bundle_head,
+        table_commit{{row_write{bundle_head_key, impossible_version, ""}}});
+    it.peers_asked = 0;
+    it.peers_answered.clear();
+    endpoint self{t.n.settings.listen.address, t.n.settings.listen.peers_port};
+    for (const endpoint &seed : t.n.settings.seeds) {
+        if (seed != self) {
+            send_to_address(t, "", seed, frame_of(wire::bundle_fetch_message{}));
+            ++it.peers_asked;
+        }
+    }
+    for (const std::string &peer : draw_members(t, push_fanout)) {
+        send_to(t, peer, frame_of(wire::bundle_fetch_message{}));
+        ++it.peers_asked;
+    }
+}
+
+void tick_fresh(turn &t)
+{
+    bundle_follow &it = follow_of(t);
+    if (!it.began_at) {
+        it.began_at = t.now;
+    }
+    if (may_begin(it, t.now)) {
+        std::string stored = std::move(it.best->stored);
+        it.best.reset();
+        take_bundle(t, stored);
+        return;
+    }
+    if (t.now >= it.next_ask) {
+        it.next_ask = t.now + first_ask_period;
+        ask_for_first(t);
+    }
+}
+
+void on_first_head(turn &t, const platform_answer &answer)
+{
+    bundle_follow &it = follow_of(t);
+    bool answered =
+        answer.status == platform_status::conflict || answer.status == platform_status::done;
+    if (!answered) {
+        it.table = it.table == table_view::head ? it.table : table_view::unreachable;
+        return;
+    }
+    if (answer.rows.empty()) {
+        it.table = table_view::empty;
+        return;
+    }
+    result<bundle_head> head = parse_head(answer.rows.front().value);
+    if (!succeeded(head)) {
+        note_refused(t, error_of(head));
+        return;
+    }
+    it.table = table_view::head;
+    it.head_version = value_of(head).version;
+    if (!it.best || it.best->version < it.head_version) {
+        ask(t, platform_purpose::bundle_object,
+            object_get{bundle_object_name(value_of(head).object)});
+    }
+}
+
+void on_content(turn &t, const std::string &from, std::uint64_t version_there,
+                const wire::bundle_content_message &message)
+{
+    bundle_follow &it = follow_of(t);
+    std::string stored(message.content.begin(), message.content.end());
+    if (!t.n.bundles.in_force) {
+        if (!stored.empty() || version_there == 0) {
+            it.peers_answered.insert(from);
+        }
+        if (!stored.empty()) {
+            consider_first(t, stored);
+        }
+        return;
+    }
+    bool expected =
+        it.fetch && it.fetch->from.instance == from && it.fetch->version == message.version;
+    if (expected) {
+        end_fetch(t, stored);
+    }
+}
+
+void on_fetch(turn &t, const std::string &from, std::uint64_t version)
+{
+    wire::bundle_content_message out;
+    out.version = version == 0 ? version_in_force(t.n.bundles) : version;
+    auto held = t.n.bundles.held.find(out.version);
+    if (held != t.n.bundles.held.end()) {
+        out.content.assign(held->second.stored.begin(), held->second.stored.end());
+    }
+    send_to_address(t, from, endpoint{}, frame_of(std::move(out)));
+}
 
 }  // namespace
 
 void on_head_answer(turn &t, const platform_answer &answer)
 {
+    if (!t.n.bundles.in_force) {
+        on_first_head(t, answer);
+        return;
+    }
     if (answer.status != platform_status::done || answer.rows.empty()) {
         return;
     }
     result<bundle_head> head = parse_head(answer.rows.front().value);
-    if (!succeeded(head) || value_of(head).version <= version_in_force(t.n.bundles)) {
+    if (!succeeded(head)) {
+        note_refused(t, error_of(head));
         return;
     }
-    ask(t, platform_purpose::bundle_object, object_get{bundle_object_name(value_of(head).digest)});
+    hear_version(follow_of(t), version_in_force(t.n.bundles), value_of(head).version,
+                 bundle_source{});
+    fetch_next(t);
 }
 
-void on_bundle_object(turn &t, const platform_answer &answer)
+void on_bundle_row(turn &t, const platform_answer &answer)
 {
-    if (answer.status != platform_status::done) {
+    if (!follow_of(t).fetch || !follow_of(t).fetch->from.instance.empty()) {
         return;
     }
-    result<done> applied =
-        apply_bundle(t.n.bundles, answer.content, t.n.settings.trusted_keys, t.now);
-    if (!succeeded(applied)) {
-        log(t, write_log::severity::warning, "bundle", error_of(applied).message);
-        note_event(t.n.events, t.now, event_kind::bundle_refused, "", "",
-                   error_of(applied).message);
+    bool found = answer.status == platform_status::done && !answer.rows.empty();
+    result<bundle_head> row =
+        found ? parse_head(answer.rows.front().value)
+              : result<bundle_head>(error{error_code::not_found, "bundle: no row of the version"});
+    if (!succeeded(row)) {
+        end_fetch(t, "");
         return;
     }
-    std::string version = std::to_string(version_in_force(t.n.bundles));
-    log(t, write_log::severity::info, "bundle", "version " + version + " is in force");
-    note_event(t.n.events, t.now, event_kind::bundle_applied, "", version,
-               t.n.bundles.in_force->digest);
+    ask(t, platform_purpose::bundle_object, object_get{bundle_object_name(value_of(row).object)});
+}
+
+void on_bundle_object(turn &t, const platform_answer &answer)
+{
+    std::string stored = answer.status == platform_status::done ? answer.content : "";
+    if (!t.n.bundles.in_force) {
+        if (!stored.empty()) {
+            consider_first(t, stored);
+        }
+        return;
+    }
+    if (follow_of(t).fetch && follow_of(t).fetch->from.instance.empty()) {
+        end_fetch(t, stored);
+    }
 }
 
 void on_bundle_tick(turn &t)
 {
-    if (t.now >= t.n.bundles.next_poll) {
-        t.n.bundles.next_poll = t.now + head_poll_interval;
+    if (!t.n.bundles.in_force) {
+        tick_fresh(t);
+        return;
+    }
+    bundle_follow &it = follow_of(t);
+    if (t.now >= it.next_poll) {
+        it.next_poll = next_head_poll(count_zone_members(t.n), t.n.random, t.now);
         ask(t, platform_purpose::bundle_head, table_read{{bundle_head_key}});
     }
+    if (t.now >= it.next_exchange) {
+        it.next_exchange = t.now + exchange_period;
+        push_version(t, 1);
+    }
+    expire_fetch(it, t.now);
+    fetch_next(t);
 }
 
 void on_bundle_frame(turn &t, wire::frame_message &frame)
 {
-    (void)t;
-    (void)frame;
+    std::uint64_t own = version_in_force(t.n.bundles);
+    if (auto *fetch = frame.payload.Asbundle_fetch()) {
+        on_fetch(t, frame.sender, fetch->version);
+    }
+    if (auto *content = frame.payload.Asbundle_content()) {
+        on_content(t, frame.sender, frame.bundle_version, *content);
+        if (content->version == 0 && frame.bundle_version < own) {
+            // The sender is behind: this frame's answer names the higher version.
+            send_to_address(t, frame.sender, endpoint{}, frame_of(wire::bundle_content_message{}));
+        }
+    }
+    if (!t.n.bundles.in_force) {
+        return;
+    }
+    hear_version(follow_of(t), version_in_force(t.n.bundles), frame.bundle_version,
+                 bundle_source{frame.sender});
+    fetch_next(t);
 }
 
 }  // namespace gullstall::internal
--- a/gullstall/src/node/control.cpp
+++ b/gullstall/src/node/control.cpp
@@ -29,6 +29,9 @@
         case platform_purpose::bundle_object:
             on_bundle_object(t, e.answer);
             break;
+        case platform_purpose::bundle_row:
+            on_bundle_row(t, e.answer);
+            break;
     }
 }
 
@@ -38,7 +41,13 @@
     t.n.worker_leaves = false;
     log(t, write_log::severity::info, "worker",
         "announced with " + std::to_string(e.slots) + " slots");
-    if (!t.n.stopping) {
+    offer_own_worker(t);
+}
+
+void offer_own_worker(turn &t)
+{
+    bool serves = t.n.slots > 0 && t.n.bundles.in_force && !t.n.worker_leaves && !t.n.stopping;
+    if (serves) {
         set_own_state(t, wire::member_state::alive);
     }
 }
--- a/gullstall/src/node/entry.cpp
+++ b/gullstall/src/node/entry.cpp
@@ -184,7 +184,11 @@
 void set_context(turn &t, pending_call &call, const caller_call &asked)
 {
     wire::call_message &request = call.request;
-    const bundle &policy = t.n.bundles.in_force->content;
+    // A request keeps the version of its entry, also when a newer one has come
+    // into force here since.
+    std::uint64_t version =
+        call.parent ? t.n.runs.at(*call.parent).call.bundle_version : version_in_force(t.n.bundles);
+    const bundle &policy = content_of(t.n.bundles, version);
     call_policy rule = policy_for(policy, request.service, request.operation);
     request.non_idempotent = rule.non_idempotent;
     duration time = asked.time_left.value_or(milliseconds(rule.time_ms));
@@ -212,7 +216,7 @@
     request.class_priority = rule.class_priority;
     request.protect = rule.protect;
     request.rank = rank_of(request.request_id);
-    request.bundle_version = version_in_force(t.n.bundles);
+    request.bundle_version = version;
     bool lost_context = !asked.context.empty();
     t.n.counters.contexts_unknown += lost_context ? 1 : 0;
     call.retries.left = lost_context ? 0 : policy.limits.retry_allowance;
--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -36,6 +36,9 @@
 void on_control_tick(turn &t);
 void on_platform_answered(turn &t, platform_answered &e);
 void on_worker_announced(turn &t, const worker_announced &e);
+/// Tells the others that the own worker takes calls, once it has announced
+/// itself and there is a bundle to run them under.
+void offer_own_worker(turn &t);
 void on_worker_leaving(turn &t);
 void on_stop_requested(turn &t);
 void on_control_frame(turn &t, wire::frame_message &frame);
@@ -52,6 +55,7 @@
 void on_bundle_tick(turn &t);
 void on_bundle_frame(turn &t, wire::frame_message &frame);
 void on_head_answer(turn &t, const platform_answer &answer);
+void on_bundle_row(turn &t, const platform_answer &answer);
 void on_bundle_object(turn &t, const platform_answer &answer);
 
 // admin.cpp
@@ -59,6 +63,10 @@
 
 // send.cpp
 void send_to(turn &t, const std::string &instance, wire::frame_message frame);
+/// Sends to a node that may not be a known member: over its own connection, or
+/// by its address alone when \a instance is empty.
+void send_to_address(turn &t, const std::string &instance, const endpoint &to,
+                     wire::frame_message frame);
 void ask(turn &t, platform_purpose purpose, platform_request what);
 void log(turn &t, write_log::severity level, const char *part, std::string text);
 std::uint64_t next_id(node &n);
--- a/gullstall/src/node/node.hpp
+++ b/gullstall/src/node/node.hpp
@@ -63,7 +63,8 @@
     member_lease,
     member_scan,
     bundle_head,
-    bundle_object
+    bundle_object,
+    bundle_row
 };
 
 /// Counters that the admin port shows.
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -121,7 +121,7 @@
     if (t.n.stopping || t.n.worker_leaves) {
         return wire::refusal::leaving;
     }
-    if (t.n.slots == 0) {
+    if (t.n.slots == 0 || !t.n.bundles.in_force) {
         return wire::refusal::starting;
     }
     bool admitted = admits(t.n.level.level, priority_of(call));
--- a/gullstall/src/node/step.cpp
+++ b/gullstall/src/node/step.cpp
@@ -102,6 +102,7 @@
     self.service = settings.node.service;
     self.address = settings.listen.address;
     self.port = settings.listen.peers_port;
+    self.admin_port = settings.listen.admin_port;
     self.incarnation = incarnation;
     self.state = wire::member_state::leaving;  // until the worker has announced itself
     out.members.members[self.instance] = self;
--- a/gullstall/src/settings/node_settings.cpp
+++ b/gullstall/src/settings/node_settings.cpp
@@ -35,7 +35,8 @@
 constexpr std::array membership_rules{field_rule{"seeds", false},
                                       field_rule{"gossip_interval_ms", false, 50, 60000},
                                       field_rule{"lease_ms", false, 1000, 600000}};
-constexpr std::array trust_rules{field_rule{"keys", true}};
+constexpr std::array trust_rules{field_rule{"keys", true},
+                                 field_rule{"signers_required", false, 1, 8}};
 constexpr std::array log_rules{field_rule{"level", false}};
 
 std::vector<std::string> split_list(std::string_view text)
@@ -158,7 +159,7 @@
     }
     const ini_document &document = value_of(parsed);
     node_settings out;
-    settings::trust_section_values trust;
+    settings::trust_section_values &trust = out.trust;
     const std::array<result<done>, 8> steps{
         check_sections(document),
         load<settings::node_section>(document, "node", node_rules, out.node),
@@ -213,6 +214,7 @@
            "\n\n[membership]\nseeds = " + it.membership.seeds +
            "\ngossip_interval_ms = " + number(it.membership.gossip_interval_ms) +
            "\nlease_ms = " + number(it.membership.lease_ms) + "\n\n[trust]\nkeys = " + keys +
+           "\nsigners_required = " + number(it.trust.signers_required) +
            "\n\n[log]\nlevel = " + it.log.level + "\n";
 }
 
--- a/gullstall/src/settings/node_settings.hpp
+++ b/gullstall/src/settings/node_settings.hpp
@@ -36,6 +36,7 @@
     settings::worker_section_values worker;
     settings::platform_section_values platform;
     settings::membership_section_values membership;
+    settings::trust_section_values trust;
     settings::log_section_values log;
     std::vector<endpoint> seeds;
     std::vector<trusted_key> trusted_keys;
--- a/test/support/world.hpp
+++ b/test/support/world.hpp
@@ -277,18 +277,39 @@
         return {trusted_key{"board", keys.public_key}};
     }
 
-    /// Signs \a text and makes it the published bundle.
-    void publish(standin::platform_store &platform, const std::string &text) const
+    /// \returns \a text in canonical form, signed
+    std::string sign(const std::string &text) const
     {
-        signed_bundle made{
-            text, {bundle_signature{"board", value_of(sign_text(text, keys.private_key))}}};
-        std::string stored = print_signed(made);
-        std::string digest = digest_of(stored);
-        platform.objects[bundle_object_name(digest)] = stored;
-        table_row &row = platform.rows[bundle_head_key];
-        std::uint64_t version = value_of(parse_bundle("test", text)).head.version;
-        row = table_row{bundle_head_key, row.version + 1,
-                        print_head(bundle_head{version, digest, "test"})};
+        return value_of(add_signature("test", text, "board", keys.private_key));
+    }
+
+    /// Signs \a text and makes it the published bundle; `previous = none` is
+    /// replaced by the digest of the version that is published.
+    void publish(standin::platform_store &platform, std::string text) const
+    {
+        const std::string none = "previous = none";
+        std::size_t at = text.find(none);
+        auto before = platform.rows.find(bundle_head_key);
+        if (before != platform.rows.end() && at != std::string::npos) {
+            text.replace(at, none.size(),
+                         "previous = " + value_of(parse_head(before->second.value)).digest);
+        }
+        put(platform, sign(text), "test");
+    }
+
+    /// Puts a signed bundle straight into the platform as the published one.
+    static void put(standin::platform_store &platform, const std::string &stored,
+                    const std::string &token)
+    {
+        std::string canonical = value_of(parse_signed(stored)).text;
+        bundle_head head =
+            head_of(value_of(parse_bundle("test", canonical)), stored, canonical, token);
+        platform.objects[bundle_object_name(head.object)] = stored;
+        for (const std::string &key :
+             {std::string(bundle_head_key), bundle_version_key(head.version)}) {
+            table_row &row = platform.rows[key];
+            row = table_row{key, row.version + 1, print_head(head)};
+        }
     }
 };
 
