Add the caller's library: when to repeat, and a client over HTTP

Cause: each stand-in repeated requests by its own rules, and callers had no piece that keeps `unknown` once heard. Ruled out: repeats inside the node for callers (the caller's own loss of the connection can't be seen there). Change: module caller with plan_repeat, caller_client over HTTP; the dispatches stand-in uses it.

--- a/test/process/process_kill.sh
+++ b/test/process/process_kill.sh
@@ -93,7 +93,7 @@
 touch "$out/runs.log"
 answered=$(wc -l <"$out/answers.txt")
 twice=$(awk '{print $2}' "$out/runs.log" | sort | uniq -d | wc -l)
-told_not_run=$(awk '$2 == "not-run" {print $1}' "$out/answers.txt" | sort)
+told_not_run=$(awk '$2 == "not_run" {print $1}' "$out/answers.txt" | sort)
 lied=$(comm -12 <(echo "$told_not_run") <(awk '{print $2}' "$out/runs.log" | sort -u) | grep -c . || true)
 echo "faults $faults, dispatches $answered, by last outcome:" \
   "$(awk '{print $2}' "$out/answers.txt" | sort | uniq -c | tr '\n' ' ')"
--- a/test/standins/dispatches.cpp
+++ b/test/standins/dispatches.cpp
@@ -1,6 +1,6 @@
 /// gullstall-dispatches: stand-in for callers of a non-idempotent operation.
 /// Each has a key of its own, sends the call to nodes in turn until it is told
-/// the outcome, and prints one line: key, last outcome, tries.
+/// the outcome, and prints one line: key, outcome, reason.
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -10,13 +10,11 @@
 #include <iostream>
 
 #include "gullstall/core.hpp"
-#include "gullstall/src/runtime/callers_http.hpp"
-#include "gullstall/src/runtime/http_client.hpp"
+#include "gullstall/src/runtime/caller_client.hpp"
 
 namespace {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 namespace rt = gullstall::runtime;
 
 struct options
@@ -25,7 +23,7 @@
     std::string target = "dispatcher/dispatch";
     std::string prefix = "key";
     int rounds = 200;
-    int tries = 4;
+    std::uint32_t tries = 4;
     int gap_ms = 50;
 };
 
@@ -36,45 +34,39 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
-/// One caller: tries until it is told `ran`, or its tries are used up. What it
-/// was told last counts; `unknown` once heard is kept, since a later `not run`
-/// speaks of the later try only.
-asio::awaitable<void> caller(asio::io_context &io, const options &opt, int nth)
+/// One caller; it prints what it is told in the end.
+asio::awaitable<void> caller(rt::caller_client &client, std::string target, std::string key,
+                             int &open)
 {
-    std::string key = opt.prefix + "-" + std::to_string(nth);
-    std::string last = "none";
-    bool unknown = false;
-    int tries = 0;
-    while (tries < opt.tries && last != "ran") {
-        std::uint16_t port = opt.ports[static_cast<std::size_t>(nth + tries) % opt.ports.size()];
-        rt::http_client client(io, {asio::ip::make_address("127.0.0.1"), port}, 1U << 20U);
-        rt::http_request request{http::verb::post, "/call/" + opt.target, 11};
-        request.set(rt::header::key, key);
-        request.set(rt::header::request_id, key);
-        request.set(rt::header::time_left, "1500");
-        rt::exchange it =
-            co_await client.send(std::move(request), gullstall::seconds(4), nullptr);
-        ++tries;
-        last = it.end == rt::exchange_end::answered ? std::string(it.response[rt::header::outcome])
-                                                    : "no-answer";
-        unknown = unknown || last == "unknown" ||
-                  (last == "no-answer" && it.end == rt::exchange_end::lost);
-        if (last != "ran") {
-            co_await pause(io, opt.gap_ms);
-        }
-    }
-    if (last != "ran" && unknown) {
-        last = "unknown";
-    }
-    std::cout << key + " " + last + " " + std::to_string(tries) + "\n" << std::flush;
+    ++open;
+    std::size_t slash = target.find('/');
+    gullstall::caller_call request{
+        target.substr(0, slash), target.substr(slash + 1), key, key, "", {}, {}};
+    request.time_left = gullstall::milliseconds(1500);
+    gullstall::caller_answer answer = co_await client.call(std::move(request), false);
+    std::cout << key + " " + gullstall::wire::EnumNameoutcome(answer.outcome) + " " +
+                     gullstall::wire::EnumNamerefusal(answer.refusal) + "\n"
+              << std::flush;
+    --open;
 }
 
 asio::awaitable<void> run(asio::io_context &io, const options &opt)
 {
+    std::vector<gullstall::endpoint> nodes;
+    for (std::uint16_t port : opt.ports) {
+        nodes.push_back({"127.0.0.1", port});
+    }
+    gullstall::repeat_policy policy{opt.tries, gullstall::seconds(20)};
+    rt::caller_client client(io, nodes, policy, 1);
+    int open = 0;
     for (int i = 0; i < opt.rounds; ++i) {
-        asio::co_spawn(io, caller(io, opt, i), asio::detached);
+        asio::co_spawn(io, caller(client, opt.target, opt.prefix + "-" + std::to_string(i), open),
+                       asio::detached);
         co_await pause(io, opt.gap_ms);
     }
+    while (open > 0) {
+        co_await pause(io, opt.gap_ms);  // the callers still at work use the client
+    }
 }
 
 }  // namespace
--- a/test/unit/bundle_chain.cpp
+++ b/test/unit/bundle_chain.cpp
@@ -78,8 +78,8 @@
 TEST_CASE_FIXTURE(bundle_chain_fixture, "bundle, signed by a key nobody trusts, refused")
 {
     key_pair stranger = value_of(make_key_pair());
-    std::string stored = value_of(
-        add_signature("test", text_of(2, digest()), "stranger", stranger.private_key));
+    std::string stored =
+        value_of(add_signature("test", text_of(2, digest()), "stranger", stranger.private_key));
     check_refused(stored, error_code::bad_signature, "unknown key 'stranger'");
 }
 
@@ -139,8 +139,8 @@
     result<done> alone = apply(one);
     REQUIRE_FALSE(succeeded(alone));
     CHECK(error_of(alone).message == "bundle: found 1 signers, 2 are required");
-    CHECK_FALSE(succeeded(
-        apply(value_of(add_signature("test", one, "board", board.keys.private_key)))));
+    CHECK_FALSE(
+        succeeded(apply(value_of(add_signature("test", one, "board", board.keys.private_key)))));
     std::string two = value_of(add_signature("test", one, "second", second.private_key));
     CHECK(succeeded(apply(two)));
     CHECK(it.in_force->signers == std::vector<std::string>{"board", "second"});
@@ -149,7 +149,8 @@
 
 TEST_CASE_FIXTURE(bundle_chain_fixture, "roll-back, old content as a new version, in force")
 {
-    REQUIRE(succeeded(apply(board.sign(text_of(2, digest(), "CB-2") + "retry_budget_percent = 1"))));
+    REQUIRE(
+        succeeded(apply(board.sign(text_of(2, digest(), "CB-2") + "retry_budget_percent = 1"))));
     REQUIRE(succeeded(apply(board.sign(text_of(3, digest(), "CB-3")))));
     auto differences = value_of(
         diff_bundles(value_of(parse_signed(first)).text, value_of(parse_signed(it.stored)).text));
