Run non-idempotent calls under a claim or at the issuer of their key

Cause: a call that must not run twice ran once per attempt of its caller; nothing joined repeats and nothing was written before the run.

Change: chosen keys run under a row of the table that is written first, in commits that group what waits; keys that a node issues (POST /key) run only at that node and incarnation and need no table. Outcome rows answer repeats. A claim is never taken over; it is released by its holder when the call certainly was not run, and then claimed only by a later attempt (Gullstall-Attempt). Without a number, a repeat that meets no outcome is told unknown. A call without a key is refused.

Ruled out: takers-over of a claim (they cannot know that the holder did not run), settling a lost answer by a read (the write may land after the read; the claim is sent again with its token instead).

--- a/gullstall/src/node/control.cpp
+++ b/gullstall/src/node/control.cpp
@@ -2,10 +2,19 @@
 
 namespace gullstall::internal {
 
+namespace {
+
+/// Longest time that a stop waits for outcomes to be written while the
+/// platform is out.
+constexpr duration outcome_settle_time = seconds(3);
+
+}  // namespace
+
 void on_control_tick(turn &t)
 {
     on_member_tick(t);
     on_bundle_tick(t);
+    on_once_tick(t);
 }
 
 void on_platform_answered(turn &t, platform_answered &e)
@@ -29,6 +38,12 @@
         case platform_purpose::bundle_object:
             on_bundle_object(t, e.answer);
             break;
+        case platform_purpose::claim_commit:
+            on_claim_commit(t, e.request, e.answer);
+            break;
+        case platform_purpose::claim_read:
+            on_claim_read(t, e.request, e.answer);
+            break;
     }
 }
 
@@ -56,6 +71,7 @@
         return;
     }
     t.n.stopping = true;
+    t.n.settle_until = t.now + outcome_settle_time;
     log(t, write_log::severity::info, "node", "stop began");
     note_event(t.n.events, t.now, event_kind::stop_began, "", t.n.settings.node.instance, "");
     set_own_state(t, wire::member_state::leaving);
@@ -72,6 +88,9 @@
     if (!t.n.stopping || t.n.stopped || !t.n.runs.empty() || !t.n.calls.empty()) {
         return;
     }
+    if (!t.n.once.writer.writes.empty() && t.now < t.n.settle_until) {
+        return;  // outcomes that repeats at other nodes will ask for
+    }
     t.n.stopped = true;
     note_event(t.n.events, t.now, event_kind::stop_finished, "", t.n.settings.node.instance, "");
     t.out.emplace_back(stop_now{});
--- a/gullstall/src/node/entry.cpp
+++ b/gullstall/src/node/entry.cpp
@@ -56,6 +56,26 @@
     ++t.n.counters.refusals[name + "/" + std::to_string(request.class_priority)];
 }
 
+/// Hands the final answer to whoever asked: a caller, or the node that sent
+/// the call on to the issuer of its key.
+void give_answer(turn &t, pending_call &call, wire::reply_message &reply)
+{
+    if (call.origin) {
+        wire::reply_message out = std::move(reply);
+        out.correlation = call.origin->second;
+        out.unspent = call.retries.left;
+        send_to(t, call.origin->first, frame_of(std::move(out)));
+        return;
+    }
+    t.out.emplace_back(answer_call{
+        call.id,
+        caller_answer{reply.outcome, reply.refusal, reply.refused_by, call.request.request_id,
+                      reply.status, reply.retry_after_ms, call.request.bundle_version,
+                      std::move(reply.content_type), std::move(reply.body)}});
+}
+
+}  // namespace
+
 /// Answers the caller; this is the one place where a call ends with an answer.
 void finish_call(turn &t, call_ref id, wire::reply_message &reply)
 {
@@ -65,6 +85,7 @@
         // An earlier attempt may have run: nobody can say `not run` any more.
         reply.outcome = wire::outcome::unknown;
     }
+    end_once_call(t, call, reply);
     if (!ran) {
         count_refusal(t, call.request, reply.refusal);
         note_event(t.n.events, t.now, event_kind::call_refused, call.request.request_id,
@@ -77,10 +98,7 @@
                    call.request.service, std::to_string(reply.status));
     }
     ++t.n.counters.calls_answered;
-    t.out.emplace_back(answer_call{
-        id, caller_answer{reply.outcome, reply.refusal, reply.refused_by, call.request.request_id,
-                          reply.status, reply.retry_after_ms, call.request.bundle_version,
-                          std::move(reply.content_type), std::move(reply.body)}});
+    give_answer(t, call, reply);
     forget_call(t, call);
 }
 
@@ -90,8 +108,27 @@
     finish_call(t, id, reply);
 }
 
+void send_attempt(turn &t, pending_call &call, const std::string &upstream, std::uint32_t share)
+{
+    const std::string &self = t.n.settings.node.instance;
+    std::uint64_t correlation = next_id(t.n);
+    call.current = attempt{correlation, upstream, share, t.now};
+    t.n.attempts[correlation] = call.id;
+    note_sent(t.n.routes, upstream);
+    wire::call_message message = call.request;
+    message.correlation = correlation;
+    message.allowance = share;
+    message.left_us = static_cast<std::uint64_t>((call.deadline - t.now).count());
+    note_event(t.n.events, t.now, event_kind::call_sent, call.request.request_id, upstream, "");
+    if (upstream == self) {
+        on_call(t, self, message);
+        return;
+    }
+    send_to(t, upstream, frame_of(std::move(message)));
+}
+
 /// Sends the call to an upstream that was not tried yet.
-void dispatch(turn &t, call_ref id)
+void start_call(turn &t, call_ref id)
 {
     pending_call &call = t.n.calls.at(id);
     const std::string &self = t.n.settings.node.instance;
@@ -101,26 +138,18 @@
         refuse_call(t, id, wire::refusal::no_upstream, call.request.service);
         return;
     }
-    std::uint64_t correlation = next_id(t.n);
     std::uint32_t share = take_share(call.retries);
-    call.current = attempt{correlation, *upstream, share, t.now};
     call.tried.push_back(*upstream);
-    t.n.attempts[correlation] = id;
-    note_sent(t.n.routes, *upstream);
-    wire::call_message message = call.request;
-    message.correlation = correlation;
-    message.allowance = share;
-    message.left_us = static_cast<std::uint64_t>((call.deadline - t.now).count());
-    note_event(t.n.events, t.now, event_kind::call_sent, call.request.request_id, *upstream, "");
-    if (*upstream == self) {
-        on_call(t, self, message);
-        return;
-    }
-    send_to(t, *upstream, frame_of(std::move(message)));
+    send_attempt(t, call, *upstream, share);
 }
 
+namespace {
+
 bool worth_resending(const pending_call &call, const wire::reply_message &reply)
 {
+    if (call.request.to_issuer) {
+        return false;  // only the issuer may run it, and it re-sends by itself
+    }
     switch (reply.refusal) {
         case wire::refusal::leaving:
         case wire::refusal::busy:
@@ -146,7 +175,7 @@
     ++t.n.counters.calls_resent;
     note_event(t.n.events, t.now, event_kind::call_resent, call.request.request_id,
                call.request.service, "");
-    dispatch(t, id);
+    start_call(t, id);
     return true;
 }
 
@@ -172,6 +201,8 @@
     return_share(call.retries, call.current->share, reply.unspent);
     t.n.attempts.erase(call.current->correlation);
     call.current.reset();
+    // The issuer of the key says `not run` only when it knows.
+    call.settled = call.request.to_issuer && reply.refusal != wire::refusal::connection_lost;
     call.may_have_run = call.may_have_run || reply.outcome == wire::outcome::unknown;
     if (worth_resending(call, reply) && try_resend(t, id)) {
         return;
@@ -221,15 +252,17 @@
 void refuse_unready(turn &t, call_ref id, wire::refusal why, const caller_call &asked)
 {
     ++t.n.counters.refusals[std::string(wire::EnumNamerefusal(why)) + "/-"];
-    t.out.emplace_back(answer_call{id, caller_answer{wire::outcome::not_run,
-                                                     why,
-                                                     "",
-                                                     asked.request_id,
-                                                     0,
-                                                     draw_retry_after(t),
-                                                     version_in_force(t.n.bundles),
-                                                     "",
-                                                     {}}});
+    bool knows = knows_not_run(t.n.once, asked.key, asked.attempt);
+    t.out.emplace_back(
+        answer_call{id, caller_answer{knows ? wire::outcome::not_run : wire::outcome::unknown,
+                                      why,
+                                      "",
+                                      asked.request_id,
+                                      0,
+                                      draw_retry_after(t),
+                                      version_in_force(t.n.bundles),
+                                      "",
+                                      {}}});
 }
 
 }  // namespace
@@ -253,23 +286,34 @@
     call.request.service = e.request.service;
     call.request.operation = e.request.operation;
     call.request.key = e.request.key;
+    call.request.attempt = e.request.attempt;
     call.request.body = std::move(e.request.body);
     set_context(t, call, e.request);
-    std::string type = call.request.call_type;
-    priority of_call = priority_of(call.request);
+    take_call(t, std::move(call));
+}
+
+void take_call(turn &t, pending_call &&taken)
+{
+    call_ref id = taken.id;
+    auto [found, fresh] = t.n.calls.emplace(id, std::move(taken));
+    const pending_call &call = found->second;
     note_event(t.n.events, t.now, event_kind::call_taken, call.request.request_id,
                call.request.service, call.request.operation);
     earn_retry(t.n.budgets[call.request.service],
                t.n.bundles.in_force->content.limits.retry_budget_percent);
-    t.n.call_deadlines.emplace(call.deadline, e.call);
-    t.n.calls.emplace(e.call, std::move(call));
-    if (!parent) {
-        if (auto by = refusing_service(t.n.touches, type, of_call, t.now)) {
-            refuse_call(t, e.call, wire::refusal::overload, *by);
+    t.n.call_deadlines.emplace(call.deadline, id);
+    if (!call.parent) {
+        if (auto by = refusing_service(t.n.touches, call.request.call_type,
+                                       priority_of(call.request), t.now)) {
+            refuse_call(t, id, wire::refusal::overload, *by);
             return;
         }
     }
-    dispatch(t, e.call);
+    if (call.request.non_idempotent) {
+        take_once_call(t, id);
+        return;
+    }
+    start_call(t, id);
 }
 
 void cancel_call(turn &t, call_ref id)
@@ -279,6 +323,9 @@
         return;
     }
     pending_call &call = found->second;
+    if (runs_on_without_caller(call)) {
+        return;
+    }
     if (call.current) {
         attempt last = *call.current;
         wire::cancel_message message;
--- a/gullstall/src/node/event.hpp
+++ b/gullstall/src/node/event.hpp
@@ -27,6 +27,7 @@
     std::string context;     ///< context header that a worker passed on, empty at the entry
     std::optional<duration> time_left;  ///< none: the bundle's default
     body_bytes body;
+    std::uint32_t attempt = 0;  ///< of the caller with this key, from 1; 0: not told
 
     bool operator==(const caller_call &) const = default;
 };
@@ -38,6 +39,13 @@
     caller_call request;
 };
 
+/// A caller asks for an idempotency key; it is answered like a call, with the
+/// key as the body.
+struct key_asked
+{
+    call_ref call;
+};
+
 /// The caller has gone and wants no answer any more.
 struct call_abandoned
 {
@@ -116,9 +124,9 @@
 constexpr duration tick_interval = milliseconds(5);
 
 /// All that can happen to a node.
-using event = std::variant<call_arrived, call_abandoned, worker_answered, worker_announced,
-                           worker_leaving, frame_arrived, peer_unreachable, platform_answered,
-                           admin_asked, stop_requested, tick>;
+using event = std::variant<call_arrived, key_asked, call_abandoned, worker_answered,
+                           worker_announced, worker_leaving, frame_arrived, peer_unreachable,
+                           platform_answered, admin_asked, stop_requested, tick>;
 
 }  // namespace gullstall
 
--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -23,6 +23,11 @@
 void on_peer_unreachable(turn &t, const peer_unreachable &e);
 void expire_calls(turn &t);
 void cancel_call(turn &t, call_ref id);
+void start_call(turn &t, call_ref id);
+void send_attempt(turn &t, pending_call &call, const std::string &upstream, std::uint32_t share);
+void finish_call(turn &t, call_ref id, wire::reply_message &reply);
+void refuse_call(turn &t, call_ref id, wire::refusal why, const std::string &by);
+void take_call(turn &t, pending_call &&call);
 
 // serve.cpp: calls that this node runs on its worker
 void on_call(turn &t, const std::string &from, wire::call_message &call);
@@ -54,12 +59,22 @@
 void on_head_answer(turn &t, const platform_answer &answer);
 void on_bundle_object(turn &t, const platform_answer &answer);
 
+// once_control.cpp: non-idempotent calls
+void on_key_asked(turn &t, call_ref id);
+void on_once_tick(turn &t);
+void take_once_call(turn &t, call_ref id);
+void end_once_call(turn &t, const pending_call &call, wire::reply_message &reply);
+void on_call_to_issuer(turn &t, const std::string &from, wire::call_message &call);
+void on_claim_commit(turn &t, platform_ref request, const platform_answer &answer);
+void on_claim_read(turn &t, platform_ref request, const platform_answer &answer);
+bool runs_on_without_caller(const pending_call &call);
+
 // admin.cpp
 void on_admin_asked(turn &t, const admin_asked &e);
 
 // send.cpp
 void send_to(turn &t, const std::string &instance, wire::frame_message frame);
-void ask(turn &t, platform_purpose purpose, platform_request what);
+platform_ref ask(turn &t, platform_purpose purpose, platform_request what);
 void log(turn &t, write_log::severity level, const char *part, std::string text);
 std::uint64_t next_id(node &n);
 member own_member(const node &n);
--- a/gullstall/src/node/node.hpp
+++ b/gullstall/src/node/node.hpp
@@ -10,6 +10,7 @@
 #include "gullstall/bundle.hpp"
 #include "gullstall/core.hpp"
 #include "gullstall/membership.hpp"
+#include "gullstall/once.hpp"
 #include "gullstall/overload.hpp"
 #include "gullstall/retry.hpp"
 #include "gullstall/route.hpp"
@@ -41,6 +42,9 @@
     std::optional<attempt> current;
     std::vector<std::string> tried;
     bool may_have_run = false;  ///< an attempt ended without anyone knowing
+    bool settled = false;       ///< its outcome is known from the key's memory
+    std::optional<std::pair<std::string, std::uint64_t>> origin;  ///< node and correlation, when
+                                                                  ///< it came for its issuer
 };
 
 /// A call that this node runs, or will run, on its own worker.
@@ -63,7 +67,9 @@
     member_lease,
     member_scan,
     bundle_head,
-    bundle_object
+    bundle_object,
+    claim_commit,
+    claim_read
 };
 
 /// Counters that the admin port shows.
@@ -95,6 +101,9 @@
     std::map<std::string, retry_budget> budgets;  ///< by service
     timeline events;
     node_counters counters;
+    once_book once;
+    std::unordered_map<platform_ref, std::uint64_t> claim_commits;  ///< batch of each
+    std::unordered_map<platform_ref, table_read> claim_reads;
 
     std::unordered_map<call_ref, pending_call> calls;
     std::unordered_map<std::uint64_t, call_ref> attempts;  ///< by correlation
@@ -109,6 +118,7 @@
     bool worker_leaves = false;
     bool stopping = false;
     bool stopped = false;
+    time_point settle_until{};  ///< a stop waits no longer for outcomes to be written
     std::uint64_t last_id = 0;
 };
 
--- /dev/null
+++ b/gullstall/src/node/once_control.cpp
@@ -0,0 +1,210 @@
+#include "gullstall/src/node/internal.hpp"
+
+namespace gullstall::internal {
+
+namespace {
+
+/// Set in the numbers of calls that came from another node for their issuer,
+/// so that they never meet a number that the callers' port gave.
+constexpr std::uint64_t issuer_call_bit = 1ULL << 63U;
+constexpr std::uint16_t http_ok = 200;
+
+wire::reply_message reply_from_row(const claim_row &row)
+{
+    wire::reply_message out;
+    switch (row.state) {
+        case wire::claim_state::ran:
+            out.outcome = wire::outcome::ran;
+            out.status = row.status;
+            out.content_type = row.content_type;
+            out.body = row.body;
+            out.refusal = row.body_kept ? wire::refusal::none : wire::refusal::answer_not_kept;
+            return out;
+        case wire::claim_state::released:
+            out.outcome = wire::outcome::not_run;
+            out.refusal = row.refusal;
+            return out;
+        case wire::claim_state::unknown:
+            out.outcome = wire::outcome::unknown;
+            out.refusal = row.refusal;
+            return out;
+        case wire::claim_state::claimed:
+            break;  // its holder has not told its end in time
+    }
+    out.outcome = wire::outcome::unknown;
+    out.refusal = wire::refusal::key_elsewhere;
+    return out;
+}
+
+void carry_out(turn &t, once_orders &orders)
+{
+    for (once_order &order : orders) {
+        auto found = t.n.calls.find(order.call);
+        if (found == t.n.calls.end()) {
+            continue;  // it has its answer
+        }
+        if (order.what == once_order::kind::run) {
+            start_call(t, order.call);
+            continue;
+        }
+        found->second.settled = true;
+        wire::reply_message reply;
+        if (order.what == once_order::kind::remember) {
+            reply = reply_from_row(order.row);
+        } else {
+            reply.outcome = order.outcome;
+            reply.refusal = order.refusal;
+        }
+        reply.refused_by = reply.refusal == wire::refusal::none ? "" : t.n.settings.node.service;
+        finish_call(t, order.call, reply);
+    }
+}
+
+void flush_claims(turn &t)
+{
+    if (std::optional<claim_batch> batch = next_commit(t.n.once.writer, t.now)) {
+        std::uint64_t number = batch->number;
+        platform_ref id = ask(t, platform_purpose::claim_commit, std::move(batch->commit));
+        t.n.claim_commits[id] = number;
+    }
+}
+
+/// \returns the node that issued the key, when it is another one that still
+/// lives in the incarnation of the key
+std::optional<std::string> issuer_elsewhere(const node &n, const std::string &key)
+{
+    std::optional<issued_key> parts = parse_issued_key(key);
+    if (!parts || parts->instance == n.settings.node.instance || !n.once.guards.issuer_only) {
+        return std::nullopt;
+    }
+    auto known = n.members.members.find(parts->instance);
+    bool lives = known != n.members.members.end() &&
+                 known->second.incarnation == parts->incarnation &&
+                 known->second.state != wire::member_state::dead;
+    return lives ? std::optional(parts->instance) : std::nullopt;
+}
+
+}  // namespace
+
+bool runs_on_without_caller(const pending_call &call)
+{
+    // A non-idempotent call that is broken off ends as `unknown`; run to its
+    // end, it gives the caller's repeat a whole answer.
+    return call.request.non_idempotent && !call.request.key.empty();
+}
+
+void on_key_asked(turn &t, call_ref id)
+{
+    caller_answer answer{wire::outcome::not_run,
+                         wire::refusal::starting,
+                         "",
+                         "",
+                         0,
+                         0,
+                         version_in_force(t.n.bundles),
+                         "",
+                         {}};
+    if (t.n.bundles.in_force && !t.n.stopping) {
+        std::string key = issue_key(t.n.once, t.now);
+        answer.outcome = wire::outcome::ran;
+        answer.refusal = wire::refusal::none;
+        answer.status = http_ok;
+        answer.content_type = "text/plain";
+        answer.body.assign(key.begin(), key.end());
+    }
+    t.out.emplace_back(answer_call{id, std::move(answer)});
+}
+
+void on_once_tick(turn &t)
+{
+    if (t.n.bundles.in_force) {
+        t.n.once.memory = milliseconds(t.n.bundles.in_force->content.limits.key_memory_ms);
+    }
+    flush_claims(t);
+    if (std::optional<table_read> read = next_claim_read(t.n.once, t.now)) {
+        platform_ref id = ask(t, platform_purpose::claim_read, *read);
+        t.n.claim_reads[id] = std::move(*read);
+    }
+    forget_keys(t.n.once, t.now);
+}
+
+void take_once_call(turn &t, call_ref id)
+{
+    pending_call &call = t.n.calls.at(id);
+    if (auto issuer = issuer_elsewhere(t.n, call.request.key)) {
+        call.request.to_issuer = true;
+        std::uint32_t share = call.retries.left;
+        call.retries.left = 0;
+        send_attempt(t, call, *issuer, share);
+        return;
+    }
+    const wire::call_message &request = call.request;
+    once_orders orders;
+    take_ticket(t.n.once, request.key,
+                once_ticket{id, request.attempt,
+                            digest_of_request(request.service, request.operation, request.body),
+                            call.deadline},
+                t.now, orders);
+    carry_out(t, orders);
+    flush_claims(t);
+}
+
+void end_once_call(turn &t, const pending_call &call, wire::reply_message &reply)
+{
+    const wire::call_message &request = call.request;
+    if (!request.non_idempotent || request.key.empty()) {
+        return;
+    }
+    bool certain = call.settled || holds_claim(t.n.once, call.id) ||
+                   knows_not_run(t.n.once, request.key, request.attempt);
+    if (reply.outcome == wire::outcome::not_run && !certain) {
+        reply.outcome = wire::outcome::unknown;
+    }
+    once_orders orders;
+    end_ticket(t.n.once, call.id,
+               once_end{reply.outcome, reply.status, reply.content_type, reply.body, reply.refusal},
+               t.now, orders);
+    carry_out(t, orders);
+    flush_claims(t);
+}
+
+void on_call_to_issuer(turn &t, const std::string &from, wire::call_message &message)
+{
+    pending_call call;
+    call.id = call_ref{issuer_call_bit | next_id(t.n)};
+    call.origin = {from, message.correlation};
+    call.taken_at = t.now;
+    call.deadline = t.now + microseconds(message.left_us);
+    call.retries.left = message.allowance;
+    call.request = std::move(message);
+    call.request.to_issuer = false;
+    call.request.non_idempotent = true;
+    if (!t.n.bundles.in_force) {
+        return;  // it has issued no key yet; the sender's deadline ends the call
+    }
+    take_call(t, std::move(call));
+}
+
+void on_claim_commit(turn &t, platform_ref request, const platform_answer &answer)
+{
+    auto found = t.n.claim_commits.find(request);
+    std::uint64_t batch = found->second;
+    t.n.claim_commits.erase(found);
+    once_orders orders;
+    take_claim_answer(t.n.once, batch, answer, t.now, orders);
+    carry_out(t, orders);
+    flush_claims(t);
+}
+
+void on_claim_read(turn &t, platform_ref request, const platform_answer &answer)
+{
+    auto found = t.n.claim_reads.find(request);
+    table_read asked = std::move(found->second);
+    t.n.claim_reads.erase(found);
+    once_orders orders;
+    take_claim_rows(t.n.once, asked, answer, t.now, orders);
+    carry_out(t, orders);
+    flush_claims(t);
+}
+
+}  // namespace gullstall::internal
--- a/gullstall/src/node/send.cpp
+++ b/gullstall/src/node/send.cpp
@@ -12,11 +12,12 @@
     t.out.emplace_back(write_log{level, part, std::move(text)});
 }
 
-void ask(turn &t, platform_purpose purpose, platform_request what)
+platform_ref ask(turn &t, platform_purpose purpose, platform_request what)
 {
     auto id = platform_ref{next_id(t.n)};
     t.n.platform_waiting[id] = purpose;
     t.out.emplace_back(ask_platform{id, std::move(what)});
+    return id;
 }
 
 member own_member(const node &n)
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -184,6 +184,10 @@
 
 void on_call(turn &t, const std::string &from, wire::call_message &call)
 {
+    if (call.to_issuer) {
+        on_call_to_issuer(t, from, call);
+        return;
+    }
     if (std::optional<wire::refusal> why = reason_to_refuse(t, call)) {
         refuse(t, from, call, *why);
         return;
--- a/gullstall/src/node/step.cpp
+++ b/gullstall/src/node/step.cpp
@@ -41,6 +41,10 @@
     {
         internal::on_call_arrived(t, e);
     }
+    void operator()(key_asked &e) const
+    {
+        internal::on_key_asked(t, e.call);
+    }
     void operator()(call_abandoned &e) const
     {
         internal::on_call_abandoned(t, e.call);
@@ -105,6 +109,8 @@
     self.incarnation = incarnation;
     self.state = wire::member_state::leaving;  // until the worker has announced itself
     out.members.members[self.instance] = self;
+    out.once.instance = self.instance;
+    out.once.incarnation = incarnation;
     return out;
 }
 
--- a/gullstall/src/runtime/callers_http.cpp
+++ b/gullstall/src/runtime/callers_http.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t max_name_bytes = 200;
 constexpr std::uint64_t max_time_left_ms = 600000;
 constexpr std::uint64_t max_slots = 100000;
+constexpr std::uint64_t max_attempt = 1000000;
 constexpr std::uint32_t ms_per_second = 1000;
 
 std::string text_of(const http_request &request, const char *name)
@@ -79,6 +80,13 @@
         }
         out.time_left = milliseconds(value_of(ms));
     }
+    if (request.find(header::attempt) != request.end()) {
+        result<std::uint64_t> n = number_of(request, header::attempt, 1, max_attempt);
+        if (!succeeded(n)) {
+            return error_of(n);
+        }
+        out.attempt = static_cast<std::uint32_t>(value_of(n));
+    }
     out.body = std::move(request.body());
     return callers_request{std::move(out)};
 }
@@ -91,6 +99,12 @@
 
 http::status status_for(const caller_answer &answer)
 {
+    if (answer.refusal == wire::refusal::answer_not_kept) {
+        return http::status::conflict;
+    }
+    if (answer.refusal == wire::refusal::key_expired) {
+        return http::status::gone;
+    }
     switch (answer.outcome) {
         case wire::outcome::ran:
             return static_cast<http::status>(answer.status);
@@ -105,8 +119,6 @@
         case wire::refusal::key_mismatch:
         case wire::refusal::key_elsewhere:
             return http::status::conflict;
-        case wire::refusal::key_expired:
-            return http::status::gone;
         case wire::refusal::suspect:
             return http::status::unprocessable_entity;
         default:
@@ -132,12 +144,15 @@
     if (post && target == "/worker/leave") {
         return callers_request{worker_leaving{}};
     }
+    if (post && target == "/key") {
+        return callers_request{key_request{}};
+    }
     constexpr std::size_t call_path_parts = 4;
     if (post && path.size() == call_path_parts && path[1] == "call") {
         return read_call(std::move(request), path);
     }
     return error{error_code::not_found,
-                 "expected POST /call/SERVICE/OPERATION, /worker/announce or /worker/leave"};
+                 "expected POST /call/SERVICE/OPERATION, /key, /worker/announce or /worker/leave"};
 }
 
 http_response encode_caller_answer(caller_answer &&answer)
--- a/gullstall/src/runtime/callers_http.hpp
+++ b/gullstall/src/runtime/callers_http.hpp
@@ -16,6 +16,7 @@
 inline constexpr const char *request_id = "Gullstall-Request-Id";
 inline constexpr const char *time_left = "Gullstall-Time-Left-Ms";
 inline constexpr const char *key = "Idempotency-Key";
+inline constexpr const char *attempt = "Gullstall-Attempt";
 inline constexpr const char *context = "Gullstall-Context";
 inline constexpr const char *outcome = "Gullstall-Outcome";
 inline constexpr const char *reason = "Gullstall-Reason";
@@ -25,8 +26,13 @@
 inline constexpr const char *slots = "Gullstall-Slots";
 }  // namespace header
 
+/// Asks for an idempotency key that this node issues.
+struct key_request
+{
+};
+
 /// What a request on the callers' port asks for.
-using callers_request = std::variant<caller_call, worker_announced, worker_leaving>;
+using callers_request = std::variant<caller_call, worker_announced, worker_leaving, key_request>;
 
 /// Reads a request on the callers' port.
 /// \returns what it asks for, or an error that names the header and what is allowed
--- a/gullstall/src/runtime/daemon.cpp
+++ b/gullstall/src/runtime/daemon.cpp
@@ -95,6 +95,7 @@
     void apply(event &&what);
     void carry_out(action &&what);
     void schedule_tick();
+    void refuse_busy(std::uint64_t id, wire::outcome outcome);
     void on_callers_request(std::uint64_t id, http_request &&request);
     void on_admin_request(std::uint64_t id, const http_request &request);
     void on_worker_order(worker_order &&order);
@@ -284,6 +285,12 @@
     });
 }
 
+void daemon::refuse_busy(std::uint64_t id, wire::outcome outcome)
+{
+    callers_server_.answer(id, encode_caller_answer(caller_answer{
+                                   outcome, wire::refusal::busy, "", "", 0, 1000, 0, "", {}}));
+}
+
 void daemon::on_callers_request(std::uint64_t id, http_request &&request)
 {
     result<callers_request> read = decode_callers_request(std::move(request));
@@ -293,11 +300,18 @@
     }
     callers_request &what = value_of(read);
     if (auto *call = std::get_if<caller_call>(&what)) {
+        // A repeat of a key may have run before: only a first attempt is not run for sure.
+        bool knows = call->key.empty() || call->attempt == 1;
         event arrived{call_arrived{call_ref{id}, std::move(*call)}};
         if (!from_callers_.push(arrived)) {
-            callers_server_.answer(
-                id, encode_caller_answer(caller_answer{
-                        wire::outcome::not_run, wire::refusal::busy, "", "", 0, 1000, 0, "", {}}));
+            refuse_busy(id, knows ? wire::outcome::not_run : wire::outcome::unknown);
+        }
+        return;
+    }
+    if (std::holds_alternative<key_request>(what)) {
+        event asked{key_asked{call_ref{id}}};
+        if (!from_callers_.push(asked)) {
+            refuse_busy(id, wire::outcome::not_run);
         }
         return;
     }
--- a/test/standins/load.cpp
+++ b/test/standins/load.cpp
@@ -115,6 +115,9 @@
         ++count.requests;
         ++open_;
         std::string id = "load-" + std::to_string(++last_);
+        // Keys of an earlier process must not come back: their claims are still known.
+        std::string key =
+            id + "-" + std::to_string(std::chrono::system_clock::now().time_since_epoch().count());
         std::vector<std::uint8_t> body(of.body_bytes);
         for (std::uint8_t &it : body) {
             it = static_cast<std::uint8_t>(random_());
@@ -124,6 +127,8 @@
             ++count.attempts;
             rt::http_request message{http::verb::post, "/call/" + of.target, 11};
             message.set(rt::header::request_id, id);
+            message.set(rt::header::key, key);
+            message.set(rt::header::attempt, std::to_string(i + 1));
             message.body() = body;
             rt::http_client &client = *clients_[gullstall::draw_below(random_, clients_.size())];
             rt::exchange it =
--- a/test/support/world.hpp
+++ b/test/support/world.hpp
@@ -42,6 +42,9 @@
     std::set<std::string> platform_cuts;                 ///< zones cut off from the platform
     std::map<std::string, std::uint64_t> bytes_sent;     ///< by instance, when count_bytes
     bool count_bytes = false;
+    duration tick_every = tick_interval;  ///< wider for long runs over slow decisions
+    /// When set, answers in place of the platform; it may call platform.ask().
+    std::function<platform_answer(const platform_request &what)> on_ask;
 
     /// Calls \a what at \a when.
     void at(time_point when, std::function<void()> what)
@@ -165,7 +168,7 @@
 
     void tick_on(const std::string &name, std::uint64_t life)
     {
-        after(tick_interval, [this, name, life] {
+        after(tick_every, [this, name, life] {
             if (lives_[name] != life) {
                 return;
             }
@@ -231,8 +234,9 @@
     void ask_for(const std::string &from, ask_platform &&order)
     {
         bool cut = platform_cuts.count(nodes.at(from).settings.node.zone) > 0;
-        platform_answer answer =
-            cut ? platform_answer{platform_status::unavailable, {}, {}} : platform.ask(order.what);
+        platform_answer answer = cut      ? platform_answer{platform_status::unavailable, {}, {}}
+                                 : on_ask ? on_ask(order.what)
+                                          : platform.ask(order.what);
         std::uint64_t life = lives_[from];
         platform_ref id = order.request;
         after(platform_delay, [this, from, life, id, answer] {
