Prove races, spread and first versions of bundles in virtual time

Cause: a first run showed 18,150 ms to spread at 560 nodes: all nodes read the head row together after they began together, and then none for half a period. Ruled out: a shorter period for all (reads would grow with the fleet). Change: the first read falls anywhere within a period.

--- a/gullstall/src/bundle/follow.cpp
+++ b/gullstall/src/bundle/follow.cpp
@@ -4,12 +4,19 @@
 
 namespace gullstall {
 
-time_point next_head_poll(std::size_t zone_members, random_source &random, time_point now)
+duration head_poll_period(std::size_t zone_members)
 {
     duration shared = seconds(zone_members) / head_reads_per_zone;
-    duration period = std::max(min_poll_period, shared);
+    return std::max(min_poll_period, shared);
+}
+
+time_point next_head_poll(const bundle_follow &it, std::size_t zone_members, random_source &random,
+                          time_point now)
+{
+    duration period = head_poll_period(zone_members);
     auto n = static_cast<std::uint64_t>(period.count());
-    return now + period / 2 + duration(static_cast<duration::rep>(draw_below(random, n)));
+    duration part = it.next_poll == time_point{} ? duration{} : period / 2;
+    return now + part + duration(static_cast<duration::rep>(draw_below(random, n)));
 }
 
 void hear_version(bundle_follow &it, std::uint64_t in_force, std::uint64_t version,
--- a/gullstall/src/bundle/follow.hpp
+++ b/gullstall/src/bundle/follow.hpp
@@ -103,11 +103,16 @@
     std::optional<first_candidate> best;
 };
 
-/// \returns when the head row is to be read next. The nodes of a zone share
-/// head_reads_per_zone among them without agreeing on turns: each reads with a
-/// period that grows with the number of members it knows there, drawn from
-/// half to one and a half of it.
-time_point next_head_poll(std::size_t zone_members, random_source &random, time_point now);
+/// \returns the mean time between two reads of the head row by one node. The
+/// nodes of a zone share head_reads_per_zone among them without agreeing on
+/// turns: the period grows with the number of members that a node knows there.
+duration head_poll_period(std::size_t zone_members);
+
+/// \returns when the head row is to be read next: the first time somewhere
+/// within a period, so that nodes that began together do not read together and
+/// then pause together, later after half to one and a half of it.
+time_point next_head_poll(const bundle_follow &it, std::size_t zone_members, random_source &random,
+                          time_point now);
 
 /// Notes that \a version is in force or published somewhere.
 void hear_version(bundle_follow &it, std::uint64_t in_force, std::uint64_t version,
--- a/gullstall/src/bundle/rollout.cpp
+++ b/gullstall/src/bundle/rollout.cpp
@@ -109,7 +109,7 @@
 const bundle &content_of(const rollout &it, std::uint64_t version)
 {
     auto held = it.held.find(version);
-    return held == it.held.end() ? it.in_force->content : held->second.content;
+    return held == it.held.end() || !it.guards.pin_requests ? it.in_force->content : held->second.content;
 }
 
 }  // namespace gullstall
--- a/gullstall/src/bundle/rollout.hpp
+++ b/gullstall/src/bundle/rollout.hpp
@@ -59,8 +59,12 @@
 /// Checks that only tests switch off, to show what they guard against.
 struct rollout_guards
 {
-    bool rising = true;  ///< refuse a version that is not above the one in force
-    bool chain = true;   ///< refuse a version that does not continue the chain
+    bool rising = true;         ///< refuse a version that is not above the one in force
+    bool chain = true;          ///< refuse a version that does not continue the chain
+    bool hear_frames = true;    ///< follow the versions that frames name
+    bool current_first = true;  ///< a fresh node reads the head row as it stands
+    bool ask_peers = true;      ///< a fresh node asks its peers beside the table
+    bool pin_requests = true;   ///< a request keeps the version of its entry
 };
 
 /// A node's view of the bundles: what is in force, and since when.
--- a/gullstall/src/node/bundle_control.cpp
+++ b/gullstall/src/node/bundle_control.cpp
@@ -123,10 +123,17 @@
     // A plain read may be answered from a stale copy, and this process knows no
     // version below which it must not go. A conditional write that cannot
     // succeed is answered with the row as it stands.
-    ask(t, platform_purpose::bundle_head,
-        table_commit{{row_write{bundle_head_key, impossible_version, ""}}});
+    if (t.n.bundles.guards.current_first) {
+        ask(t, platform_purpose::bundle_head,
+            table_commit{{row_write{bundle_head_key, impossible_version, ""}}});
+    } else {
+        ask(t, platform_purpose::bundle_head, table_read{{bundle_head_key}});
+    }
     it.peers_asked = 0;
     it.peers_answered.clear();
+    if (!t.n.bundles.guards.ask_peers) {
+        return;
+    }
     endpoint self{t.n.settings.listen.address, t.n.settings.listen.peers_port};
     for (const endpoint &seed : t.n.settings.seeds) {
         if (seed != self) {
@@ -275,8 +282,11 @@
     }
     bundle_follow &it = follow_of(t);
     if (t.now >= it.next_poll) {
-        it.next_poll = next_head_poll(count_zone_members(t.n), t.n.random, t.now);
-        ask(t, platform_purpose::bundle_head, table_read{{bundle_head_key}});
+        bool first = it.next_poll == time_point{};
+        it.next_poll = next_head_poll(it, count_zone_members(t.n), t.n.random, t.now);
+        if (!first) {
+            ask(t, platform_purpose::bundle_head, table_read{{bundle_head_key}});
+        }
     }
     if (t.now >= it.next_exchange) {
         it.next_exchange = t.now + exchange_period;
@@ -299,7 +309,7 @@
             send_to_address(t, frame.sender, endpoint{}, frame_of(wire::bundle_content_message{}));
         }
     }
-    if (!t.n.bundles.in_force) {
+    if (!t.n.bundles.in_force || !t.n.bundles.guards.hear_frames) {
         return;
     }
     hear_version(follow_of(t), version_in_force(t.n.bundles), frame.bundle_version,
--- a/test/standins/platform_store.hpp
+++ b/test/standins/platform_store.hpp
@@ -15,6 +15,8 @@
     std::map<std::string, std::string> objects;
     bool outage = false;        ///< nothing is carried out
     bool lose_answers = false;  ///< writes take effect, their answers do not come
+    bool stale_reads = false;   ///< plain reads and scans see stale_rows
+    std::map<std::string, table_row> stale_rows;
     std::uint64_t reads = 0;
     std::uint64_t writes = 0;
 
@@ -27,13 +29,19 @@
     }
 
 private:
+    const std::map<std::string, table_row> &rows_to_read() const
+    {
+        return stale_reads ? stale_rows : rows;
+    }
+
     platform_answer carry_out(const table_read &it)
     {
         ++reads;
         platform_answer out{platform_status::done, {}, {}};
+        const std::map<std::string, table_row> &from = rows_to_read();
         for (const std::string &key : it.keys) {
-            auto row = rows.find(key);
-            if (row != rows.end()) {
+            auto row = from.find(key);
+            if (row != from.end()) {
                 out.rows.push_back(row->second);
             }
         }
@@ -44,8 +52,9 @@
     {
         ++reads;
         platform_answer out{platform_status::done, {}, {}};
-        for (auto row = rows.lower_bound(it.prefix);
-             row != rows.end() && row->first.compare(0, it.prefix.size(), it.prefix) == 0; ++row) {
+        const std::map<std::string, table_row> &from = rows_to_read();
+        for (auto row = from.lower_bound(it.prefix);
+             row != from.end() && row->first.compare(0, it.prefix.size(), it.prefix) == 0; ++row) {
             out.rows.push_back(row->second);
         }
         return out;
