--- a/gullstall/src/node/node.hpp
+++ b/gullstall/src/node/node.hpp
@@ -10,6 +10,7 @@
 #include "gullstall/bundle.hpp"
 #include "gullstall/core.hpp"
 #include "gullstall/membership.hpp"
+#include "gullstall/once.hpp"
 #include "gullstall/overload.hpp"
 #include "gullstall/retry.hpp"
 #include "gullstall/route.hpp"
@@ -42,6 +43,9 @@
     std::vector<std::string> tried;
     bool may_have_run = false;      ///< an attempt ended without anyone knowing
     std::vector<call_ref> waiters;  ///< callers that get the answer, repeats included
+    bool settled = false;       ///< its outcome is known from the key's memory
+    std::optional<std::pair<std::string, std::uint64_t>> origin;  ///< node and correlation, when
+                                                                  ///< it came for its issuer
 };
 
 /// A call that this node runs, or will run, on its own worker.
@@ -65,7 +69,9 @@
     member_scan,
     bundle_head,
     bundle_object,
-    bundle_row
+    bundle_row,
+    claim_commit,
+    claim_read
 };
 
 /// Counters that the admin port shows.
@@ -106,6 +112,9 @@
     std::map<std::string, retry_budget> budgets;  ///< by service
     timeline events;
     node_counters counters;
+    once_book once;
+    std::unordered_map<platform_ref, std::uint64_t> claim_commits;  ///< batch of each
+    std::unordered_map<platform_ref, table_read> claim_reads;
 
     std::unordered_map<call_ref, pending_call> calls;
     std::unordered_map<std::string, call_ref> entered;     ///< by request id, no worker's calls
@@ -122,6 +131,7 @@
     bool worker_leaves = false;
     bool stopping = false;
     bool stopped = false;
+    time_point settle_until{};  ///< a stop waits no longer for outcomes to be written
     std::uint64_t last_id = 0;
 };
 
