Replace the lease row per node by gossip

Cause: every node wrote a lease row and scanned the whole table each second; at 560 nodes that alone is beyond the table's reads. A member that died stayed in the table as alive. Change: SWIM probes with incarnations, suspicion and relays over a ring of neighbours at distances 1, 2, 4..; state changes of 24 bytes under a byte budget; comparison of tables by digest; two contact rows per zone, written and read in turn. A new action check_worker tells whether the own worker still takes connections. Conclusion: membership no longer needs the table once nodes have met.

--- a/gullstall/src/membership/member_table.cpp
+++ b/gullstall/src/membership/member_table.cpp
@@ -17,15 +17,19 @@
 
 std::vector<const member *> upstreams_of(const member_table &it, const std::string &service)
 {
-    std::vector<const member *> out;
+    std::vector<const member *> alive;
+    std::vector<const member *> suspected;
     for (const auto &[instance, known] : it.members) {
-        bool takes_work =
-            known.state == wire::member_state::alive || known.state == wire::member_state::suspect;
-        if (known.service == service && takes_work) {
-            out.push_back(&known);
+        if (known.service != service) {
+            continue;
+        }
+        if (known.state == wire::member_state::alive) {
+            alive.push_back(&known);
+        } else if (known.state == wire::member_state::suspect) {
+            suspected.push_back(&known);
         }
     }
-    return out;
+    return alive.empty() ? suspected : alive;
 }
 
 }  // namespace gullstall
--- a/gullstall/src/membership/member_table.hpp
+++ b/gullstall/src/membership/member_table.hpp
@@ -5,7 +5,6 @@
 #include <string>
 #include <vector>
 
-#include "gullstall/src/core/time.hpp"
 #include "gullstall/src/membership/member.hpp"
 
 namespace gullstall {
@@ -14,16 +13,14 @@
 struct member_table
 {
     std::map<std::string, member> members;  // by instance
-    time_point next_scan{};
-    time_point next_lease{};
-    std::uint64_t own_row_version = 0;
 };
 
 /// Takes in news of a member.
 /// \returns whether they were newer than what was known
 bool learn_member(member_table &it, const member &news);
 
-/// \returns the members of \a service that take new work
+/// \returns the members of \a service that take new work: those alive, and
+/// those suspected only when none is alive
 std::vector<const member *> upstreams_of(const member_table &it, const std::string &service);
 
 }  // namespace gullstall
--- a/gullstall/src/node/action.hpp
+++ b/gullstall/src/node/action.hpp
@@ -63,6 +63,12 @@
     run_ref run;
 };
 
+/// Find out whether the own worker takes connections; answered by
+/// worker_checked.
+struct check_worker
+{
+};
+
 /// Ask the platform.
 struct ask_platform
 {
@@ -99,7 +105,7 @@
 
 /// All that a node may ask of its surroundings.
 using action = std::variant<answer_call, send_frame, run_on_worker, cancel_on_worker, ask_platform,
-                            answer_admin, stop_now, write_log>;
+                            answer_admin, stop_now, write_log, check_worker>;
 
 /// Actions in the order in which they are to be carried out.
 using actions = std::vector<action>;
--- a/gullstall/src/node/control.cpp
+++ b/gullstall/src/node/control.cpp
@@ -36,6 +36,7 @@
 {
     t.n.slots = e.slots;
     t.n.worker_leaves = false;
+    t.n.contacts.worker_silent = false;
     log(t, write_log::severity::info, "worker",
         "announced with " + std::to_string(e.slots) + " slots");
     if (!t.n.stopping) {
--- a/gullstall/src/node/entry.cpp
+++ b/gullstall/src/node/entry.cpp
@@ -279,7 +279,7 @@
 {
     ++t.n.counters.calls_taken;
     std::optional<run_ref> parent = parse_context(t.n, e.request.context);
-    if (!t.n.bundles.in_force) {
+    if (!t.n.bundles.in_force || is_stale(t.n.gossip, t.now)) {
         refuse_unready(t, e.call, wire::refusal::starting, e.request);
         return;
     }
--- a/gullstall/src/node/event.hpp
+++ b/gullstall/src/node/event.hpp
@@ -74,6 +74,12 @@
 {
 };
 
+/// Whether the own worker took a connection: the answer to check_worker.
+struct worker_checked
+{
+    bool reachable;
+};
+
 /// A frame came from another node.
 struct frame_arrived
 {
@@ -118,7 +124,7 @@
 /// All that can happen to a node.
 using event = std::variant<call_arrived, call_abandoned, worker_answered, worker_announced,
                            worker_leaving, frame_arrived, peer_unreachable, platform_answered,
-                           admin_asked, stop_requested, tick>;
+                           admin_asked, stop_requested, tick, worker_checked>;
 
 }  // namespace gullstall
 
--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -48,6 +48,11 @@
 void on_lease_answer(turn &t, const platform_answer &answer);
 void on_scan_answer(turn &t, const platform_answer &answer);
 void set_own_state(turn &t, wire::member_state state);
+void on_step_time(turn &t);
+void on_member_unreachable(turn &t, const std::string &instance);
+void on_worker_end(turn &t, worker_end end);
+void on_worker_checked(turn &t, const worker_checked &e);
+void check_silent_worker(turn &t);
 
 // bundle_control.cpp: bundles
 void on_bundle_tick(turn &t);
@@ -60,6 +65,7 @@
 
 // send.cpp
 void send_to(turn &t, const std::string &instance, wire::frame_message frame);
+void send_to_endpoint(turn &t, const endpoint &to, wire::frame_message frame);
 void ask(turn &t, platform_purpose purpose, platform_request what);
 void log(turn &t, write_log::severity level, const char *part, std::string text);
 std::uint64_t next_id(node &n);
--- a/gullstall/src/node/member_control.cpp
+++ b/gullstall/src/node/member_control.cpp
@@ -1,77 +1,329 @@
+#include <algorithm>
+
 #include "gullstall/src/node/internal.hpp"
 
 namespace gullstall::internal {
 
 namespace {
 
-constexpr duration scan_interval = seconds(1);
-constexpr std::uint64_t leases_per_term = 3;
+using wire::member_state;
+
+constexpr duration search_interval = seconds(1);
+constexpr duration first_search_spread = milliseconds(300);
+constexpr std::uint32_t searches_before_overwrite = 2;
+constexpr std::size_t contacts_per_row = 6;
+constexpr std::size_t contacts_per_search = 8;
+constexpr duration worker_check_interval = milliseconds(500);
 
-void write_lease(turn &t)
+duration draw_duration(turn &t, duration below)
 {
-    std::string key = member_row_prefix + t.n.settings.node.instance;
-    row_write row{key, t.n.members.own_row_version, encode_member(own_member(t.n))};
-    ask(t, platform_purpose::member_lease, table_commit{{row}});
+    return microseconds(draw_below(t.n.random, static_cast<std::uint64_t>(below.count())));
 }
 
-}  // namespace
+duration term_length(const turn &t)
+{
+    return milliseconds(t.n.settings.membership.lease_ms) / 2;
+}
 
-void on_lease_answer(turn &t, const platform_answer &answer)
+std::uint64_t term_at(const turn &t)
 {
-    for (const table_row &row : answer.rows) {
-        if (row.key == member_row_prefix + t.n.settings.node.instance) {
-            t.n.members.own_row_version = row.version;
+    return static_cast<std::uint64_t>(t.now.time_since_epoch() / term_length(t));
+}
+
+bool is_alone(turn &t)
+{
+    return ring_size(t.n.gossip, t.n.members) == 1;
+}
+
+void note_change(turn &t, const state_change &change)
+{
+    note_event(t.n.events, t.now, event_kind::member_changed, "", change.instance,
+               wire::EnumNamemember_state(change.after));
+    if (change.after == member_state::leaving) {
+        note_leaving(t.n.routes, change.instance, t.now);
+    } else if (change.after == member_state::alive && change.before == member_state::leaving) {
+        note_returned(t.n.routes, change.instance);
+    }
+}
+
+/// Guard against an earlier process of the instance that was frozen while its
+/// successor started: two nodes would answer to one name. The earlier one stops.
+void stop_if_superseded(turn &t)
+{
+    if (t.n.gossip.superseded && !t.n.stopping) {
+        log(t, write_log::severity::warning, "member",
+            "a later process of this instance is alive: stops");
+        on_stop_requested(t);
+    }
+}
+
+void carry_out(turn &t, gossip_result &&done)
+{
+    for (const state_change &it : done.changes) {
+        note_change(t, it);
+    }
+    for (gossip_send &it : done.sends) {
+        if (it.instance.empty()) {
+            send_to_endpoint(t, it.to, frame_of(std::move(it.message)));
+        } else {
+            send_to(t, it.instance, frame_of(std::move(it.message)));
         }
     }
-    if (answer.status == platform_status::conflict) {
-        t.n.members.next_lease = t.now;
+    stop_if_superseded(t);
+}
+
+void contact(turn &t, const endpoint &to)
+{
+    gossip_result out;
+    out.sends.push_back(first_contact(t.n.gossip, t.n.members, to));
+    carry_out(t, std::move(out));
+}
+
+/// \returns whether a member that is not dead listens at \a at
+bool is_known(const turn &t, const endpoint &at)
+{
+    return std::any_of(t.n.members.members.begin(), t.n.members.members.end(), [&](const auto &it) {
+        return it.second.state != member_state::dead && it.second.port == at.port &&
+               it.second.address == at.address;
+    });
+}
+
+void contact_seeds(turn &t)
+{
+    for (const endpoint &it : t.n.settings.seeds) {
+        if (!is_known(t, it)) {
+            contact(t, it);
+        }
     }
 }
 
-void on_scan_answer(turn &t, const platform_answer &answer)
+void scan_rows(turn &t)
 {
-    for (const table_row &row : answer.rows) {
-        result<member> read = decode_member(row.value);
-        if (!succeeded(read) || value_of(read).instance == t.n.settings.node.instance) {
+    if (!t.n.contacts.asked) {
+        t.n.contacts.asked = true;
+        ask(t, platform_purpose::member_scan, table_scan{member_row_prefix});
+    }
+}
+
+/// Contacts some of the members that the rows name and that this node lacks.
+/// The rows only say where to ask: what they say of a member's state may be old.
+/// \returns how many were contacted
+std::size_t contact_rows(turn &t, const std::vector<table_row> &rows)
+{
+    std::vector<endpoint> lacking;
+    for (const table_row &row : rows) {
+        result<std::vector<member>> read = decode_contacts(row.value);
+        if (!succeeded(read)) {
             continue;
         }
-        if (learn_member(t.n.members, value_of(read))) {
-            note_event(t.n.events, t.now, event_kind::member_changed, "", value_of(read).instance,
-                       wire::EnumNamemember_state(value_of(read).state));
+        for (const member &it : value_of(read)) {
+            auto known = t.n.members.members.find(it.instance);
+            bool lacks =
+                known == t.n.members.members.end() || known->second.incarnation < it.incarnation;
+            if (lacks && !is_known(t, endpoint{it.address, it.port})) {
+                lacking.push_back(endpoint{it.address, it.port});
+            }
+        }
+    }
+    std::size_t contacted = 0;
+    while (!lacking.empty() && contacted < contacts_per_search) {
+        std::size_t chosen = draw_below(t.n.random, lacking.size());
+        contact(t, lacking[chosen]);
+        lacking.erase(lacking.begin() + static_cast<std::ptrdiff_t>(chosen));
+        ++contacted;
+    }
+    return contacted;
+}
+
+std::vector<member> choose_contacts(turn &t)
+{
+    std::vector<member> zone;
+    for (const auto &[instance, known] : t.n.members.members) {
+        bool good = known.zone == t.n.settings.node.zone && known.state == member_state::alive;
+        if (good && instance != t.n.settings.node.instance) {
+            zone.push_back(known);
+        }
+    }
+    std::vector<member> out{own_member(t.n)};
+    while (!zone.empty() && out.size() < contacts_per_row) {
+        std::size_t chosen = draw_below(t.n.random, zone.size());
+        out.push_back(std::move(zone[chosen]));
+        zone.erase(zone.begin() + static_cast<std::ptrdiff_t>(chosen));
+    }
+    return out;
+}
+
+void write_row(turn &t, std::size_t slot, const std::vector<table_row> &rows)
+{
+    std::string key = contact_row_key(t.n.settings.node.zone, slot);
+    std::uint64_t version = 0;
+    for (const table_row &row : rows) {
+        version = row.key == key ? row.version : version;
+    }
+    row_write row{key, version, encode_contacts(choose_contacts(t))};
+    ask(t, platform_purpose::member_lease, table_commit{{row}});
+}
+
+/// Looks for others while this node knows nobody: the seeds, and the table.
+void search(turn &t)
+{
+    if (t.now < t.n.contacts.next_search || !is_alone(t)) {
+        return;
+    }
+    t.n.contacts.next_search = t.now + search_interval + draw_duration(t, search_interval);
+    contact_seeds(t);
+    scan_rows(t);
+}
+
+/// Uses the table when it is this node's turn.
+void take_turn(turn &t)
+{
+    if (t.now < t.n.contacts.next_turn) {
+        return;
+    }
+    time_point next_term{term_length(t) * static_cast<std::int64_t>(term_at(t) + 1)};
+    t.n.contacts.next_turn = next_term + draw_duration(t, search_interval);
+    if (is_alone(t) || !turn_of(t.n.members, t.n.settings.node.instance, term_at(t))) {
+        return;
+    }
+    contact_seeds(t);
+    scan_rows(t);
+}
+
+}  // namespace
+
+void on_scan_answer(turn &t, const platform_answer &answer)
+{
+    contact_turns &turns = t.n.contacts;
+    turns.asked = false;
+    if (answer.status != platform_status::done) {
+        return;
+    }
+    std::size_t contacted = contact_rows(t, answer.rows);
+    if (!is_alone(t)) {
+        turns.searches = 0;
+        if (auto slot = turn_of(t.n.members, t.n.settings.node.instance, term_at(t))) {
+            write_row(t, *slot, answer.rows);
         }
+        return;
+    }
+    // Alone: the rows of others come first, so that a fleet that starts at once
+    // does not write a row for each node. Rows that led nowhere are overwritten.
+    ++turns.searches;
+    if (contacted == 0 || turns.searches > searches_before_overwrite) {
+        std::size_t slot = draw_below(t.n.random, contact_rows_per_zone);
+        write_row(t, slot, answer.rows);
     }
 }
 
-void set_own_state(turn &t, wire::member_state state)
+void on_lease_answer(turn &t, const platform_answer &answer)
+{
+    if (answer.status == platform_status::conflict && is_alone(t)) {
+        contact_rows(t, answer.rows);  // another node was first: it is the contact
+    }
+}
+
+void set_own_state(turn &t, member_state state)
 {
     member &self = t.n.members.members.at(t.n.settings.node.instance);
     if (self.state == state) {
         return;
     }
     self.state = state;
+    self.slots = t.n.slots;
     ++self.version;
-    t.n.members.next_lease = t.now;
     note_event(t.n.events, t.now, event_kind::member_changed, "", self.instance,
                wire::EnumNamemember_state(state));
+    gossip_result out;
+    announce_self(t.n.gossip, t.n.members, t.n.random, t.now, out);
+    carry_out(t, std::move(out));
 }
 
-void on_member_tick(turn &t)
+void on_step_time(turn &t)
 {
-    if (t.now >= t.n.members.next_lease) {
-        t.n.members.next_lease =
-            t.now + duration(milliseconds(t.n.settings.membership.lease_ms)) / leases_per_term;
-        write_lease(t);
+    time_point before = t.n.contacts.last_step;
+    t.n.contacts.last_step = t.now;
+    duration lease = milliseconds(t.n.settings.membership.lease_ms);
+    if (before == time_point{} || t.now - before < lease || !t.n.gossip.limits.notice_pauses) {
+        return;
     }
-    if (t.now >= t.n.members.next_scan) {
-        t.n.members.next_scan = t.now + scan_interval;
-        ask(t, platform_purpose::member_scan, table_scan{member_row_prefix});
+    // Guard against a node that was frozen for longer than its lease and acts
+    // on what it knew before: it would send calls to members long gone. It
+    // compares its view with its neighbours' first and refuses calls meanwhile.
+    log(t, write_log::severity::warning, "member",
+        "was paused for " + std::to_string(to_ms(t.now - before)) + " ms");
+    gossip_result out;
+    note_pause(t.n.gossip, t.n.members, t.n.random, t.now, out);
+    carry_out(t, std::move(out));
+}
+
+void on_member_tick(turn &t)
+{
+    if (t.n.contacts.next_search == time_point{}) {
+        t.n.contacts.next_search = t.now + draw_duration(t, first_search_spread);
+        t.n.contacts.next_turn = t.now + draw_duration(t, term_length(t));
     }
+    gossip_result out;
+    tick_gossip(t.n.gossip, t.n.members, t.n.random, t.now, out);
+    carry_out(t, std::move(out));
+    search(t);
+    take_turn(t);
+    check_silent_worker(t);
 }
 
 void on_member_frame(turn &t, wire::frame_message &frame)
 {
-    (void)t;
-    (void)frame;
+    const wire::gossip_message *message = frame.payload.Asgossip();
+    if (message == nullptr) {
+        return;
+    }
+    gossip_result out;
+    take_gossip(t.n.gossip, t.n.members, t.n.random, t.now, frame.sender, *message, out);
+    carry_out(t, std::move(out));
+}
+
+void on_member_unreachable(turn &t, const std::string &instance)
+{
+    gossip_result out;
+    note_unreachable(t.n.gossip, t.n.members, t.n.random, t.now, instance, out);
+    carry_out(t, std::move(out));
+}
+
+void on_worker_end(turn &t, worker_end end)
+{
+    bool failed = end == worker_end::not_sent || end == worker_end::lost;
+    if (failed && !t.n.contacts.checking_worker) {
+        t.n.contacts.checking_worker = true;
+        t.out.emplace_back(check_worker{});
+    }
+}
+
+void on_worker_checked(turn &t, const worker_checked &e)
+{
+    contact_turns &turns = t.n.contacts;
+    turns.checking_worker = false;
+    turns.next_check = t.now + worker_check_interval;
+    if (turns.worker_silent == !e.reachable) {
+        return;
+    }
+    turns.worker_silent = !e.reachable;
+    note_event(t.n.events, t.now, event_kind::worker_lost, "", t.n.settings.node.instance,
+               e.reachable ? "takes connections again" : "takes no connections");
+    if (t.n.stopping || t.n.worker_leaves || t.n.slots == 0) {
+        return;
+    }
+    // Guard against a worker that died without a word: its node still lives, so
+    // gossip would go on announcing an upstream whose every call fails.
+    set_own_state(t, e.reachable ? member_state::alive : member_state::leaving);
+}
+
+void check_silent_worker(turn &t)
+{
+    contact_turns &turns = t.n.contacts;
+    if (turns.worker_silent && !turns.checking_worker && t.now >= turns.next_check) {
+        turns.checking_worker = true;
+        t.out.emplace_back(check_worker{});
+    }
 }
 
 }  // namespace gullstall::internal
--- a/gullstall/src/node/node.hpp
+++ b/gullstall/src/node/node.hpp
@@ -98,6 +98,8 @@
 
     rollout bundles;
     member_table members;
+    gossip_state gossip;
+    contact_turns contacts;
     router routes;
     level_control level;
     run_queue queue;
--- a/gullstall/src/node/send.cpp
+++ b/gullstall/src/node/send.cpp
@@ -24,18 +24,33 @@
     return n.members.members.at(n.settings.node.instance);
 }
 
+namespace {
+
+void stamp_and_send(turn &t, const std::string &instance, const endpoint &to,
+                    wire::frame_message &&frame)
+{
+    frame.sender = t.n.settings.node.instance;
+    frame.incarnation = t.n.incarnation;
+    frame.clock = tick_clock(t.n.events, t.now);
+    frame.bundle_version = version_in_force(t.n.bundles);
+    t.out.emplace_back(send_frame{instance, to, std::move(frame)});
+}
+
+}  // namespace
+
 void send_to(turn &t, const std::string &instance, wire::frame_message frame)
 {
     auto known = t.n.members.members.find(instance);
     if (known == t.n.members.members.end()) {
         return;
     }
-    frame.sender = t.n.settings.node.instance;
-    frame.incarnation = t.n.incarnation;
-    frame.clock = tick_clock(t.n.events, t.now);
-    frame.bundle_version = version_in_force(t.n.bundles);
-    t.out.emplace_back(send_frame{instance, endpoint{known->second.address, known->second.port},
-                                  std::move(frame)});
+    endpoint to{known->second.address, known->second.port};
+    stamp_and_send(t, instance, to, std::move(frame));
+}
+
+void send_to_endpoint(turn &t, const endpoint &to, wire::frame_message frame)
+{
+    stamp_and_send(t, "", to, std::move(frame));
 }
 
 }  // namespace gullstall::internal
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -17,7 +17,7 @@
               const std::map<std::string, admission_level> &touched)
 {
     const std::string &self = t.n.settings.node.instance;
-    reply.leaving = t.n.stopping || t.n.worker_leaves;
+    reply.leaving = t.n.stopping || t.n.worker_leaves || t.n.contacts.worker_silent;
     reply.running = t.n.slots_used;
     reply.touched.push_back(t.n.settings.node.service);
     reply.levels.push_back(t.n.level.level.highest);
@@ -246,6 +246,7 @@
     cancel_children(t, t.n.runs.at(e.run));
     active_run run = forget_run(t, e.run);
     --t.n.slots_used;
+    on_worker_end(t, e.end);
     t.n.counters.runs_lost += e.end == worker_end::lost ? 1 : 0;
     note_event(t.n.events, t.now, event_kind::run_finished, run.call.request_id,
                t.n.settings.node.instance, std::to_string(e.status));
--- a/gullstall/src/node/step.cpp
+++ b/gullstall/src/node/step.cpp
@@ -65,6 +65,7 @@
     {
         internal::on_peer_unreachable(t, e);
         internal::on_origin_lost(t, e.instance);
+        internal::on_member_unreachable(t, e.instance);
     }
     void operator()(platform_answered &e) const
     {
@@ -78,6 +79,10 @@
     {
         internal::on_stop_requested(t);
     }
+    void operator()(worker_checked &e) const
+    {
+        internal::on_worker_checked(t, e);
+    }
     void operator()(tick &) const
     {
         on_tick(t);
@@ -106,6 +111,9 @@
     self.incarnation = incarnation;
     self.state = wire::member_state::leaving;  // until the worker has announced itself
     out.members.members[self.instance] = self;
+    gossip_limits limits;
+    limits.probe_interval = milliseconds(settings.membership.gossip_interval_ms);
+    out.gossip = make_gossip(self.instance, out.members, limits);
     return out;
 }
 
@@ -113,6 +121,7 @@
 {
     actions out;
     turn t{it, now, out};
+    internal::on_step_time(t);
     std::visit(event_visitor{t}, what);
     internal::finish_stop(t);
     return out;
--- a/gullstall/src/route/router.cpp
+++ b/gullstall/src/route/router.cpp
@@ -92,4 +92,12 @@
     it.upstreams[instance].leaving_until = now + leaving_memory;
 }
 
+void note_returned(router &it, const std::string &instance)
+{
+    auto record = it.upstreams.find(instance);
+    if (record != it.upstreams.end()) {
+        record->second.leaving_until = time_point{};
+    }
+}
+
 }  // namespace gullstall
--- a/gullstall/src/route/router.hpp
+++ b/gullstall/src/route/router.hpp
@@ -57,6 +57,9 @@
 /// Notes that \a instance said it takes no new work.
 void note_leaving(router &it, const std::string &instance, time_point now);
 
+/// Notes that \a instance takes work again.
+void note_returned(router &it, const std::string &instance);
+
 }  // namespace gullstall
 
 #endif
--- a/gullstall/src/runtime/daemon.cpp
+++ b/gullstall/src/runtime/daemon.cpp
@@ -3,7 +3,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <cstdlib>
 #include <random>
 #include <thread>
@@ -34,7 +38,10 @@
 /// the node's own deadline comes first.
 constexpr duration worker_grace = seconds(1);
 
-using worker_order = std::variant<run_on_worker, cancel_on_worker>;
+using worker_order = std::variant<run_on_worker, cancel_on_worker, check_worker>;
+
+/// Time in which a worker that lives takes a connection.
+constexpr duration worker_check_timeout = milliseconds(500);
 using admin_order = std::variant<answer_admin, write_log>;
 
 /// Time since the epoch of the process's start, on a clock that never goes back.
@@ -99,6 +106,7 @@
     void on_admin_request(std::uint64_t id, const http_request &request);
     void on_worker_order(worker_order &&order);
     asio::awaitable<void> run_call(run_on_worker order, std::shared_ptr<exchange_handle> handle);
+    asio::awaitable<void> try_worker();
     asio::awaitable<void> ask(ask_platform order);
     void on_admin_order(admin_order &&order);
     void wait_signal();
@@ -251,7 +259,8 @@
             } else if constexpr (std::is_same_v<kind, send_frame>) {
                 send(std::move(it));
             } else if constexpr (std::is_same_v<kind, run_on_worker> ||
-                                 std::is_same_v<kind, cancel_on_worker>) {
+                                 std::is_same_v<kind, cancel_on_worker> ||
+                                 std::is_same_v<kind, check_worker>) {
                 push_always(to_worker_, worker_order{std::move(it)});
             } else if constexpr (std::is_same_v<kind, ask_platform>) {
                 push_always(to_platform_, std::move(it));
@@ -336,6 +345,10 @@
         asio::co_spawn(worker_.io, run_call(std::move(*run), handle), asio::detached);
         return;
     }
+    if (std::holds_alternative<check_worker>(order)) {
+        asio::co_spawn(worker_.io, try_worker(), asio::detached);
+        return;
+    }
     auto it = running_.find(std::get<cancel_on_worker>(order).run);
     if (it != running_.end()) {
         http_client::cancel(*it->second);
@@ -362,6 +375,21 @@
     push_always(from_worker_, event{std::move(answer)});
 }
 
+asio::awaitable<void> daemon::try_worker()
+{
+    using namespace asio::experimental::awaitable_operators;
+    boost::system::error_code ec;
+    boost::system::error_code timer_ec;
+    tcp::socket socket(worker_.io);
+    asio::steady_timer limit(worker_.io, worker_check_timeout);
+    tcp::endpoint at = endpoint_of(settings_.worker.address, settings_.worker.port);
+    auto ended =
+        co_await (socket.async_connect(at, asio::redirect_error(asio::use_awaitable, ec)) ||
+                  limit.async_wait(asio::redirect_error(asio::use_awaitable, timer_ec)));
+    bool reachable = ended.index() == 0 && !ec;
+    push_always(from_worker_, event{worker_checked{reachable}});
+}
+
 asio::awaitable<void> daemon::ask(ask_platform order)
 {
     platform_answer answer = co_await ask_over_http(platform_client_, std::move(order.what),
--- a/test/support/world.hpp
+++ b/test/support/world.hpp
@@ -40,6 +40,7 @@
     double loss = 0;                                     ///< share of frames that vanish
     std::set<std::pair<std::string, std::string>> cuts;  ///< zones that cannot hear each other
     std::set<std::string> platform_cuts;                 ///< zones cut off from the platform
+    std::set<std::string> dead_workers;                  ///< instances whose worker is gone
     std::map<std::string, std::uint64_t> bytes_sent;     ///< by instance, when count_bytes
     bool count_bytes = false;
 
@@ -188,6 +189,9 @@
             if (on_cancel) {
                 on_cancel(name, cancel->run);
             }
+        } else if (std::holds_alternative<check_worker>(what)) {
+            after(link_delay,
+                  [this, name] { feed(name, worker_checked{dead_workers.count(name) == 0}); });
         } else if (auto *answer = std::get_if<answer_call>(&what)) {
             if (on_answer) {
                 on_answer(name, answer->call, std::move(answer->answer));
