--- a/gullstall/src/node/event.hpp
+++ b/gullstall/src/node/event.hpp
@@ -82,6 +82,12 @@
 {
 };
 
+/// Whether the own worker took a connection: the answer to check_worker.
+struct worker_checked
+{
+    bool reachable;
+};
+
 /// A frame came from another node.
 struct frame_arrived
 {
@@ -126,7 +132,7 @@
 /// All that can happen to a node.
 using event = std::variant<call_arrived, key_asked, call_abandoned, worker_answered,
                            worker_announced, worker_leaving, frame_arrived, peer_unreachable,
-                           platform_answered, admin_asked, stop_requested, tick>;
+                           platform_answered, admin_asked, stop_requested, tick, worker_checked>;
 
 }  // namespace gullstall
 
--- a/test/support/world.hpp
+++ b/test/support/world.hpp
@@ -34,13 +34,14 @@
     worker_function on_run;
     std::function<void(const std::string &instance, run_ref run)> on_cancel;
     answer_function on_answer;
-    std::function<void(const platform_request &what)> on_ask;  ///< sees what nodes ask
+    std::function<void(const platform_request &what)> watch_ask;  ///< sees what nodes ask
 
     duration link_delay = microseconds(500);
     duration platform_delay = milliseconds(2);
     double loss = 0;                                     ///< share of frames that vanish
     std::set<std::pair<std::string, std::string>> cuts;  ///< zones that cannot hear each other
     std::set<std::string> platform_cuts;                 ///< zones cut off from the platform
+    std::set<std::string> dead_workers;                  ///< instances whose worker is gone
     std::map<std::string, std::uint64_t> bytes_sent;     ///< by instance, when count_bytes
     bool count_bytes = false;
     duration tick_every = tick_interval;  ///< wider for long runs over slow decisions
@@ -192,6 +193,9 @@
             if (on_cancel) {
                 on_cancel(name, cancel->run);
             }
+        } else if (std::holds_alternative<check_worker>(what)) {
+            after(link_delay,
+                  [this, name] { feed(name, worker_checked{dead_workers.count(name) == 0}); });
         } else if (auto *answer = std::get_if<answer_call>(&what)) {
             if (on_answer) {
                 on_answer(name, answer->call, std::move(answer->answer));
@@ -234,8 +238,8 @@
 
     void ask_for(const std::string &from, ask_platform &&order)
     {
-        if (on_ask) {
-            on_ask(order.what);
+        if (watch_ask) {
+            watch_ask(order.what);
         }
         bool cut = platform_cuts.count(nodes.at(from).settings.node.zone) > 0;
         platform_answer answer = cut      ? platform_answer{platform_status::unavailable, {}, {}}
