Rings keep room for what must not be lost

Cause: a ring from the peers that was full closed the connection, and the notice of that closing was pushed into the same full ring with push_always, which aborts the process. The ring from the callers had the same fault with the notices of callers that left, the ring to the log with log lines when the reader of the log blocks. Change: calls, frames and log lines leave a reserve free. A call is refused as busy, a frame closes its connection, lost log lines are counted and the count is logged.

--- a/gullstall/src/runtime/daemon.cpp
+++ b/gullstall/src/runtime/daemon.cpp
@@ -27,6 +27,18 @@
 /// connection limits allow, so rings that carry answers are never full.
 constexpr std::size_t ring_entries = 131072;
 
+/// Entries that calls leave free in the ring from the callers. Each call may be
+/// followed by one notice that its caller has gone, which must find room even
+/// when the decisions lag and the ring is full of calls.
+constexpr std::size_t callers_reserve = ring_entries / 4 * 3;
+
+/// Entries that frames leave free in the ring from the peers, for the notices
+/// that a connection broke: a full ring itself breaks connections.
+constexpr std::size_t peers_reserve = 4096;
+
+/// Entries that log lines leave free for answers on the admin port.
+constexpr std::size_t admin_reserve = 1024;
+
 /// The admin port is for operators: few connections, small requests.
 constexpr http_limits admin_limits{4096, 8192, 64, seconds(5)};
 
@@ -94,6 +106,7 @@
 private:
     void apply(event &&what);
     void carry_out(action &&what);
+    void log_line(write_log &&line);
     void schedule_tick();
     void on_callers_request(std::uint64_t id, http_request &&request);
     void on_admin_request(std::uint64_t id, const http_request &request);
@@ -117,6 +130,7 @@
     daemon_clock clock_;
     node node_;
     std::optional<time_point> stop_at_;
+    std::uint64_t lost_lines_ = 0;
 
     duty decisions_;
     duty callers_;
@@ -197,7 +211,7 @@
           peer_handlers{
               [this](wire::frame_message &&frame) {
                   event arrived{frame_arrived{std::move(frame)}};
-                  return from_peers_.push(arrived);
+                  return from_peers_.push_leaving(arrived, peers_reserve);
               },
               [this](const std::string &instance, std::vector<std::uint64_t> unsent) {
                   push_always(from_peers_, event{peer_unreachable{instance, std::move(unsent)}});
@@ -255,9 +269,10 @@
                 push_always(to_worker_, worker_order{std::move(it)});
             } else if constexpr (std::is_same_v<kind, ask_platform>) {
                 push_always(to_platform_, std::move(it));
-            } else if constexpr (std::is_same_v<kind, answer_admin> ||
-                                 std::is_same_v<kind, write_log>) {
+            } else if constexpr (std::is_same_v<kind, answer_admin>) {
                 push_always(to_admin_, admin_order{std::move(it)});
+            } else if constexpr (std::is_same_v<kind, write_log>) {
+                log_line(std::move(it));
             } else {
                 static_assert(std::is_same_v<kind, stop_now>, "an action is not carried out");
                 // The last answers are still on their way out of the other threads.
@@ -268,6 +283,23 @@
         what);
 }
 
+/// Hands a line to the log's thread. The log may block on its reader: lines
+/// that find no room are counted, and the count is logged when there is room.
+void daemon::log_line(write_log &&line)
+{
+    if (lost_lines_ > 0) {
+        admin_order count{write_log{write_log::severity::warning, "node",
+                                    std::to_string(lost_lines_) + " log lines were lost"}};
+        if (to_admin_.push_leaving(count, admin_reserve)) {
+            lost_lines_ = 0;
+        }
+    }
+    admin_order order{std::move(line)};
+    if (!to_admin_.push_leaving(order, admin_reserve)) {
+        ++lost_lines_;
+    }
+}
+
 void daemon::schedule_tick()
 {
     tick_timer_.expires_after(tick_interval);
@@ -294,7 +326,7 @@
     callers_request &what = value_of(read);
     if (auto *call = std::get_if<caller_call>(&what)) {
         event arrived{call_arrived{call_ref{id}, std::move(*call)}};
-        if (!from_callers_.push(arrived)) {
+        if (!from_callers_.push_leaving(arrived, callers_reserve)) {
             callers_server_.answer(
                 id, encode_caller_answer(caller_answer{
                         wire::outcome::not_run, wire::refusal::busy, "", "", 0, 1000, 0, "", {}}));
--- a/gullstall/src/runtime/mailbox.hpp
+++ b/gullstall/src/runtime/mailbox.hpp
@@ -37,6 +37,16 @@
     /// and the producer refuses what it stands for
     bool push(T &entry)
     {
+        return push_leaving(entry, 0);
+    }
+
+    /// As push(), but refuses when fewer than \a reserve entries would stay
+    /// free, so that entries which must not be lost still find room.
+    bool push_leaving(T &entry, std::size_t reserve)
+    {
+        if (ring_.write_available() <= reserve) {
+            return false;
+        }
         auto held = std::make_unique<T>(std::move(entry));
         if (!ring_.push(held.get())) {
             entry = std::move(*held);
