Bodies pass whole or not at all, and refusals reach the caller

Cause: a response without a length that ended with its connection was taken as whole, so a worker that died in its answer gave a short success (200 in the test). A slow sender's connection was closed by the stream's own timeout before the 408 could be written. A caller that waits for 100 Continue got none. An answer that came before the wait for it began was a lost wake-up. Ruled out: cuts of a body with a length, which Beast already reports. Change: responses need a length or chunks; reads are limited by a timer that cancels without closing; 100 Continue is sent once the headers are admitted; a request cut short is told so; the wait ends by an expiry in the past.

--- a/gullstall/src/runtime/http_client.cpp
+++ b/gullstall/src/runtime/http_client.cpp
@@ -26,6 +26,17 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+using response_parser = http::response_parser<http::vector_body<std::uint8_t>>;
+
+/// \returns whether the response says where it ends. One that ends with its
+/// connection can't be told from one cut short, so it is no whole answer.
+bool has_known_end(const response_parser &parser)
+{
+    return parser.chunked() || parser.content_length().has_value() ||
+           parser.get().result() == http::status::no_content ||
+           parser.get().result() == http::status::not_modified;
+}
+
 }  // namespace
 
 http_client::http_client(asio::io_context &io, asio::ip::tcp::endpoint to, std::uint64_t body_limit)
@@ -66,26 +77,29 @@
         }
     }
     bool cancelled = handle && handle->cancelled;
+    bool reusable = false;
     if (!ec && !cancelled) {
         out.end = exchange_end::lost;
         request.prepare_payload();
         co_await http::async_write(*stream, request, asio::redirect_error(asio::use_awaitable, ec));
         beast::flat_buffer buf;
-        http::response_parser<http::vector_body<std::uint8_t>> parser;
+        response_parser parser;
         parser.body_limit(body_limit_);
         if (!ec) {
             co_await http::async_read(*stream, buf, parser,
                                       asio::redirect_error(asio::use_awaitable, ec));
         }
-        if (!ec) {
+        if (!ec && has_known_end(parser)) {
             out.end = exchange_end::answered;
             out.response = parser.release();
+            // Bytes beyond the answer would be taken for the next one.
+            reusable = out.response.keep_alive() && buf.size() == 0;
         }
     }
     if (handle) {
         handle->stream = nullptr;
     }
-    if (out.end == exchange_end::answered && out.response.keep_alive()) {
+    if (reusable) {
         stream->expires_never();
         idle_.push_back(std::move(stream));
     }
--- a/gullstall/src/runtime/http_server.cpp
+++ b/gullstall/src/runtime/http_server.cpp
@@ -7,7 +7,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cerrno>
@@ -54,16 +55,64 @@
     if (ec == http::error::header_limit) {
         return read_refusal{http::status::request_header_fields_too_large, "header-too-large"};
     }
-    if (ec == beast::error::timeout) {
-        return read_refusal{http::status::request_timeout, "request-too-slow"};
+    if (ec == http::error::partial_message) {
+        return read_refusal{http::status::bad_request, "request-cut-short"};
     }
-    if (ec == http::error::partial_message || ec == http::error::end_of_stream ||
+    if (ec == http::error::end_of_stream ||
         ec.category() != http::make_error_code(http::error::bad_method).category()) {
         return std::nullopt;
     }
     return read_refusal{http::status::bad_request, "bad-request"};
 }
 
+/// Breaks off reads of a stream after a time. The stream's own timeout would
+/// close the socket, and a slow sender would see a reset in place of the reason.
+class read_limit
+{
+public:
+    read_limit(beast::tcp_stream &stream, duration limit)
+        : state_(std::make_shared<state>(state{asio::steady_timer(stream.get_executor(), limit)}))
+    {
+        state_->stream = &stream;
+        state_->timer.async_wait([held = state_](const error_code &ec) {
+            if (!ec && held->stream != nullptr) {
+                held->passed = true;
+                held->stream->cancel();
+            }
+        });
+    }
+
+    read_limit(const read_limit &) = delete;
+    read_limit &operator=(const read_limit &) = delete;
+
+    ~read_limit()
+    {
+        // The timer's handler may be queued already: it must not touch the stream.
+        state_->stream = nullptr;
+        state_->timer.cancel();
+    }
+
+    bool passed() const
+    {
+        return state_->passed;
+    }
+
+private:
+    struct state
+    {
+        asio::steady_timer timer;
+        beast::tcp_stream *stream = nullptr;
+        bool passed = false;
+    };
+    std::shared_ptr<state> state_;
+};
+
+/// \returns whether the client waits for a word before it sends the body
+bool expects_continue(const http_request &request)
+{
+    return beast::iequals(request[http::field::expect], "100-continue");
+}
+
 /// \returns whether the other side has closed the connection
 bool is_closed(asio::ip::tcp::socket &socket)
 {
@@ -88,7 +137,9 @@
         return;
     }
     it->second->response = std::move(response);
-    it->second->signal.cancel();
+    // Not cancel(): the answer may come before the wait has begun, and a wait
+    // that begins later would then never end. A time in the past ends both.
+    it->second->signal.expires_at(asio::steady_timer::time_point::min());
 }
 
 void http_server::stop()
@@ -139,6 +190,22 @@
     }
 }
 
+asio::awaitable<void> http_server::read_whole(beast::tcp_stream &stream, beast::flat_buffer &buf,
+                                              request_parser &parser, error_code &ec)
+{
+    co_await http::async_read_header(stream, buf, parser,
+                                     asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec && expects_continue(parser.get())) {
+        constexpr unsigned http_version = 11;
+        http::response<http::empty_body> go_on{http::status::continue_, http_version};
+        co_await http::async_write(stream, go_on, asio::redirect_error(asio::use_awaitable, ec));
+    }
+    if (!ec) {
+        co_await http::async_read(stream, buf, parser,
+                                  asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
 asio::awaitable<std::optional<http_request>> http_server::read_request(beast::tcp_stream &stream,
                                                                        beast::flat_buffer &buf)
 {
@@ -154,14 +221,22 @@
         }
         buf.commit(n);
     }
-    http::request_parser<http::vector_body<std::uint8_t>> parser;
+    request_parser parser;
     parser.body_limit(limits_.body_bytes);
     parser.header_limit(limits_.header_bytes);
-    stream.expires_after(limits_.read_timeout);
-    co_await http::async_read(stream, buf, parser, asio::redirect_error(asio::use_awaitable, ec));
     stream.expires_never();
+    bool too_slow = false;
+    {
+        read_limit limit(stream, limits_.read_timeout);
+        co_await read_whole(stream, buf, parser, ec);
+        too_slow = limit.passed();
+    }
     if (ec) {
-        if (auto refusal = refusal_for(ec)) {
+        std::optional<read_refusal> refusal = refusal_for(ec);
+        if (too_slow) {
+            refusal = read_refusal{http::status::request_timeout, "request-too-slow"};
+        }
+        if (refusal) {
             co_await refuse(stream, refusal->status, refusal->reason);
         }
         co_return std::nullopt;
@@ -201,7 +276,14 @@
 asio::awaitable<void> http_server::serve(beast::tcp_stream stream)
 {
     if (open_ >= limits_.connections) {
-        co_await refuse(stream, http::status::service_unavailable, "too-many-connections");
+        // The refusals hold descriptors too: beyond their own limit the
+        // connection is only closed.
+        constexpr std::uint32_t refusals_at_once = 256;
+        if (refusing_ < refusals_at_once) {
+            ++refusing_;
+            co_await refuse(stream, http::status::service_unavailable, "too-many-connections");
+            --refusing_;
+        }
         co_return;
     }
     ++open_;
--- a/gullstall/src/runtime/http_server.hpp
+++ b/gullstall/src/runtime/http_server.hpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/vector_body.hpp>
 #include <cstdint>
 #include <functional>
@@ -49,6 +50,12 @@
     /// Answers request \a id; an id that is gone is passed over.
     void answer(std::uint64_t id, http_response &&response);
 
+    /// \returns where it listens; the port is the system's choice when 0 was asked for
+    boost::asio::ip::tcp::endpoint local_endpoint() const
+    {
+        return acceptor_.local_endpoint();
+    }
+
     /// Takes no new connection any more; open ones close after their answer.
     void stop();
 
@@ -59,8 +66,15 @@
         std::optional<http_response> response;
     };
 
+    using request_parser =
+        boost::beast::http::request_parser<boost::beast::http::vector_body<std::uint8_t>>;
+
     boost::asio::awaitable<void> accept_loop();
     boost::asio::awaitable<void> serve(boost::beast::tcp_stream stream);
+    static boost::asio::awaitable<void> read_whole(boost::beast::tcp_stream &stream,
+                                                   boost::beast::flat_buffer &buf,
+                                                   request_parser &parser,
+                                                   boost::system::error_code &ec);
     boost::asio::awaitable<std::optional<http_request>> read_request(
         boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buf);
     boost::asio::awaitable<std::optional<http_response>> wait_answer(
@@ -76,6 +90,7 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<waiter>> waiting_;
     std::uint64_t last_id_ = 0;
     std::uint32_t open_ = 0;
+    std::uint32_t refusing_ = 0;  // connections beyond the limit that are being told so
     bool stopping_ = false;
 };
 
--- a/gullstall/src/runtime/log.cpp
+++ b/gullstall/src/runtime/log.cpp
@@ -7,10 +7,13 @@
 #include <log4cplus/loggingmacros.h>
 
 #include <memory>
+#include <mutex>
 
 namespace gullstall::runtime {
 
-void open_log(const std::string &instance, const std::string &level)
+namespace {
+
+void add_appender(const std::string &instance, const std::string &level)
 {
     static log4cplus::Initializer initializer;
     constexpr bool to_stderr = true;
@@ -28,6 +31,16 @@
     root.setLogLevel(log4cplus::getLogLevelManager().fromString(name));
 }
 
+}  // namespace
+
+void open_log(const std::string &instance, const std::string &level)
+{
+    // Tests run several nodes in one process: a second appender would print
+    // every line twice.
+    static std::once_flag opened;
+    std::call_once(opened, [&] { add_appender(instance, level); });
+}
+
 void write_line(const write_log &it)
 {
     log4cplus::Logger logger = log4cplus::Logger::getInstance(it.part);
--- a/gullstall/src/runtime/peer_transport.cpp
+++ b/gullstall/src/runtime/peer_transport.cpp
@@ -30,6 +30,17 @@
     return call == nullptr ? 0 : call->correlation;
 }
 
+/// \returns how the log calls the other side of a connection
+std::string name_of_peer(const std::string &instance, const asio::ip::tcp::socket &socket)
+{
+    if (!instance.empty()) {
+        return instance;
+    }
+    error_code ec;
+    asio::ip::tcp::endpoint at = socket.remote_endpoint(ec);
+    return ec ? "unknown peer" : "unknown peer at " + at.address().to_string();
+}
+
 }  // namespace
 
 peer_transport::peer_transport(asio::io_context &io, const asio::ip::tcp::endpoint &at,
@@ -137,7 +148,8 @@
 {
     result<wire::frame_message> frame = decode_frame(bytes);
     if (!succeeded(frame)) {
-        handlers_.on_bad_connection(it->instance + ": " + error_of(frame).message);
+        handlers_.on_bad_connection(name_of_peer(it->instance, it->socket) + ": " +
+                                    error_of(frame).message);
         close(it, error_of(frame).message);
         return false;
     }
@@ -172,7 +184,8 @@
         }
         result<std::size_t> n = decode_prefix(std::string_view(prefix.data(), prefix.size()));
         if (!succeeded(n)) {
-            handlers_.on_bad_connection(it->instance + ": " + error_of(n).message);
+            handlers_.on_bad_connection(name_of_peer(it->instance, it->socket) + ": " +
+                                        error_of(n).message);
             close(it, error_of(n).message);
             co_return;
         }
