--- a/gullstall/src/settings/node_settings.cpp
+++ b/gullstall/src/settings/node_settings.cpp
@@ -1,5 +1,8 @@
 #include "gullstall/src/settings/node_settings.hpp"
 
+#include <arpa/inet.h>
+
+#include <algorithm>
 #include <array>
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
@@ -8,6 +11,7 @@
 
 #include "gullstall/src/core/hex.hpp"
 #include "gullstall/src/settings/section_reader.hpp"
+#include "gullstall/src/wire/codec.hpp"
 
 namespace gullstall {
 
@@ -16,14 +20,19 @@
 constexpr std::size_t public_key_bytes = 32;
 constexpr std::uint64_t max_port = 65535;
 
+/// A body travels in one frame with the rest of its call: a body limit above
+/// the frame's would let a caller's body break the connection between two nodes.
+constexpr std::uint64_t frame_headroom = 1U << 20U;
+constexpr std::uint64_t max_body_limit = max_frame_bytes - frame_headroom;
+
 constexpr std::array node_rules{field_rule{"instance", true}, field_rule{"zone", true},
                                 field_rule{"region", false}, field_rule{"service", true}};
 constexpr std::array listen_rules{field_rule{"address", true},
                                   field_rule{"callers_port", true, 1, max_port},
                                   field_rule{"peers_port", true, 1, max_port},
                                   field_rule{"admin_port", true, 1, max_port},
-                                  field_rule{"body_limit_bytes", false, 1024, 67108864},
-                                  field_rule{"connection_limit", false, 1, 100000},
+                                  field_rule{"body_limit_bytes", false, 1024, max_body_limit},
+                                  field_rule{"connection_limit", false, 1, 50000},
                                   field_rule{"header_limit_bytes", false, 1024, 1048576},
                                   field_rule{"read_timeout_ms", false, 10, 600000}};
 constexpr std::array worker_rules{
@@ -52,16 +61,23 @@
     return out;
 }
 
+bool is_address(const std::string &text)
+{
+    in6_addr bytes{};
+    return inet_pton(AF_INET, text.c_str(), &bytes) == 1 ||
+           inet_pton(AF_INET6, text.c_str(), &bytes) == 1;
+}
+
 result<std::vector<endpoint>> parse_endpoints(std::string_view text)
 {
     std::vector<endpoint> out;
     for (const std::string &it : split_list(text)) {
         std::size_t colon = it.rfind(':');
         std::uint16_t port = 0;
-        bool good = colon != std::string::npos && colon > 0 &&
+        bool good = colon != std::string::npos && is_address(it.substr(0, colon)) &&
                     boost::conversion::try_lexical_convert(it.substr(colon + 1), port) && port != 0;
         if (!good) {
-            return error{error_code::wrong_type, "found '" + it + "', expected address:port"};
+            return error{error_code::wrong_type, "found '" + it + "', expected IP number:port"};
         }
         out.push_back(endpoint{it.substr(0, colon), port});
     }
@@ -130,6 +146,42 @@
                      "key '" + key + "': " + e.message);
 }
 
+result<done> check_address(const ini_document &document, const std::string &section,
+                           const std::string &address)
+{
+    if (is_address(address)) {
+        return done{};
+    }
+    return at_key(document, section, "address",
+                  error{error_code::wrong_type, "found '" + address + "', expected an IP number"});
+}
+
+result<done> check_level(const ini_document &document, const std::string &level)
+{
+    constexpr std::array<std::string_view, 6> known{"trace", "debug", "info",
+                                                    "warn",  "error", "off"};
+    if (level.empty() || std::find(known.begin(), known.end(), level) != known.end()) {
+        return done{};
+    }
+    return at_key(document, "log", "level",
+                  error{error_code::out_of_range,
+                        "found '" + level + "', allowed are trace, debug, info, warn, error, off"});
+}
+
+/// Checks what goes beyond types and ranges.
+result<done> check_values(const ini_document &document, const node_settings &it)
+{
+    for (const result<done> &checked : {check_address(document, "listen", it.listen.address),
+                                        check_address(document, "worker", it.worker.address),
+                                        check_address(document, "platform", it.platform.address),
+                                        check_level(document, it.log.level)}) {
+        if (!succeeded(checked)) {
+            return checked;
+        }
+    }
+    return done{};
+}
+
 }  // namespace
 
 result<std::vector<trusted_key>> parse_trusted_keys(std::string_view text)
@@ -174,6 +226,10 @@
             return error_of(it);
         }
     }
+    result<done> checked = check_values(document, out);
+    if (!succeeded(checked)) {
+        return error_of(checked);
+    }
     result<std::vector<endpoint>> seeds = parse_endpoints(out.membership.seeds);
     if (!succeeded(seeds)) {
         return at_key(document, "membership", "seeds", error_of(seeds));
--- a/test/runtime/bodies.cpp
+++ b/test/runtime/bodies.cpp
@@ -233,6 +233,23 @@
     CHECK(has(answer, "header-too-large"));
 }
 
+TEST_CASE_FIXTURE(bodies_fixture, "request, not HTTP, refused with 400 and the connection closes")
+{
+    const std::string start = "POST /call/photodesk/photo HTTP/1.1\r\n";
+    for (const std::string &text :
+         {std::string("nonsense\r\n\r\n"), std::string("POST /x HTTP/9.9\r\n\r\n"),
+          start + "Content-Length: many\r\n\r\n", start + "no colon\r\n\r\n",
+          start + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+          start + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab"}) {
+        CAPTURE(text);
+        std::string answer = exchange_text(text, true);
+        CHECK(has(answer, "400 Bad Request"));
+        CHECK(has(answer, "bad-request"));
+        CHECK_FALSE(has(answer, "reset"));
+    }
+    CHECK(runs == 0);
+}
+
 // Story: a sender keeps a connection and sends a byte now and then. Without a
 // limit for the whole request such senders hold all connections.
 TEST_CASE_FIXTURE(bodies_fixture, "request, sent too slowly, refused with 408 and the reason")
