--- a/bench/added_time.cpp
+++ b/bench/added_time.cpp
@@ -142,6 +142,12 @@
             http::status::ok &&it.response.body().size() == options_.body_bytes;
     }
 
+    /// Calls of one request id are joined by the nodes, so each has its own.
+    std::string next_id(const char *kind)
+    {
+        return std::string(kind) + "-" + std::to_string(++last_id_);
+    }
+
     std::string operation() const
     {
         return options_.target.substr(options_.target.find('/'));
@@ -152,7 +158,7 @@
         constexpr int calls = 500;
         for (int i = 0; i < calls; ++i) {
             (void)co_await call(straight_, operation(), "warm");
-            (void)co_await call(entry_, "/call/" + options_.target, "warm");
+            (void)co_await call(entry_, "/call/" + options_.target, next_id("warm"));
         }
     }
 
@@ -184,8 +190,7 @@
             next += std::chrono::nanoseconds(static_cast<std::int64_t>(wait * 1e9));
             timer.expires_at(next);
             co_await timer.async_wait(asio::use_awaitable);
-            asio::co_spawn(io_, measure_pair(out, "probe-" + std::to_string(++last_id_)),
-                           asio::detached);
+            asio::co_spawn(io_, measure_pair(out, next_id("probe")), asio::detached);
         }
     }
 
@@ -269,7 +274,7 @@
     asio::awaitable<void> call_until(std::chrono::steady_clock::time_point end, int &answered)
     {
         while (std::chrono::steady_clock::now() < end) {
-            answered += co_await call(entry_, "/call/" + options_.target, "load") ? 1 : 0;
+            answered += co_await call(entry_, "/call/" + options_.target, next_id("load")) ? 1 : 0;
         }
     }
 
@@ -309,7 +314,7 @@
     asio::awaitable<void> hold_one()
     {
         rt::http_client client(io_, on_loopback(options_.entry_ports.front()), body_limit);
-        (void)co_await call(client, "/call/" + options_.target, "held");
+        (void)co_await call(client, "/call/" + options_.target, next_id("held"));
     }
 
     asio::awaitable<void> look_at_memory(std::vector<double> &out)
--- a/gullstall/src/node/admin.cpp
+++ b/gullstall/src/node/admin.cpp
@@ -21,6 +21,7 @@
                                           {"region", it.region},
                                           {"address", it.address},
                                           {"port", it.port},
+                                          {"admin_port", it.admin_port},
                                           {"incarnation", it.incarnation},
                                           {"state", wire::EnumNamemember_state(it.state)}});
     }
@@ -40,6 +41,9 @@
             signers.emplace_back(it);
         }
         out["digest"] = n.bundles.in_force->digest;
+        out["author"] = n.bundles.in_force->content.head.author;
+        out["reference"] = n.bundles.in_force->content.head.reference;
+        out["heard_version"] = std::max(version_in_force(n.bundles), n.bundles.follow.target);
         out["signers"] = signers;
     }
     return boost::json::serialize(out) + "\n";
@@ -55,6 +59,7 @@
     std::string out = metric("calls_taken_total", n.counters.calls_taken) +
                       metric("calls_answered_total", n.counters.calls_answered) +
                       metric("calls_resent_total", n.counters.calls_resent) +
+                      metric("repeats_joined_total", n.counters.repeats_joined) +
                       metric("contexts_unknown_total", n.counters.contexts_unknown) +
                       metric("runs_started_total", n.counters.runs_started) +
                       metric("runs_lost_total", n.counters.runs_lost) +
