--- a/gullstall/overload.hpp
+++ b/gullstall/overload.hpp
@@ -5,6 +5,7 @@
 
 #include "gullstall/src/overload/level_control.hpp"
 #include "gullstall/src/overload/priority.hpp"
+#include "gullstall/src/overload/rules.hpp"
 #include "gullstall/src/overload/run_queue.hpp"
 #include "gullstall/src/overload/touch_table.hpp"
 
--- a/gullstall/src/node/node.hpp
+++ b/gullstall/src/node/node.hpp
@@ -89,6 +89,7 @@
     rollout bundles;
     member_table members;
     router routes;
+    overload_rules rules;
     level_control level;
     run_queue queue;
     touch_table touches;
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -11,6 +11,11 @@
     return make_priority(it.class_priority, it.rank);
 }
 
+priority queue_place(const node &n, const wire::call_message &call)
+{
+    return n.rules.by_priority ? priority_of(call) : priority{0};
+}
+
 /// Sends the reply to the node that the call came from. It carries this
 /// service's level and those of the services that the call touched.
 void reply_to(turn &t, const std::string &origin, wire::reply_message reply,
@@ -111,7 +116,7 @@
         note_event(t.n.events, t.now, event_kind::run_cancelled, run.call.request_id,
                    t.n.settings.node.instance, "");
     } else {
-        remove_run(t.n.queue, priority_of(run.call), id);
+        remove_run(t.n.queue, queue_place(t.n, run.call), id);
     }
     return run;
 }
@@ -196,7 +201,7 @@
     run.queued_at = t.now;
     run.retries.left = call.allowance;
     run.call = std::move(call);
-    priority of_run = priority_of(run.call);
+    priority place = queue_place(t.n, run.call);
     t.n.served[{from, run.call.correlation}] = id;
     t.n.run_deadlines.emplace(run.deadline, id);
     t.n.runs.emplace(id, std::move(run));
@@ -204,7 +209,7 @@
         start_run(t, id);
         return;
     }
-    if (std::optional<run_ref> displaced = enqueue(t.n.queue, of_run, id)) {
+    if (std::optional<run_ref> displaced = enqueue(t.n.queue, place, id)) {
         refuse_queued(t, *displaced, wire::refusal::overload);
     }
 }
@@ -212,7 +217,7 @@
 void on_cancel(turn &t, const std::string &from, std::uint64_t correlation)
 {
     auto found = t.n.served.find({from, correlation});
-    if (found == t.n.served.end()) {
+    if (found == t.n.served.end() || !t.n.rules.cancel_below) {
         return;
     }
     break_off(t, found->second);
@@ -236,7 +241,8 @@
 
 void expire_runs(turn &t)
 {
-    while (!t.n.run_deadlines.empty() && t.n.run_deadlines.begin()->first <= t.now) {
+    while (t.n.rules.cancel_below && !t.n.run_deadlines.empty() &&
+           t.n.run_deadlines.begin()->first <= t.now) {
         active_run run = break_off(t, t.n.run_deadlines.begin()->second);
         wire::reply_message reply;
         reply.correlation = run.call.correlation;
--- a/gullstall/src/node/step.cpp
+++ b/gullstall/src/node/step.cpp
@@ -27,7 +27,9 @@
 
 void on_tick(turn &t)
 {
-    update_level(t.n.level, t.now);
+    if (t.n.rules.level == level_rule::admitted_share) {
+        update_level(t.n.level, t.now);
+    }
     internal::expire_calls(t);
     internal::expire_runs(t);
     internal::on_control_tick(t);
