Solve the level for what the slots drain

Cause: the level was moved by shares of what the last window admitted. Callers' nodes hold back what they think is refused, so after a lowering the window saw only what passed, and one share up meant admitting everything. Ruled out: a longer window (the same jump, later). Change: estimate each class's demand from the ranks seen, and solve for the level at which the drained requests pass, corrected by the queue's distance from its target; grow by a quarter in a window without waits. Slots are still lost to requests that were let in before a level moved, lookups still wait, and protected calls are refused on old news.

--- a/bench/support/overload_runs.hpp
+++ b/bench/support/overload_runs.hpp
@@ -18,7 +18,8 @@
 {
     return {{"none", {level_rule::none, false, false}},
             {"static-limit", {level_rule::static_limit, false, true}},
-            {"admitted-share", {level_rule::admitted_share, true, true}}};
+            {"admitted-share", {level_rule::admitted_share, true, true}},
+            {"queue-target", {level_rule::queue_target, true, true}}};
 }
 
 constexpr std::uint64_t seed = 20261203;
--- a/gullstall/src/node/entry.cpp
+++ b/gullstall/src/node/entry.cpp
@@ -8,11 +8,6 @@
 
 constexpr std::uint32_t base_retry_after_ms = 500;
 
-priority priority_of(const wire::call_message &it)
-{
-    return make_priority(it.class_priority, it.rank);
-}
-
 std::uint32_t draw_retry_after(turn &t)
 {
     return base_retry_after_ms +
--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -32,6 +32,12 @@
 std::string print_context(const node &n, run_ref run);
 std::optional<run_ref> parse_context(const node &n, const std::string &context);
 
+// admission.cpp: which calls this node lets onto its worker
+void on_level_tick(turn &t);
+std::optional<wire::refusal> reason_to_refuse(turn &t, const wire::call_message &call);
+priority priority_of(const wire::call_message &it);
+priority queue_place(const node &n, const wire::call_message &call);
+
 // control.cpp: the platform's answers, the worker's notices and the stop
 void on_control_tick(turn &t);
 void on_platform_answered(turn &t, platform_answered &e);
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -6,16 +6,6 @@
 
 namespace {
 
-priority priority_of(const wire::call_message &it)
-{
-    return make_priority(it.class_priority, it.rank);
-}
-
-priority queue_place(const node &n, const wire::call_message &call)
-{
-    return n.rules.by_priority ? priority_of(call) : priority{0};
-}
-
 /// Sends the reply to the node that the call came from. It carries this
 /// service's level and those of the services that the call touched.
 void reply_to(turn &t, const std::string &origin, wire::reply_message reply,
@@ -121,22 +111,6 @@
     return run;
 }
 
-std::optional<wire::refusal> reason_to_refuse(turn &t, const wire::call_message &call)
-{
-    if (t.n.stopping || t.n.worker_leaves) {
-        return wire::refusal::leaving;
-    }
-    if (t.n.slots == 0) {
-        return wire::refusal::starting;
-    }
-    bool admitted = admits(t.n.level.level, priority_of(call));
-    note_arrival(t.n.level, priority_of(call), admitted);
-    if (!admitted) {
-        return wire::refusal::overload;
-    }
-    return std::nullopt;
-}
-
 wire::reply_message reply_of(const active_run &run, worker_answered &e, const std::string &service)
 {
     wire::reply_message out;
@@ -232,6 +206,7 @@
     cancel_children(t, t.n.runs.at(e.run));
     active_run run = forget_run(t, e.run);
     --t.n.slots_used;
+    note_finished(t.n.level);
     t.n.counters.runs_lost += e.end == worker_end::lost ? 1 : 0;
     note_event(t.n.events, t.now, event_kind::run_finished, run.call.request_id,
                t.n.settings.node.instance, std::to_string(e.status));
--- a/gullstall/src/node/step.cpp
+++ b/gullstall/src/node/step.cpp
@@ -27,9 +27,7 @@
 
 void on_tick(turn &t)
 {
-    if (t.n.rules.level == level_rule::admitted_share) {
-        update_level(t.n.level, t.now);
-    }
+    internal::on_level_tick(t);
     internal::expire_calls(t);
     internal::expire_runs(t);
     internal::on_control_tick(t);
--- a/gullstall/src/overload/level_control.cpp
+++ b/gullstall/src/overload/level_control.cpp
@@ -1,16 +1,36 @@
 #include "gullstall/src/overload/level_control.hpp"
 
+#include <algorithm>
+
 namespace gullstall {
 
 namespace {
 
-constexpr duration window = milliseconds(100);
-constexpr duration target_wait = milliseconds(20);
+constexpr duration share_window = milliseconds(100);
 constexpr double down_share = 0.05;
 constexpr double up_share = 0.01;
 
+constexpr duration target_window = milliseconds(50);
+constexpr double drained_weight = 0.3;
+
+/// Share of the queue's distance from its target that one window makes up for.
+constexpr double queue_gain = 0.4;
+
+/// Growth in a window without waits: five times the load passes after eight.
+constexpr double growth = 1.25;
+
+/// Least share of what the slots drain that passes, however long the queue is:
+/// a burst is worked off without a pause in admission.
+constexpr double least_share = 0.5;
+
+/// Waits shorter than this are those of a service with slots to spare.
+constexpr duration no_wait = milliseconds(1);
+
+/// Requests that the queue holds, in target waits.
+constexpr double bound_in_targets = 3;
+
 /// \returns the level at which about \a target of the window's arrivals pass
-admission_level level_for(const level_control &it, double target)
+admission_level level_of_arrivals(const level_control &it, double target)
 {
     double sum = 0;
     for (std::uint16_t i = 0; i < priority_count; ++i) {
@@ -22,21 +42,67 @@
     return admit_all;
 }
 
-void start_window(level_control &it, time_point now)
+void move_by_share(level_control &it)
 {
-    it.window_end = now + window;
-    it.wait_sum = duration{};
-    it.waits = 0;
-    it.admitted = 0;
+    bool overloaded = it.waits > 0 && it.wait_sum / it.waits > target_wait;
+    double admitted = it.admitted;
+    if (overloaded) {
+        it.level = level_of_arrivals(it, admitted * (1 - down_share));
+    } else if (it.level < admit_all) {
+        it.level = level_of_arrivals(it, admitted * (1 + up_share) + 1);
+    }
     it.arrivals.fill(0);
 }
 
+double target_queue(const level_control &it)
+{
+    return it.drained * static_cast<double>(target_wait.count()) /
+           static_cast<double>(target_window.count());
+}
+
+double passing_for(const level_control &it, std::size_t waiting)
+{
+    double wanted = it.drained + queue_gain * (target_queue(it) - static_cast<double>(waiting));
+    return std::max(wanted, least_share * it.drained);
+}
+
+void move_to_target(level_control &it, const queue_state &queue)
+{
+    bool waited = queue.waiting > 0 || (it.waits > 0 && it.wait_sum / it.waits > no_wait);
+    end_window(it.demand, it.level);
+    if (!waited) {
+        it.passing = std::max<double>(it.passing, it.admitted) * growth + 1;
+        // No more than the slots were seen to bear: a first overload starts from there.
+        it.passing = std::min(it.passing, 4.0 * priority_count);
+        it.level = std::max(it.level, level_for(it.demand, it.passing));
+        return;
+    }
+    it.drained += (it.drained == 0 ? 1 : drained_weight) * (it.finished - it.drained);
+    it.passing = passing_for(it, queue.waiting);
+    admission_level of_all = level_for(it.demand, it.passing);
+    // Protected calls overtake what waits, so that only their own queue counts
+    // against them: a queue full of lower work must not refuse one.
+    int protected_end = it.protected_classes * ranks_per_class - 1;
+    if (of_all.highest < protected_end) {
+        admission_level of_protected =
+            level_for(it.demand, passing_for(it, queue.protected_waiting));
+        of_all.highest = std::min<std::uint16_t>(of_protected.highest,
+                                                 static_cast<std::uint16_t>(protected_end));
+    }
+    it.level = of_all;
+}
+
 }  // namespace
 
-void note_arrival(level_control &it, priority of_request, bool was_admitted)
+void note_arrival(level_control &it, priority of_request, bool is_protected, bool was_admitted)
 {
     ++it.arrivals[of_request.value];
+    note_demand(it.demand, of_request);
     it.admitted += was_admitted ? 1 : 0;
+    if (is_protected) {
+        auto end = static_cast<std::uint16_t>(of_request.value / ranks_per_class + 1);
+        it.protected_classes = std::max(it.protected_classes, end);
+    }
 }
 
 void note_wait(level_control &it, duration wait)
@@ -45,19 +111,34 @@
     ++it.waits;
 }
 
-void update_level(level_control &it, time_point now)
+void note_finished(level_control &it)
+{
+    ++it.finished;
+}
+
+bool update_level(level_control &it, level_rule rule, const queue_state &queue, time_point now)
 {
     if (now < it.window_end) {
-        return;
+        return false;
     }
-    bool overloaded = it.waits > 0 && it.wait_sum / it.waits > target_wait;
-    double admitted = it.admitted;
-    if (overloaded) {
-        it.level = level_for(it, admitted * (1 - down_share));
-    } else if (it.level < admit_all) {
-        it.level = level_for(it, admitted * (1 + up_share) + 1);
+    if (rule == level_rule::admitted_share) {
+        move_by_share(it);
+        it.window_end = now + share_window;
+    } else if (rule == level_rule::queue_target) {
+        move_to_target(it, queue);
+        it.window_end = now + target_window;
     }
-    start_window(it, now);
+    it.wait_sum = duration{};
+    it.waits = 0;
+    it.admitted = 0;
+    it.finished = 0;
+    return true;
+}
+
+std::size_t queue_bound(const level_control &it, std::uint32_t slots)
+{
+    double by_drain = bound_in_targets * target_queue(it);
+    return std::max<std::size_t>(slots / 4 + 1, static_cast<std::size_t>(by_drain));
 }
 
 }  // namespace gullstall
--- a/gullstall/src/overload/level_control.hpp
+++ b/gullstall/src/overload/level_control.hpp
@@ -5,13 +5,16 @@
 #include <cstdint>
 
 #include "gullstall/src/core/time.hpp"
+#include "gullstall/src/overload/demand.hpp"
 #include "gullstall/src/overload/priority.hpp"
+#include "gullstall/src/overload/rules.hpp"
 
 namespace gullstall {
 
-/// Settles the admission level of one upstream from the queueing delay at its
-/// slots: a delay above the target lowers the level by a share of what was
-/// admitted in the last window, a delay below raises it by a smaller share.
+/// Settles the admission level of one upstream. At the end of a window in
+/// which requests waited for slots, it solves for the level at which as many
+/// pass as the slots drain, more or fewer by how far the queue is from its
+/// target; in a window without waits it lets more pass.
 struct level_control
 {
     admission_level level = admit_all;
@@ -19,17 +22,41 @@
     duration wait_sum{};
     std::uint32_t waits = 0;
     std::uint32_t admitted = 0;
-    std::array<std::uint32_t, priority_count> arrivals{};
+    std::uint32_t finished = 0;
+    double drained = 0;  ///< moving average of finished a window while requests wait
+    double passing = 0;  ///< requests a window that are to pass
+    demand_estimate demand;
+    std::uint16_t protected_classes = 0;  ///< classes 0.. that hold protected calls
+    std::array<std::uint32_t, priority_count> arrivals{};  ///< for admitted_share alone
 };
 
+/// What the queue looks like at the end of a window.
+struct queue_state
+{
+    std::size_t waiting;
+    std::size_t protected_waiting;
+};
+
+/// Queueing delay that the level aims at while requests are refused: short,
+/// and long enough that chance gaps between arrivals leave no slot idle.
+constexpr duration target_wait = milliseconds(20);
+
 /// Notes the arrival of a request, admitted or not.
-void note_arrival(level_control &it, priority of_request, bool was_admitted);
+void note_arrival(level_control &it, priority of_request, bool is_protected, bool was_admitted);
 
 /// Notes how long a request waited for a slot.
 void note_wait(level_control &it, duration wait);
 
+/// Notes that a request has left its slot.
+void note_finished(level_control &it);
+
 /// Moves the level when a window has passed.
-void update_level(level_control &it, time_point now);
+/// \returns whether a window has passed
+bool update_level(level_control &it, level_rule rule, const queue_state &queue, time_point now);
+
+/// \returns requests that may wait for \a slots before new ones are refused,
+/// by what the slots drain
+std::size_t queue_bound(const level_control &it, std::uint32_t slots);
 
 }  // namespace gullstall
 
--- a/gullstall/src/overload/run_queue.cpp
+++ b/gullstall/src/overload/run_queue.cpp
@@ -26,6 +26,11 @@
     return first;
 }
 
+std::size_t waiting_before(const run_queue &it, priority end)
+{
+    return static_cast<std::size_t>(std::distance(it.waiting.begin(), it.waiting.lower_bound(end)));
+}
+
 bool remove_run(run_queue &it, priority of_run, run_ref run)
 {
     auto [begin, end] = it.waiting.equal_range(of_run);
--- a/gullstall/src/overload/run_queue.hpp
+++ b/gullstall/src/overload/run_queue.hpp
@@ -25,6 +25,9 @@
 /// \returns the most important run, taken out of the queue
 std::optional<run_ref> dequeue(run_queue &it);
 
+/// \returns how many runs wait at places before \a end; it takes as many steps
+std::size_t waiting_before(const run_queue &it, priority end);
+
 /// Takes \a run out of the queue.
 /// \returns whether it was there
 bool remove_run(run_queue &it, priority of_run, run_ref run);
