Keep requests that have cost slots above

Cause: a request let in before the level moved was refused by a deep service, and the slots spent on it above were lost; a request of the marginal rank waited in the queue until it was of no use. Change: a request from a run passes if the service's level admitted it within the last 500 ms, waits before fresh ones, and only the queue's end refuses it; within a class the queue is in order of arrival; fresh ones wait at most three target waits.

--- a/bench/support/overload_runs.hpp
+++ b/bench/support/overload_runs.hpp
@@ -16,10 +16,11 @@
 /// \returns all ways, the one in use last
 inline std::vector<control_plan> controls()
 {
-    return {{"none", {level_rule::none, false, false}},
-            {"static-limit", {level_rule::static_limit, false, true}},
-            {"admitted-share", {level_rule::admitted_share, true, true}},
-            {"queue-target", {level_rule::queue_target, true, true}}};
+    return {{"none", {level_rule::none, false, false, false}},
+            {"static-limit", {level_rule::static_limit, false, true, false}},
+            {"admitted-share", {level_rule::admitted_share, true, true, false}},
+            {"queue-target", {level_rule::queue_target, true, true, false}},
+            {"keep-worked", {level_rule::queue_target, true, true, true}}};
 }
 
 constexpr std::uint64_t seed = 20261203;
@@ -85,6 +86,8 @@
     constexpr double own_share = 0.8;
     experiment it = make_experiment(site, control);
     it.set_repeats(client_repeats);
+    it.set_load(1);
+    it.run_for(seconds(2));
     it.start_counting();
     it.set_load(times * capacity_of(site) / rate_of(site),
                 {{site.protected_target, own_share * capacity_of(site)}});
--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -36,7 +36,7 @@
 void on_level_tick(turn &t);
 std::optional<wire::refusal> reason_to_refuse(turn &t, const wire::call_message &call);
 priority priority_of(const wire::call_message &it);
-priority queue_place(const node &n, const wire::call_message &call);
+queue_place place_of(const node &n, const wire::call_message &call);
 
 // control.cpp: the platform's answers, the worker's notices and the stop
 void on_control_tick(turn &t);
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -106,7 +106,7 @@
         note_event(t.n.events, t.now, event_kind::run_cancelled, run.call.request_id,
                    t.n.settings.node.instance, "");
     } else {
-        remove_run(t.n.queue, queue_place(t.n, run.call), id);
+        remove_run(t.n.queue, place_of(t.n, run.call), id);
     }
     return run;
 }
@@ -175,7 +175,7 @@
     run.queued_at = t.now;
     run.retries.left = call.allowance;
     run.call = std::move(call);
-    priority place = queue_place(t.n, run.call);
+    queue_place place = place_of(t.n, run.call);
     t.n.served[{from, run.call.correlation}] = id;
     t.n.run_deadlines.emplace(run.deadline, id);
     t.n.runs.emplace(id, std::move(run));
--- a/gullstall/src/node/step.cpp
+++ b/gullstall/src/node/step.cpp
@@ -95,6 +95,7 @@
     out.incarnation = incarnation;
     out.random.seed(seed);
     out.queue.limit = settings.worker.slots;
+    out.queue.bound = settings.worker.slots;
     member self;
     self.instance = settings.node.instance;
     self.zone = settings.node.zone;
--- a/gullstall/src/overload/level_control.cpp
+++ b/gullstall/src/overload/level_control.cpp
@@ -121,6 +121,7 @@
     if (now < it.window_end) {
         return false;
     }
+    it.past_levels[it.windows++ % remembered_windows] = it.level;
     if (rule == level_rule::admitted_share) {
         move_by_share(it);
         it.window_end = now + share_window;
@@ -135,6 +136,11 @@
     return true;
 }
 
+admission_level recent_level(const level_control &it)
+{
+    return std::max(it.level, *std::max_element(it.past_levels.begin(), it.past_levels.end()));
+}
+
 std::size_t queue_bound(const level_control &it, std::uint32_t slots)
 {
     double by_drain = bound_in_targets * target_queue(it);
--- a/gullstall/src/overload/level_control.hpp
+++ b/gullstall/src/overload/level_control.hpp
@@ -11,6 +11,10 @@
 
 namespace gullstall {
 
+/// Windows for which a level is remembered: within that time news of it reach
+/// the entries, and what they let in by it reaches the service.
+constexpr std::size_t remembered_windows = 10;
+
 /// Settles the admission level of one upstream. At the end of a window in
 /// which requests waited for slots, it solves for the level at which as many
 /// pass as the slots drain, more or fewer by how far the queue is from its
@@ -18,6 +22,8 @@
 struct level_control
 {
     admission_level level = admit_all;
+    std::array<admission_level, remembered_windows> past_levels{};
+    std::size_t windows = 0;  ///< that have ended
     time_point window_end{};
     duration wait_sum{};
     std::uint32_t waits = 0;
@@ -54,6 +60,9 @@
 /// \returns whether a window has passed
 bool update_level(level_control &it, level_rule rule, const queue_state &queue, time_point now);
 
+/// \returns the highest level of the remembered windows
+admission_level recent_level(const level_control &it);
+
 /// \returns requests that may wait for \a slots before new ones are refused,
 /// by what the slots drain
 std::size_t queue_bound(const level_control &it, std::uint32_t slots);
--- a/gullstall/src/overload/rules.hpp
+++ b/gullstall/src/overload/rules.hpp
@@ -21,6 +21,7 @@
     level_rule level = level_rule::queue_target;
     bool by_priority = true;   ///< queue in order of priority, else of arrival
     bool cancel_below = true;  ///< calls that nobody waits for are broken off
+    bool keep_worked = true;   ///< requests that cost slots above are judged by the queue only
 
     auto operator<=>(const overload_rules &) const = default;
 };
