Give protected calls a queue target of their own

Cause: at 80 % load of protected calls the level entered their class on the noise of 50 ms windows, and calls were refused that there was room for. Change: their class is cut only as their own queue nears three target waits.

--- a/gullstall/src/node/admission.cpp
+++ b/gullstall/src/node/admission.cpp
@@ -8,6 +8,11 @@
 /// the time left is better spent on another request.
 constexpr std::size_t worked_per_slot = 4;
 
+/// Queue of protected calls that lets the level go into their classes, in target
+/// waits. A short one is passed by chance at 80 % load, and would refuse calls
+/// that there is room for.
+constexpr double protected_targets = 3;
+
 /// \returns whether slots at services above were spent on the call already
 bool is_worked(const node &n, const wire::call_message &call)
 {
@@ -34,7 +39,8 @@
     if (t.now < t.n.level.window_end) {
         return;
     }
-    queue_state queue{t.n.queue.waiting.size(), waiting_before(t.n.queue, worked_place)};
+    queue_state queue{t.n.queue.waiting.size(), waiting_before(t.n.queue, worked_place),
+                      t.n.rules.protected_target ? protected_targets : 1.0};
     update_level(t.n.level, t.n.rules.level, queue, t.now);
     if (t.n.rules.keep_worked) {
         t.n.queue.limit = t.n.slots * worked_per_slot;
--- a/gullstall/src/overload/level_control.cpp
+++ b/gullstall/src/overload/level_control.cpp
@@ -60,9 +60,10 @@
            static_cast<double>(target_window.count());
 }
 
-double passing_for(const level_control &it, std::size_t waiting)
+double passing_for(const level_control &it, std::size_t waiting, double targets)
 {
-    double wanted = it.drained + queue_gain * (target_queue(it) - static_cast<double>(waiting));
+    double missing = targets * target_queue(it) - static_cast<double>(waiting);
+    double wanted = it.drained + queue_gain * missing;
     return std::max(wanted, least_share * it.drained);
 }
 
@@ -78,14 +79,14 @@
         return;
     }
     it.drained += (it.drained == 0 ? 1 : drained_weight) * (it.finished - it.drained);
-    it.passing = passing_for(it, queue.waiting);
+    it.passing = passing_for(it, queue.waiting, 1);
     admission_level of_all = level_for(it.demand, it.passing);
     // Protected calls overtake what waits, so that only their own queue counts
     // against them: a queue full of lower work must not refuse one.
     int protected_end = it.protected_classes * ranks_per_class - 1;
     if (of_all.highest < protected_end) {
         admission_level of_protected =
-            level_for(it.demand, passing_for(it, queue.protected_waiting));
+            level_for(it.demand, passing_for(it, queue.protected_waiting, queue.protected_targets));
         of_all.highest = std::min<std::uint16_t>(of_protected.highest,
                                                  static_cast<std::uint16_t>(protected_end));
     }
--- a/gullstall/src/overload/level_control.hpp
+++ b/gullstall/src/overload/level_control.hpp
@@ -41,6 +41,7 @@
 {
     std::size_t waiting;
     std::size_t protected_waiting;
+    double protected_targets;  ///< queue that protected calls aim at, in target waits
 };
 
 /// Queueing delay that the level aims at while requests are refused: short,
--- a/gullstall/src/overload/rules.hpp
+++ b/gullstall/src/overload/rules.hpp
@@ -19,9 +19,10 @@
 struct overload_rules
 {
     level_rule level = level_rule::queue_target;
-    bool by_priority = true;   ///< queue in order of priority, else of arrival
-    bool cancel_below = true;  ///< calls that nobody waits for are broken off
-    bool keep_worked = true;   ///< requests that cost slots above are judged by the queue only
+    bool by_priority = true;       ///< queue in order of priority, else of arrival
+    bool cancel_below = true;      ///< calls that nobody waits for are broken off
+    bool keep_worked = true;       ///< requests that cost slots above are judged by the queue only
+    bool protected_target = true;  ///< protected calls are cut by a longer queue of their own
 
     auto operator<=>(const overload_rules &) const = default;
 };
