Take what slots drain from how long runs hold them

Cause: counting finished runs undercounts in the first windows of a burst, when the slots have just filled: till and catalogue refused protected calls then. Change: slots over the moving average of the time that a run holds one.

--- a/gullstall/src/node/admission.cpp
+++ b/gullstall/src/node/admission.cpp
@@ -40,7 +40,8 @@
         return;
     }
     queue_state queue{t.n.queue.waiting.size(), waiting_before(t.n.queue, worked_place),
-                      t.n.rules.protected_target ? protected_targets : 1.0};
+                      t.n.rules.protected_target ? protected_targets : 1.0, t.n.slots,
+                      t.n.rules.drain_by_slots};
     update_level(t.n.level, t.n.rules.level, queue, t.now);
     if (t.n.rules.keep_worked) {
         t.n.queue.limit = t.n.slots * worked_per_slot;
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -206,7 +206,7 @@
     cancel_children(t, t.n.runs.at(e.run));
     active_run run = forget_run(t, e.run);
     --t.n.slots_used;
-    note_finished(t.n.level);
+    note_finished(t.n.level, t.now - run.started_at.value_or(t.now));
     t.n.counters.runs_lost += e.end == worker_end::lost ? 1 : 0;
     note_event(t.n.events, t.now, event_kind::run_finished, run.call.request_id,
                t.n.settings.node.instance, std::to_string(e.status));
--- a/gullstall/src/overload/level_control.cpp
+++ b/gullstall/src/overload/level_control.cpp
@@ -67,8 +67,18 @@
     return std::max(wanted, least_share * it.drained);
 }
 
+void learn_held(level_control &it)
+{
+    if (it.finished == 0) {
+        return;
+    }
+    double mean = static_cast<double>(it.held_sum.count()) / it.finished;
+    it.held_us += (it.held_us == 0 ? 1 : drained_weight) * (mean - it.held_us);
+}
+
 void move_to_target(level_control &it, const queue_state &queue)
 {
+    learn_held(it);
     bool waited = queue.waiting > 0 || (it.waits > 0 && it.wait_sum / it.waits > no_wait);
     end_window(it.demand, it.level);
     if (!waited) {
@@ -78,7 +88,11 @@
         it.level = std::max(it.level, level_for(it.demand, it.passing));
         return;
     }
-    it.drained += (it.drained == 0 ? 1 : drained_weight) * (it.finished - it.drained);
+    if (!queue.drain_by_slots) {
+        it.drained += (it.drained == 0 ? 1 : drained_weight) * (it.finished - it.drained);
+    } else if (it.held_us > 0) {
+        it.drained = queue.slots * static_cast<double>(target_window.count()) / it.held_us;
+    }
     it.passing = passing_for(it, queue.waiting, 1);
     admission_level of_all = level_for(it.demand, it.passing);
     // Protected calls overtake what waits, so that only their own queue counts
@@ -112,9 +126,10 @@
     ++it.waits;
 }
 
-void note_finished(level_control &it)
+void note_finished(level_control &it, duration held)
 {
     ++it.finished;
+    it.held_sum += held;
 }
 
 bool update_level(level_control &it, level_rule rule, const queue_state &queue, time_point now)
@@ -134,6 +149,7 @@
     it.waits = 0;
     it.admitted = 0;
     it.finished = 0;
+    it.held_sum = duration{};
     return true;
 }
 
--- a/gullstall/src/overload/level_control.hpp
+++ b/gullstall/src/overload/level_control.hpp
@@ -29,8 +29,10 @@
     std::uint32_t waits = 0;
     std::uint32_t admitted = 0;
     std::uint32_t finished = 0;
-    double drained = 0;  ///< moving average of finished a window while requests wait
-    double passing = 0;  ///< requests a window that are to pass
+    duration held_sum{};  ///< time that the finished ones held their slots
+    double held_us = 0;   ///< moving average of the time that a run holds a slot
+    double drained = 0;   ///< requests a window that the slots drain
+    double passing = 0;   ///< requests a window that are to pass
     demand_estimate demand;
     std::uint16_t protected_classes = 0;  ///< classes 0.. that hold protected calls
     std::array<std::uint32_t, priority_count> arrivals{};  ///< for admitted_share alone
@@ -42,6 +44,8 @@
     std::size_t waiting;
     std::size_t protected_waiting;
     double protected_targets;  ///< queue that protected calls aim at, in target waits
+    std::uint32_t slots;
+    bool drain_by_slots;
 };
 
 /// Queueing delay that the level aims at while requests are refused: short,
@@ -54,8 +58,8 @@
 /// Notes how long a request waited for a slot.
 void note_wait(level_control &it, duration wait);
 
-/// Notes that a request has left its slot.
-void note_finished(level_control &it);
+/// Notes that a request was answered after it \a held a slot.
+void note_finished(level_control &it, duration held);
 
 /// Moves the level when a window has passed.
 /// \returns whether a window has passed
