--- a/test/unit/settings_bad_input.cpp
+++ b/test/unit/settings_bad_input.cpp
@@ -247,14 +247,19 @@
 
 TEST_CASE("signed bundle, bad stored form, refused with the reason")
 {
+    const std::string size_line = "bundle " + std::to_string(good_bundle.size()) + "\n";
     const std::vector<std::pair<std::string, std::string>> table{
-        {"", "bundle: cut off before its text"},
-        {"signature board", "bundle: cut off before its text"},
-        {"signature board\n\n", "bundle: found 'signature board', expected a line"},
-        {"signature board zz\n\n", "bundle: found 'signature board zz', expected a line"},
-        {"signed by board\n\n", "bundle: found 'signed by board', expected a line"},
-        {"\n" + good_bundle, "bundle: found 0 signers, 1 are required"},
-        {"signature board " + std::string(128, 'a') + "\n\n" + good_bundle,
+        {"", "bundle: expected a first line 'bundle BYTES'"},
+        {"signature board\n\n", "bundle: expected a first line 'bundle BYTES'"},
+        {"bundle 0\n", "bundle: cut off before its text"},
+        {"bundle 0\nsignature board", "bundle: cut off before its text"},
+        {"bundle 0\nsignature board\n\n", "bundle: found 'signature board', expected a line"},
+        {"bundle 0\nsignature board zz\n\n", "bundle: found 'signature board zz', expected a line"},
+        {"bundle 0\nsigned by board\n\n", "bundle: found 'signed by board', expected a line"},
+        {size_line + "\n" + good_bundle.substr(1), "bundle: cut off"},
+        {size_line + "\n" + good_bundle + "x", "bundle: too long"},
+        {size_line + "\n" + good_bundle, "bundle: found 0 signers, 1 are required"},
+        {size_line + "signature board " + std::string(128, 'a') + "\n\n" + good_bundle,
          "bundle: signed by unknown key 'board'"},
     };
     for (const auto &[stored, message] : table) {
