--- a/gullstall/src/route/router.cpp
+++ b/gullstall/src/route/router.cpp
@@ -77,6 +77,11 @@
         record.latency_us == 0 ? us : record.latency_us + latency_weight * (us - record.latency_us);
 }
 
+void note_refused(router &it, const std::string &instance)
+{
+    note_answered(it, instance, duration{});
+}
+
 void note_failed(router &it, const std::string &instance, time_point now)
 {
     upstream_record &record = it.upstreams[instance];
--- a/gullstall/src/route/router.hpp
+++ b/gullstall/src/route/router.hpp
@@ -51,6 +51,10 @@
 /// Notes an answer of \a instance after \a took.
 void note_answered(router &it, const std::string &instance, duration took);
 
+/// Notes that \a instance refused a call; how fast it did says nothing about
+/// how fast it would run one.
+void note_refused(router &it, const std::string &instance);
+
 /// Notes that \a instance gave no answer.
 void note_failed(router &it, const std::string &instance, time_point now);
 
