Choose upstreams by estimated time, spill by wait, start slowly

Cause: a refusal counted as a quick answer, so a worker that refuses drew calls to itself; a zone was left only when its own workers were ejected; a new worker counted as the fastest. Change: estimate from answers' time, calls in flight per slot, refused share and a slow start over 10 s; other zones when clearly sooner; at most half of a service ejected; a call whose caller left says nothing of its upstream.

--- a/bench/support/route_experiment.hpp
+++ b/bench/support/route_experiment.hpp
@@ -161,7 +161,7 @@
             if (!*done) {
                 *done = true;
                 ++out.failed;
-                note_failed(routers_[at], name, now_);
+                note_answered(routers_[at], name, patience);
             }
         });
         after(hop, [this, at, name = *chosen, done, sent, hop, &out] {
--- a/gullstall/src/node/entry.cpp
+++ b/gullstall/src/node/entry.cpp
@@ -382,7 +382,7 @@
         } else {
             send_to(t, last.instance, frame_of(message));
         }
-        note_answered(t.n.routes, last.instance, t.now - last.sent_at);
+        note_ended(t.n.routes, last.instance);
     }
     forget_call(t, call);
 }
@@ -402,6 +402,25 @@
     }
 }
 
+namespace {
+
+/// Tells the router what a reply says of the upstream.
+void note_reply(router &routes, const std::string &from, const wire::reply_message &reply,
+                duration took, time_point now)
+{
+    if (reply.refusal == wire::refusal::connection_lost) {
+        note_failed(routes, from, now);
+    } else if (reply.outcome == wire::outcome::not_run) {
+        note_refused(routes, from);
+    } else {
+        // Also one that ran into its deadline: the time it took makes the
+        // upstream look slow, which a silent one is.
+        note_answered(routes, from, took);
+    }
+}
+
+}  // namespace
+
 void on_reply(turn &t, const std::string &from, wire::reply_message &reply)
 {
     auto known = t.n.attempts.find(reply.correlation);
@@ -416,11 +435,7 @@
     if (reply.leaving) {
         note_leaving(t.n.routes, from, t.now);
     }
-    if (reply.refusal == wire::refusal::connection_lost) {
-        note_failed(t.n.routes, from, t.now);
-    } else {
-        note_answered(t.n.routes, from, t.now - call.current->sent_at);
-    }
+    note_reply(t.n.routes, from, reply, t.now - call.current->sent_at, t.now);
     learn_from(t, call, reply);
     end_attempt(t, id, reply);
 }
--- a/gullstall/src/route/router.cpp
+++ b/gullstall/src/route/router.cpp
@@ -6,60 +6,163 @@
 
 namespace {
 
+/// Weight of the latest answer in the moving average of answers' times.
 constexpr double latency_weight = 0.1;
+
+/// Weight of the latest call in the moving share of refused calls.
+constexpr double refusal_weight = 0.1;
+
+/// What a refused call counts for, in times of an answered one.
+constexpr double refusal_cost = 10;
+
 constexpr std::uint32_t failures_to_eject = 3;
 constexpr duration ejection = seconds(5);
 constexpr duration leaving_memory = seconds(30);
 
-double estimated_wait(const router &it, const std::string &instance)
+/// The share of a service's upstreams that may be ejected at a time. Beyond it
+/// failures are more likely this node's own or the network's.
+constexpr double max_ejected_share = 0.5;
+
+/// A new upstream is cold: its share of calls grows over this time.
+constexpr duration slow_start = seconds(10);
+constexpr double least_start_share = 0.1;
+
+/// The own zone is left when another one is estimated to answer sooner by this
+/// factor and this much.
+constexpr double spill_factor = 1.5;
+constexpr double spill_margin_us = 2000;
+
+/// Answers' time of an upstream that has not answered yet, microseconds.
+constexpr double unknown_latency_us = 1000;
+
+bool is_ejected(const upstream_record &it, time_point now)
 {
-    auto record = it.upstreams.find(instance);
-    if (record == it.upstreams.end()) {
-        return 0;
+    return now < it.ejected_until;
+}
+
+/// \returns the share of calls that the upstream is given while it is new
+double start_share(const upstream_record &it, time_point now)
+{
+    auto age = static_cast<double>((now - it.since).count());
+    double share = age / static_cast<double>(slow_start.count());
+    return std::clamp(share, least_start_share, 1.0);
+}
+
+/// \returns the time in which an answer is expected, microseconds, made longer
+/// by calls in flight, refusals and a cold start
+double estimated_time(const upstream_record &it, const member &upstream, double usual_us,
+                      time_point now)
+{
+    double latency = it.latency_us == 0 ? usual_us : it.latency_us;
+    double slots = std::max<std::uint32_t>(upstream.slots, 1);
+    double load = 1.0 + (it.in_flight + 1) / slots;
+    double refusals = 1.0 + it.refused_share * refusal_cost;
+    return latency * load * refusals / start_share(it, now);
+}
+
+struct candidate
+{
+    const member *upstream;
+    const upstream_record *record;
+};
+
+/// \returns the usual time of an answer among \a candidates
+double usual_latency(const std::vector<candidate> &candidates)
+{
+    double sum = 0;
+    double n = 0;
+    for (const candidate &it : candidates) {
+        sum += it.record->latency_us;
+        n += it.record->latency_us > 0 ? 1 : 0;
     }
-    return (record->second.in_flight + 1) * (record->second.latency_us + 1);
+    return n == 0 ? unknown_latency_us : sum / n;
 }
 
-bool is_usable(const router &it, const std::string &instance, time_point now)
+struct choice
 {
-    auto record = it.upstreams.find(instance);
-    return record == it.upstreams.end() ||
-           (now >= record->second.ejected_until && now >= record->second.leaving_until);
+    const candidate *chosen;
+    double time_us;
+};
+
+choice better_of_two(const std::vector<candidate> &candidates, double usual_us,
+                     random_source &random, time_point now)
+{
+    const candidate &a = candidates[draw_below(random, candidates.size())];
+    const candidate &b = candidates[draw_below(random, candidates.size())];
+    double time_a = estimated_time(*a.record, *a.upstream, usual_us, now);
+    double time_b = estimated_time(*b.record, *b.upstream, usual_us, now);
+    return time_a <= time_b ? choice{&a, time_a} : choice{&b, time_b};
 }
 
-std::optional<std::string> better_of_two(const router &it,
-                                         const std::vector<const member *> &candidates,
-                                         random_source &random)
+/// \returns the record of a member; a member that is new, or came back as a new
+/// incarnation, starts slowly and without the failures of the one before
+upstream_record &record_of(router &it, const member &upstream, time_point now)
 {
-    if (candidates.empty()) {
-        return std::nullopt;
+    upstream_record &record = it.upstreams[upstream.instance];
+    if (record.incarnation != upstream.incarnation) {
+        std::uint32_t in_flight = record.in_flight;
+        record = upstream_record{};
+        record.in_flight = in_flight;
+        record.incarnation = upstream.incarnation;
+        record.since = now;
     }
-    const member *a = candidates[draw_below(random, candidates.size())];
-    const member *b = candidates[draw_below(random, candidates.size())];
-    return estimated_wait(it, a->instance) <= estimated_wait(it, b->instance) ? a->instance
-                                                                              : b->instance;
+    return record;
+}
+
+/// Takes ejected candidates out, but never more than a share of all.
+void drop_ejected(std::vector<candidate> &candidates, time_point now)
+{
+    auto ejected = std::count_if(candidates.begin(), candidates.end(),
+                                 [&](const candidate &it) { return is_ejected(*it.record, now); });
+    auto allowed = max_ejected_share * static_cast<double>(candidates.size());
+    if (static_cast<double>(ejected) <= allowed) {
+        std::erase_if(candidates, [&](const candidate &it) { return is_ejected(*it.record, now); });
+    }
+}
+
+std::vector<candidate> find_candidates(router &it, const member_table &members,
+                                       const route_request &request, time_point now)
+{
+    std::vector<candidate> out;
+    for (const member *upstream : upstreams_of(members, request.service)) {
+        const upstream_record &record = record_of(it, *upstream, now);
+        bool tried = std::find(request.tried.begin(), request.tried.end(), upstream->instance) !=
+                     request.tried.end();
+        if (!tried && now >= record.leaving_until) {
+            out.push_back(candidate{upstream, &record});
+        }
+    }
+    drop_ejected(out, now);
+    return out;
 }
 
 }  // namespace
 
-std::optional<std::string> choose_upstream(const router &it, const member_table &members,
+std::optional<std::string> choose_upstream(router &it, const member_table &members,
                                            const route_request &request, random_source &random,
                                            time_point now)
 {
-    std::vector<const member *> near;
-    std::vector<const member *> all;
-    for (const member *candidate : upstreams_of(members, request.service)) {
-        bool tried = std::find(request.tried.begin(), request.tried.end(), candidate->instance) !=
-                     request.tried.end();
-        if (tried || !is_usable(it, candidate->instance, now)) {
-            continue;
-        }
-        all.push_back(candidate);
-        if (candidate->zone == request.own_zone) {
-            near.push_back(candidate);
+    std::vector<candidate> far = find_candidates(it, members, request, now);
+    if (far.empty()) {
+        return std::nullopt;
+    }
+    double usual_us = usual_latency(far);
+    auto middle = std::stable_partition(far.begin(), far.end(), [&](const candidate &c) {
+        return c.upstream->zone != request.own_zone;
+    });
+    std::vector<candidate> near(middle, far.end());
+    far.erase(middle, far.end());
+    if (near.empty()) {
+        return better_of_two(far, usual_us, random, now).chosen->upstream->instance;
+    }
+    choice best = better_of_two(near, usual_us, random, now);
+    if (!far.empty()) {
+        choice other = better_of_two(far, usual_us, random, now);
+        if (other.time_us * spill_factor + spill_margin_us < best.time_us) {
+            best = other;
         }
     }
-    return better_of_two(it, near.empty() ? all : near, random);
+    return best.chosen->upstream->instance;
 }
 
 void note_sent(router &it, const std::string &instance)
@@ -72,6 +175,7 @@
     upstream_record &record = it.upstreams[instance];
     record.in_flight -= record.in_flight > 0 ? 1 : 0;
     record.failures_in_row = 0;
+    record.refused_share -= refusal_weight * record.refused_share;
     auto us = static_cast<double>(took.count());
     record.latency_us =
         record.latency_us == 0 ? us : record.latency_us + latency_weight * (us - record.latency_us);
@@ -79,7 +183,16 @@
 
 void note_refused(router &it, const std::string &instance)
 {
-    note_answered(it, instance, duration{});
+    upstream_record &record = it.upstreams[instance];
+    record.in_flight -= record.in_flight > 0 ? 1 : 0;
+    record.failures_in_row = 0;
+    record.refused_share += refusal_weight * (1 - record.refused_share);
+}
+
+void note_ended(router &it, const std::string &instance)
+{
+    upstream_record &record = it.upstreams[instance];
+    record.in_flight -= record.in_flight > 0 ? 1 : 0;
 }
 
 void note_failed(router &it, const std::string &instance, time_point now)
--- a/gullstall/src/route/router.hpp
+++ b/gullstall/src/route/router.hpp
@@ -17,10 +17,13 @@
 struct upstream_record
 {
     std::uint32_t in_flight = 0;
-    double latency_us = 0;  ///< moving average of answers
+    double latency_us = 0;     ///< moving average of answers, 0: none yet
+    double refused_share = 0;  ///< moving share of calls that it refused
     std::uint32_t failures_in_row = 0;
     time_point ejected_until{};
     time_point leaving_until{};
+    std::uint64_t incarnation = 0;  ///< of the member that the record speaks of
+    time_point since{};             ///< when this node first saw it
 };
 
 /// Chooses among upstreams by own observations.
@@ -38,10 +41,13 @@
     std::vector<std::string> tried;  ///< instances that a re-send passes over
 };
 
-/// Chooses an upstream: two at random, the one with the shorter estimated wait;
-/// the own zone first.
+/// Chooses an upstream: of two at random in the own zone the one with the
+/// shorter estimated time; of two in other zones the better one, when its
+/// estimate is clearly shorter. A new upstream gets its share of calls slowly;
+/// one that fails in a row is passed over for a while, unless half of the
+/// service would be.
 /// \returns the instance, none when no upstream is left
-std::optional<std::string> choose_upstream(const router &it, const member_table &members,
+std::optional<std::string> choose_upstream(router &it, const member_table &members,
                                            const route_request &request, random_source &random,
                                            time_point now);
 
@@ -55,6 +61,10 @@
 /// how fast it would run one.
 void note_refused(router &it, const std::string &instance);
 
+/// Notes that a call to \a instance ended without saying anything of it: its
+/// caller left.
+void note_ended(router &it, const std::string &instance);
+
 /// Notes that \a instance gave no answer.
 void note_failed(router &it, const std::string &instance, time_point now);
 
