--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -56,6 +56,11 @@
 void on_lease_answer(turn &t, const platform_answer &answer);
 void on_scan_answer(turn &t, const platform_answer &answer);
 void set_own_state(turn &t, wire::member_state state);
+void on_step_time(turn &t);
+void on_member_unreachable(turn &t, const std::string &instance);
+void on_worker_end(turn &t, worker_end end);
+void on_worker_checked(turn &t, const worker_checked &e);
+void check_silent_worker(turn &t);
 
 // bundle_control.cpp: bundles
 void on_bundle_tick(turn &t);
--- a/test/unit/once_interleavings.cpp
+++ b/test/unit/once_interleavings.cpp
@@ -83,7 +83,9 @@
         }
         w_.run_for(long_run ? duration(milliseconds(9000)) : duration(milliseconds(3000)));
         heal();
+        w_.tick_every = milliseconds(100);
         w_.run_for(ejection_time);
+        w_.tick_every = milliseconds(20);
         run_cut_off();
         check_not_run();
     }
