--- a/gullstall/src/caller/repeat.hpp
+++ b/gullstall/src/caller/repeat.hpp
@@ -12,7 +12,7 @@
 /// How often and how long a caller repeats a request.
 struct repeat_policy
 {
-    std::uint32_t max_tries = 3;         ///< the first included
+    std::uint32_t max_tries = 3;           ///< the first included
     duration give_up_after = seconds(10);  ///< from the first try
 
     bool operator==(const repeat_policy &) const = default;
@@ -28,9 +28,10 @@
 };
 
 /// What a caller does next.
-enum class repeat_step {
-    finish,      ///< the answer is final
-    repeat       ///< wait, then send the same request with the same id and key
+enum class repeat_step
+{
+    finish,  ///< the answer is final
+    repeat   ///< wait, then send the same request with the same id and key
 };
 
 /// The next step and how long to wait before it.
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -6,11 +6,6 @@
 
 namespace {
 
-priority priority_of(const wire::call_message &it)
-{
-    return make_priority(it.class_priority, it.rank);
-}
-
 /// Sends the reply to the node that the call came from. It carries this
 /// service's level and those of the services that the call touched.
 void reply_to(turn &t, const std::string &origin, wire::reply_message reply,
@@ -111,27 +106,11 @@
         note_event(t.n.events, t.now, event_kind::run_cancelled, run.call.request_id,
                    t.n.settings.node.instance, "");
     } else {
-        remove_run(t.n.queue, priority_of(run.call), id);
+        remove_run(t.n.queue, place_of(t.n, run.call), id);
     }
     return run;
 }
 
-std::optional<wire::refusal> reason_to_refuse(turn &t, const wire::call_message &call)
-{
-    if (t.n.stopping || t.n.worker_leaves) {
-        return wire::refusal::leaving;
-    }
-    if (t.n.slots == 0 || !t.n.bundles.in_force) {
-        return wire::refusal::starting;
-    }
-    bool admitted = admits(t.n.level.level, priority_of(call));
-    note_arrival(t.n.level, priority_of(call), admitted);
-    if (!admitted) {
-        return wire::refusal::overload;
-    }
-    return std::nullopt;
-}
-
 wire::reply_message reply_of(const active_run &run, worker_answered &e, const std::string &service)
 {
     wire::reply_message out;
@@ -200,7 +179,7 @@
     run.queued_at = t.now;
     run.retries.left = call.allowance;
     run.call = std::move(call);
-    priority of_run = priority_of(run.call);
+    queue_place place = place_of(t.n, run.call);
     t.n.served[{from, run.call.correlation}] = id;
     t.n.run_deadlines.emplace(run.deadline, id);
     t.n.runs.emplace(id, std::move(run));
@@ -208,7 +187,7 @@
         start_run(t, id);
         return;
     }
-    if (std::optional<run_ref> displaced = enqueue(t.n.queue, of_run, id)) {
+    if (std::optional<run_ref> displaced = enqueue(t.n.queue, place, id)) {
         refuse_queued(t, *displaced, wire::refusal::overload);
     }
 }
@@ -216,7 +195,7 @@
 void on_cancel(turn &t, const std::string &from, std::uint64_t correlation)
 {
     auto found = t.n.served.find({from, correlation});
-    if (found == t.n.served.end()) {
+    if (found == t.n.served.end() || !t.n.rules.cancel_below) {
         return;
     }
     break_off(t, found->second);
@@ -251,6 +230,7 @@
     active_run run = forget_run(t, e.run);
     --t.n.slots_used;
     on_worker_end(t, e.end);
+    note_finished(t.n.level, t.now - run.started_at.value_or(t.now));
     t.n.counters.runs_lost += e.end == worker_end::lost ? 1 : 0;
     note_event(t.n.events, t.now, event_kind::run_finished, run.call.request_id,
                t.n.settings.node.instance, std::to_string(e.status));
@@ -260,7 +240,8 @@
 
 void expire_runs(turn &t)
 {
-    while (!t.n.run_deadlines.empty() && t.n.run_deadlines.begin()->first <= t.now) {
+    while (t.n.rules.cancel_below && !t.n.run_deadlines.empty() &&
+           t.n.run_deadlines.begin()->first <= t.now) {
         active_run run = break_off(t, t.n.run_deadlines.begin()->second);
         wire::reply_message reply;
         reply.correlation = run.call.correlation;
--- a/gullstall/src/node/step.cpp
+++ b/gullstall/src/node/step.cpp
@@ -27,7 +27,7 @@
 
 void on_tick(turn &t)
 {
-    update_level(t.n.level, t.now);
+    internal::on_level_tick(t);
     internal::expire_calls(t);
     internal::expire_runs(t);
     internal::on_control_tick(t);
@@ -106,6 +106,7 @@
     out.incarnation = incarnation;
     out.random.seed(seed);
     out.queue.limit = settings.worker.slots;
+    out.queue.bound = settings.worker.slots;
     member self;
     self.instance = settings.node.instance;
     self.zone = settings.node.zone;
