--- a/gullstall/src/node/member_control.cpp
+++ b/gullstall/src/node/member_control.cpp
@@ -64,7 +64,7 @@
     }
     for (gossip_send &it : done.sends) {
         if (it.instance.empty()) {
-            send_to_endpoint(t, it.to, frame_of(std::move(it.message)));
+            send_to_address(t, "", it.to, frame_of(std::move(it.message)));
         } else {
             send_to(t, it.instance, frame_of(std::move(it.message)));
         }
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -121,7 +121,7 @@
     if (t.n.stopping || t.n.worker_leaves) {
         return wire::refusal::leaving;
     }
-    if (t.n.slots == 0) {
+    if (t.n.slots == 0 || !t.n.bundles.in_force) {
         return wire::refusal::starting;
     }
     bool admitted = admits(t.n.level.level, priority_of(call));
@@ -184,6 +184,10 @@
 
 void on_call(turn &t, const std::string &from, wire::call_message &call)
 {
+    if (call.to_issuer) {
+        on_call_to_issuer(t, from, call);
+        return;
+    }
     if (std::optional<wire::refusal> why = reason_to_refuse(t, call)) {
         refuse(t, from, call, *why);
         return;
--- a/gullstall/src/node/step.cpp
+++ b/gullstall/src/node/step.cpp
@@ -41,6 +41,10 @@
     {
         internal::on_call_arrived(t, e);
     }
+    void operator()(key_asked &e) const
+    {
+        internal::on_key_asked(t, e.call);
+    }
     void operator()(call_abandoned &e) const
     {
         internal::on_call_abandoned(t, e.call);
@@ -108,9 +112,12 @@
     self.service = settings.node.service;
     self.address = settings.listen.address;
     self.port = settings.listen.peers_port;
+    self.admin_port = settings.listen.admin_port;
     self.incarnation = incarnation;
     self.state = wire::member_state::leaving;  // until the worker has announced itself
     out.members.members[self.instance] = self;
+    out.once.instance = self.instance;
+    out.once.incarnation = incarnation;
     gossip_limits limits;
     limits.probe_interval = milliseconds(settings.membership.gossip_interval_ms);
     out.gossip = make_gossip(self.instance, out.members, limits);
--- a/test/unit/member_hour.cpp
+++ b/test/unit/member_hour.cpp
@@ -13,7 +13,7 @@
 {
     member_hour_fixture()
     {
-        w.time_step = milliseconds(50);  // an hour of 60 nodes in seconds
+        w.tick_every = milliseconds(50);  // an hour of 60 nodes in seconds
     }
 
     /// \returns how often any node held a member for dead
