Time line filters and diagram, explain, member table, latency histograms

Cause: operators could not ask why a request was refused, nor see one request over all nodes; /metrics had counters only; refusals before a bundle left no event. A refusal's event says reason, outcome, class, priority, rank, levels, bundle version and the number of upstreams tried.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -110,7 +110,7 @@
 for admin in "${admins[@]}"; do
   for _ in $(seq 100); do
     ready=$("$bin/gullstall" status --admin "127.0.0.1:$admin" 2>/dev/null | grep -c '"bundle_version":1.*"ready":true' || true)
-    alive=$("$bin/gullstall" members --admin "127.0.0.1:$admin" 2>/dev/null | grep -o '"state":"alive"' | wc -l || true)
+    alive=$("$bin/gullstall" members --admin "127.0.0.1:$admin" --json 2>/dev/null | grep -o '"state":"alive"' | wc -l || true)
     [ "$ready" = 1 ] && [ "$alive" = 15 ] && break
     sleep 0.2
   done
--- a/gullstall/src/node/admin.cpp
+++ b/gullstall/src/node/admin.cpp
@@ -73,6 +73,9 @@
         out += "gullstall_refusals_total{reason=\"" + name.substr(0, slash) + "\",class=\"" +
                name.substr(slash + 1) + "\"} " + std::to_string(count) + "\n";
     }
+    out += print_latency("call_seconds", n.latencies.call) +
+           print_latency("queue_wait_seconds", n.latencies.queue_wait) +
+           print_latency("run_seconds", n.latencies.run);
     return out;
 }
 
@@ -89,7 +92,8 @@
     } else if (e.target == "/status") {
         answer.body = print_status(t.n);
     } else if (e.target == "/timeline") {
-        answer.body = print_timeline(t.n.events, t.n.settings.node.instance);
+        answer.body =
+            print_timeline(t.n.events, t.n.settings.node.instance, t.n.settings.node.zone);
     } else if (e.target == "/drain") {
         answer.body = "{}\n";
         on_stop_requested(t);
--- a/gullstall/src/node/entry.cpp
+++ b/gullstall/src/node/entry.cpp
@@ -105,7 +105,7 @@
     if (!ran) {
         count_refusal(t, call.request, reply.refusal);
         note_event(t.n.events, t.now, event_kind::call_refused, call.request.request_id,
-                   reply.refused_by, wire::EnumNamerefusal(reply.refusal));
+                   reply.refused_by, describe_refusal(t.n, call, reply));
         if (reply.retry_after_ms == 0) {
             reply.retry_after_ms = draw_retry_after(t);
         }
@@ -113,6 +113,7 @@
         note_event(t.n.events, t.now, event_kind::call_answered, call.request.request_id,
                    call.request.service, std::to_string(reply.status));
     }
+    note_latency(t.n.latencies.call, t.now - call.taken_at);
     give_answer(t, call, reply);
     forget_call(t, call);
 }
@@ -274,6 +275,8 @@
 {
     ++t.n.counters.refusals[std::string(wire::EnumNamerefusal(why)) + "/-"];
     bool knows = knows_not_run(t.n.once, asked.key, asked.attempt);
+    note_event(t.n.events, t.now, event_kind::call_refused, asked.request_id,
+               t.n.settings.node.service, describe_unready(t.n, asked, why));
     t.out.emplace_back(
         answer_call{id, caller_answer{knows ? wire::outcome::not_run : wire::outcome::unknown,
                                       why,
--- /dev/null
+++ b/gullstall/src/node/explain.cpp
@@ -0,0 +1,57 @@
+#include <string>
+
+#include "gullstall/src/node/internal.hpp"
+
+namespace gullstall::internal {
+
+namespace {
+
+/// \returns `key=value` with a space in front
+template <class Value>
+std::string pair_of(const char *key, const Value &value)
+{
+    if constexpr (std::is_convertible_v<Value, std::string>) {
+        return std::string(" ") + key + "=" + std::string(value);
+    } else {
+        return std::string(" ") + key + "=" + std::to_string(value);
+    }
+}
+
+std::string class_name_of(const node &n, const std::string &type)
+{
+    std::size_t slash = type.find('/');
+    if (!n.bundles.in_force || slash == std::string::npos) {
+        return "-";
+    }
+    call_policy rule =
+        policy_for(n.bundles.in_force->content, type.substr(0, slash), type.substr(slash + 1));
+    return rule.class_name.empty() ? "-" : rule.class_name;
+}
+
+}  // namespace
+
+std::string describe_refusal(const node &n, const pending_call &call,
+                             const wire::reply_message &reply)
+{
+    const wire::call_message &it = call.request;
+    std::string out = std::string("reason=") + wire::EnumNamerefusal(reply.refusal) +
+                      pair_of("outcome", wire::EnumNameoutcome(reply.outcome)) +
+                      pair_of("service", it.service) + pair_of("operation", it.operation) +
+                      pair_of("class", class_name_of(n, it.call_type)) +
+                      pair_of("priority", it.class_priority) + pair_of("rank", it.rank) +
+                      pair_of("request_level", make_priority(it.class_priority, it.rank).value) +
+                      pair_of("bundle", it.bundle_version) + pair_of("tried", call.tried.size());
+    auto heard = n.touches.levels.find(reply.refused_by);
+    if (heard != n.touches.levels.end()) {
+        out += pair_of("admitted_level", heard->second.level.highest);
+    }
+    return out;
+}
+
+std::string describe_unready(const node &n, const caller_call &asked, wire::refusal why)
+{
+    return std::string("reason=") + wire::EnumNamerefusal(why) + pair_of("service", asked.service) +
+           pair_of("operation", asked.operation) + pair_of("bundle", version_in_force(n.bundles));
+}
+
+}  // namespace gullstall::internal
--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -79,6 +79,11 @@
 void on_claim_read(turn &t, platform_ref request, const platform_answer &answer);
 bool runs_on_without_caller(const pending_call &call);
 
+// explain.cpp: the words of a refusal, for `gullstall explain`
+std::string describe_refusal(const node &n, const pending_call &call,
+                             const wire::reply_message &reply);
+std::string describe_unready(const node &n, const caller_call &asked, wire::refusal why);
+
 // admin.cpp
 void on_admin_asked(turn &t, const admin_asked &e);
 
--- a/gullstall/src/node/node.hpp
+++ b/gullstall/src/node/node.hpp
@@ -10,6 +10,7 @@
 #include "gullstall/bundle.hpp"
 #include "gullstall/core.hpp"
 #include "gullstall/membership.hpp"
+#include "gullstall/metrics.hpp"
 #include "gullstall/once.hpp"
 #include "gullstall/overload.hpp"
 #include "gullstall/retry.hpp"
@@ -43,7 +44,7 @@
     std::vector<std::string> tried;
     bool may_have_run = false;      ///< an attempt ended without anyone knowing
     std::vector<call_ref> waiters;  ///< callers that get the answer, repeats included
-    bool settled = false;       ///< its outcome is known from the key's memory
+    bool settled = false;           ///< its outcome is known from the key's memory
     std::optional<std::pair<std::string, std::uint64_t>> origin;  ///< node and correlation, when
                                                                   ///< it came for its issuer
 };
@@ -114,6 +115,7 @@
     std::map<std::string, retry_budget> budgets;  ///< by service
     timeline events;
     node_counters counters;
+    node_latencies latencies;
     once_book once;
     std::unordered_map<platform_ref, std::uint64_t> claim_commits;  ///< batch of each
     std::unordered_map<platform_ref, table_read> claim_reads;
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -67,6 +67,7 @@
     ++t.n.slots_used;
     ++t.n.counters.runs_started;
     note_wait(t.n.level, t.now - run.queued_at);
+    note_latency(t.n.latencies.queue_wait, t.now - run.queued_at);
     note_event(t.n.events, t.now, event_kind::run_started, run.call.request_id,
                t.n.settings.node.instance, run.call.operation);
     t.out.emplace_back(run_on_worker{id, run.call.request_id, run.call.key, print_context(t.n, id),
@@ -252,6 +253,7 @@
     --t.n.slots_used;
     on_worker_end(t, e.end);
     t.n.counters.runs_lost += e.end == worker_end::lost ? 1 : 0;
+    note_latency(t.n.latencies.run, t.now - *run.started_at);
     note_event(t.n.events, t.now, event_kind::run_finished, run.call.request_id,
                t.n.settings.node.instance, std::to_string(e.status));
     reply_to(t, run.origin, reply_of(run, e, t.n.settings.node.service), run.touched);
--- a/gullstall/src/timeline/timeline.cpp
+++ b/gullstall/src/timeline/timeline.cpp
@@ -47,13 +47,17 @@
                                        std::move(subject), std::move(detail)});
 }
 
-std::string print_timeline(const timeline &it, const std::string &instance)
+std::string print_timeline(const timeline &it, const std::string &instance, const std::string &zone)
 {
     std::string out;
     for (const timeline_event &event : it.events) {
-        boost::json::object line{{"clock", event.clock},        {"instance", instance},
-                                 {"kind", name_of(event.kind)}, {"request", event.request_id},
-                                 {"subject", event.subject},    {"detail", event.detail}};
+        boost::json::object line{{"clock", event.clock},
+                                 {"instance", instance},
+                                 {"zone", zone},
+                                 {"kind", name_of(event.kind)},
+                                 {"request", event.request_id},
+                                 {"subject", event.subject},
+                                 {"detail", event.detail}};
         out += boost::json::serialize(line) + "\n";
     }
     return out;
--- a/gullstall/src/timeline/timeline.hpp
+++ b/gullstall/src/timeline/timeline.hpp
@@ -68,8 +68,9 @@
 void note_event(timeline &it, time_point now, event_kind kind, std::string request_id,
                 std::string subject, std::string detail);
 
-/// \returns the events as JSON lines, \a instance named in each
-std::string print_timeline(const timeline &it, const std::string &instance);
+/// \returns the events as JSON lines, \a instance and \a zone named in each
+std::string print_timeline(const timeline &it, const std::string &instance,
+                           const std::string &zone);
 
 }  // namespace gullstall
 
--- a/gullstall/timeline.hpp
+++ b/gullstall/timeline.hpp
@@ -4,5 +4,6 @@
 /// Time line module: typed events under a hybrid logical clock.
 
 #include "gullstall/src/timeline/timeline.hpp"
+#include "gullstall/src/timeline/view.hpp"
 
 #endif
--- a/programs/fleet_commands.hpp
+++ b/programs/fleet_commands.hpp
@@ -6,7 +6,7 @@
 namespace gullstall::programs {
 
 /// Adds the commands that ask nodes on their admin ports: `members`, `status`,
-/// `timeline` and `drain`.
+/// `timeline`, `explain` and `drain`.
 /// \param exit_code takes the outcome of the command that ran: 0 done, 1 failed,
 /// 2 bad input
 void add_fleet_commands(CLI::App &app, int &exit_code);
--- a/test/runtime/bad_requests.cpp
+++ b/test/runtime/bad_requests.cpp
@@ -22,7 +22,7 @@
 
 const std::string long_text(201, 'x');
 const std::string paths =
-    "expected POST /call/SERVICE/OPERATION, /worker/announce or /worker/leave";
+    "expected POST /call/SERVICE/OPERATION, /key, /worker/announce or /worker/leave";
 const std::string names = "path: expected /call/SERVICE/OPERATION, names of letters, digits, - _ .";
 
 const std::vector<bad_request> table{
--- a/test/unit/settings_bad_input.cpp
+++ b/test/unit/settings_bad_input.cpp
@@ -247,14 +247,20 @@
 
 TEST_CASE("signed bundle, bad stored form, refused with the reason")
 {
+    const std::string size_line = "bundle " + std::to_string(good_bundle.size()) + "\n";
     const std::vector<std::pair<std::string, std::string>> table{
-        {"", "bundle: cut off before its text"},
-        {"signature board", "bundle: cut off before its text"},
-        {"signature board\n\n", "bundle: found 'signature board', expected a line"},
-        {"signature board zz\n\n", "bundle: found 'signature board zz', expected a line"},
-        {"signed by board\n\n", "bundle: found 'signed by board', expected a line"},
-        {"\n" + good_bundle, "bundle: found 0 signers, 1 are required"},
-        {"signature board " + std::string(128, 'a') + "\n\n" + good_bundle,
+        {"", "bundle: expected a first line 'bundle BYTES'"},
+        {"signature board", "bundle: expected a first line 'bundle BYTES'"},
+        {"bundle many\n", "bundle: expected a first line 'bundle BYTES'"},
+        {size_line, "bundle: cut off before its text"},
+        {size_line + "signature board\n\n", "bundle: found 'signature board', expected a line"},
+        {size_line + "signature board zz\n\n",
+         "bundle: found 'signature board zz', expected a line"},
+        {size_line + "signed by board\n\n", "bundle: found 'signed by board', expected a line"},
+        {size_line + "\n" + good_bundle.substr(1), "bundle: cut off, found "},
+        {size_line + "\n" + good_bundle + "\n", "bundle: too long, found "},
+        {size_line + "\n" + good_bundle, "bundle: found 0 signers, 1 are required"},
+        {size_line + "signature board " + std::string(128, 'a') + "\n\n" + good_bundle,
          "bundle: signed by unknown key 'board'"},
     };
     for (const auto &[stored, message] : table) {
