--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -91,6 +91,10 @@
 void expire_forwarded(turn &t);
 void on_claim_frame(turn &t, wire::frame_message &frame);
 void on_claim_writer_gone(turn &t, const std::string &instance);
+// explain.cpp: the words of a refusal, for `gullstall explain`
+std::string describe_refusal(const node &n, const pending_call &call,
+                             const wire::reply_message &reply);
+std::string describe_unready(const node &n, const caller_call &asked, wire::refusal why);
 
 // admin.cpp
 void on_admin_asked(turn &t, const admin_asked &e);
--- a/gullstall/src/node/node.hpp
+++ b/gullstall/src/node/node.hpp
@@ -10,6 +10,7 @@
 #include "gullstall/bundle.hpp"
 #include "gullstall/core.hpp"
 #include "gullstall/membership.hpp"
+#include "gullstall/metrics.hpp"
 #include "gullstall/once.hpp"
 #include "gullstall/overload.hpp"
 #include "gullstall/retry.hpp"
@@ -122,6 +123,7 @@
     std::map<std::string, retry_budget> budgets;  ///< by service
     timeline events;
     node_counters counters;
+    node_latencies latencies;
     once_book once;
     claim_group claims;  ///< of this zone's nodes, when this node writes for them
     std::map<std::uint64_t, forwarded_claims> claims_forwarded;     ///< by batch
