Stop nodes and workers without cutting off a request (in progress)

Cause: a stopping daemon closed its sockets 200 ms after its last answer, the worker stand-in ended at once on SIGTERM, and a caller's request on a kept connection could meet the close. Ruled out: a longer fixed flush (a slow reader takes longer, an idle node less). Change: the node lingers 2 s, refuses as leaving with the connection closed after it, answers idle connections with a refusal before it closes them, takes what is in the accept queue, and ends when all bytes are written.

--- a/gullstall/src/runtime/callers_http.cpp
+++ b/gullstall/src/runtime/callers_http.cpp
@@ -175,6 +175,9 @@
     if (!answer.content_type.empty()) {
         out.set(http::field::content_type, answer.content_type);
     }
+    // A caller that kept its connection to a node that stops would send into it
+    // just as the node closes it, and could not tell whether the call ran.
+    out.keep_alive(answer.refusal != wire::refusal::leaving);
     out.body() = std::move(answer.body);
     out.prepare_payload();
     return out;
--- a/gullstall/src/runtime/daemon.cpp
+++ b/gullstall/src/runtime/daemon.cpp
@@ -34,6 +34,14 @@
 /// the node's own deadline comes first.
 constexpr duration worker_grace = seconds(1);
 
+/// Time that a stopping node goes on refusing calls after its last one ended,
+/// until callers and peers have all heard that it leaves. A call sent to a node
+/// that is gone already would end without anyone knowing whether it ran.
+constexpr duration stop_linger = seconds(2);
+
+/// Time that the last answers have to leave the process.
+constexpr duration stop_flush_limit = seconds(10);
+
 using worker_order = std::variant<run_on_worker, cancel_on_worker>;
 using admin_order = std::variant<answer_admin, write_log>;
 
@@ -95,6 +103,7 @@
     void apply(event &&what);
     void carry_out(action &&what);
     void schedule_tick();
+    bool flushed();
     void refuse_busy(std::uint64_t id, wire::outcome outcome);
     void on_callers_request(std::uint64_t id, http_request &&request);
     void on_admin_request(std::uint64_t id, const http_request &request);
@@ -118,6 +127,7 @@
     daemon_clock clock_;
     node node_;
     std::optional<time_point> stop_at_;
+    std::optional<time_point> flush_until_;
 
     duty decisions_;
     duty callers_;
@@ -261,9 +271,7 @@
                 push_always(to_admin_, admin_order{std::move(it)});
             } else {
                 static_assert(std::is_same_v<kind, stop_now>, "an action is not carried out");
-                // The last answers are still on their way out of the other threads.
-                constexpr duration flush_time = milliseconds(200);
-                stop_at_ = clock_.now() + flush_time;
+                stop_at_ = clock_.now() + stop_linger;
             }
         },
         what);
@@ -277,7 +285,7 @@
             return;
         }
         apply(event{tick{}});
-        if (stop_at_ && clock_.now() >= *stop_at_) {
+        if (stop_at_ && clock_.now() >= *stop_at_ && flushed()) {
             decisions_.io.stop();
             return;
         }
@@ -285,6 +293,20 @@
     });
 }
 
+/// Closes the callers' connections after their answers.
+/// \returns whether all answers have left the process, or had time enough
+bool daemon::flushed()
+{
+    if (!flush_until_) {
+        flush_until_ = clock_.now() + stop_flush_limit;
+        asio::post(callers_.io, [this] { callers_server_.stop(); });
+        return false;
+    }
+    bool empty = node_.calls.empty() && node_.runs.empty() && callers_server_.is_drained() &&
+                 transport_.bytes_waiting() == 0;
+    return empty || clock_.now() >= *flush_until_;
+}
+
 void daemon::refuse_busy(std::uint64_t id, wire::outcome outcome)
 {
     callers_server_.answer(id, encode_caller_answer(caller_answer{
--- a/gullstall/src/runtime/http_server.cpp
+++ b/gullstall/src/runtime/http_server.cpp
@@ -22,9 +22,13 @@
 
 namespace {
 
-constexpr auto idle_timeout = std::chrono::minutes(5);
+constexpr std::chrono::seconds idle_timeout = std::chrono::minutes(5);
 constexpr auto write_timeout = std::chrono::seconds(30);
 
+/// Time for which a refused client's bytes are still read.
+constexpr std::chrono::milliseconds drain_time = std::chrono::seconds(2);
+constexpr std::chrono::milliseconds stop_drain_time = std::chrono::milliseconds(500);
+
 http_response make_refusal(http::status status, const std::string &reason)
 {
     http_response out{status, 11};
@@ -95,7 +99,22 @@
 {
     stopping_ = true;
     error_code ec;
+    // Clients whose connect has succeeded may have sent a request already; the
+    // listening socket's close would reset them, and they could not tell
+    // whether it ran. They are taken and answered.
+    acceptor_.non_blocking(true, ec);
+    while (!ec) {
+        asio::ip::tcp::socket socket(io_);
+        acceptor_.accept(socket, ec);
+        if (!ec) {
+            asio::co_spawn(io_, serve(beast::tcp_stream(std::move(socket))), asio::detached);
+        }
+    }
     acceptor_.close(ec);
+    for (beast::tcp_stream *it : idle_) {
+        it->cancel();
+    }
+    asio::post(io_, [this] { closed_ = true; });  // after the last ones taken have begun
 }
 
 asio::awaitable<void> http_server::accept_loop()
@@ -131,7 +150,7 @@
     constexpr std::size_t drain_bytes = 65536;
     constexpr std::uint64_t drain_limit = 64U << 20U;
     std::vector<char> sink(drain_bytes);
-    stream.expires_after(std::chrono::seconds(2));
+    stream.expires_after(stopping_ ? stop_drain_time : drain_time);
     std::uint64_t total = 0;
     while (!ec && total < drain_limit) {
         total += co_await stream.async_read_some(asio::buffer(sink),
@@ -145,10 +164,18 @@
     error_code ec;
     if (buf.size() == 0) {
         // Between two requests the connection may be idle for long.
-        stream.expires_after(idle_timeout);
+        stream.expires_after(stopping_ ? std::chrono::seconds(1) : idle_timeout);
         constexpr std::size_t first_read = 4096;
+        idle_.insert(&stream);
         std::size_t n = co_await stream.async_read_some(
             buf.prepare(first_read), asio::redirect_error(asio::use_awaitable, ec));
+        idle_.erase(&stream);
+        if (ec && stopping_) {
+            // A request may be on its way on this connection. A mere close would
+            // leave its client without a word on whether it ran; so the refusal
+            // goes first, and a client that has asked nothing drops it.
+            co_await refuse(stream, http::status::request_timeout, "leaving");
+        }
         if (ec) {
             co_return std::nullopt;
         }
--- a/gullstall/src/runtime/http_server.hpp
+++ b/gullstall/src/runtime/http_server.hpp
@@ -1,6 +1,7 @@
 #ifndef GULLSTALL_RUNTIME_HTTP_SERVER_HPP
 #define GULLSTALL_RUNTIME_HTTP_SERVER_HPP
 
+#include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -12,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 #include "gullstall/src/core/time.hpp"
@@ -49,9 +51,17 @@
     /// Answers request \a id; an id that is gone is passed over.
     void answer(std::uint64_t id, http_response &&response);
 
-    /// Takes no new connection any more; open ones close after their answer.
+    /// Takes no new connection any more; idle ones are told so and close, the
+    /// others after their answer is written.
     void stop();
 
+    /// \returns whether stop() has taken effect and every connection is closed;
+    /// may be called on any thread
+    bool is_drained() const
+    {
+        return closed_ && open_ == 0;
+    }
+
 private:
     struct waiter
     {
@@ -75,8 +85,10 @@
     http_handlers handlers_;
     std::unordered_map<std::uint64_t, std::shared_ptr<waiter>> waiting_;
     std::uint64_t last_id_ = 0;
-    std::uint32_t open_ = 0;
+    std::set<boost::beast::tcp_stream *> idle_;  ///< between two requests
+    std::atomic<std::uint32_t> open_ = 0;
     bool stopping_ = false;
+    std::atomic<bool> closed_ = false;
 };
 
 }  // namespace gullstall::runtime
--- a/gullstall/src/runtime/peer_transport.cpp
+++ b/gullstall/src/runtime/peer_transport.cpp
@@ -74,6 +74,7 @@
     connection_ptr it = found->second;
     outgoing entry{encode_frame(frame), correlation_of(frame)};
     it->queued_bytes += entry.bytes.size();
+    waiting_ += entry.bytes.size();
     it->queue.push_back(std::move(entry));
     if (it->queued_bytes > max_queued_bytes) {
         close(it, "too many bytes wait for it");
@@ -126,6 +127,7 @@
         error_code ec;
         co_await asio::async_write(it->socket, asio::buffer(entry.bytes),
                                    asio::redirect_error(asio::use_awaitable, ec));
+        waiting_ -= entry.bytes.size();
         if (ec) {
             close(it, "write: " + ec.message());
         }
@@ -196,6 +198,7 @@
         return;
     }
     it->closed = true;
+    waiting_ -= it->queued_bytes;
     error_code ec;
     it->socket.close(ec);
     auto own = connections_.find(it->instance);
--- a/gullstall/src/runtime/peer_transport.hpp
+++ b/gullstall/src/runtime/peer_transport.hpp
@@ -1,6 +1,7 @@
 #ifndef GULLSTALL_RUNTIME_PEER_TRANSPORT_HPP
 #define GULLSTALL_RUNTIME_PEER_TRANSPORT_HPP
 
+#include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -41,6 +42,12 @@
     /// Sends a frame to \a instance, connecting to \a to when needed.
     void send(const std::string &instance, const endpoint &to, wire::frame_message &&frame);
 
+    /// \returns the bytes that are not written yet; may be called on any thread
+    std::size_t bytes_waiting() const
+    {
+        return waiting_;
+    }
+
 private:
     struct outgoing
     {
@@ -72,6 +79,7 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     peer_handlers handlers_;
     std::map<std::string, connection_ptr> connections_;  // by instance
+    std::atomic<std::size_t> waiting_ = 0;
 };
 
 }  // namespace gullstall::runtime
--- a/test/standins/load.cpp
+++ b/test/standins/load.cpp
@@ -6,6 +6,7 @@
 #include <boost/algorithm/string/split.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/histogram.hpp>
 #include <cmath>
@@ -100,7 +101,7 @@
             double gap = -std::log(1.0 - gullstall::draw_fraction(random_)) / rate;
             next += std::chrono::duration_cast<std::chrono::steady_clock::duration>(
                 std::chrono::duration<double>(gap));
-            if (next >= end) {
+            if (next >= end || stopping_) {
                 break;
             }
             timer.expires_at(next);
@@ -144,6 +145,17 @@
         --open_;
     }
 
+    /// No further request arrives; those that are open go on.
+    void stop()
+    {
+        stopping_ = true;
+    }
+
+    bool stopping() const
+    {
+        return stopping_;
+    }
+
     std::size_t open() const
     {
         return open_;
@@ -181,15 +193,29 @@
     }
 
 private:
-    static bool note(tally &count, const rt::exchange &it, const std::vector<std::uint8_t> &body)
+    /// \returns what a failed exchange is counted as: who cut it off, or the
+    /// outcome with its reason
+    static std::string failure_of(const rt::exchange &it)
     {
         if (it.end != rt::exchange_end::answered) {
-            ++count.failures["no-answer"];
-            return false;
+            return it.end == rt::exchange_end::lost ? "cut-off" : "not-sent";
         }
-        if (it.response.result() != http::status::ok) {
-            std::string reason(it.response[rt::header::reason]);
-            ++count.failures[reason.empty() ? std::to_string(it.response.result_int()) : reason];
+        if (it.response.result() == http::status::bad_gateway) {
+            // A worker's own answer: a call that it made failed.
+            return "below:" + std::string(it.response.body().begin(), it.response.body().end());
+        }
+        std::string reason(it.response[rt::header::reason]);
+        if (reason.empty()) {
+            return std::to_string(it.response.result_int());
+        }
+        bool unknown = it.response[rt::header::outcome] == "unknown";
+        return (unknown ? "unknown/" : "") + reason;
+    }
+
+    static bool note(tally &count, const rt::exchange &it, const std::vector<std::uint8_t> &body)
+    {
+        if (it.end != rt::exchange_end::answered || it.response.result() != http::status::ok) {
+            ++count.failures[failure_of(it)];
             return false;
         }
         if (it.response.body() != body) {
@@ -209,6 +235,7 @@
     std::chrono::steady_clock::time_point start_ = std::chrono::steady_clock::now();
     std::uint64_t last_ = 0;
     std::size_t open_ = 0;
+    bool stopping_ = false;
 };
 
 asio::awaitable<void> wait(asio::io_context &io, double seconds)
@@ -250,7 +277,10 @@
         for (const traffic &one : of) {
             asio::co_spawn(io, it.arrivals(one, during), asio::detached);
         }
-        co_await wait(io, during.seconds);
+        constexpr double step_seconds = 0.1;
+        for (double spent = 0; spent < during.seconds && !it.stopping(); spent += step_seconds) {
+            co_await wait(io, std::min(step_seconds, during.seconds - spent));
+        }
         if (surge) {
             surge_end = it.second_of(std::chrono::steady_clock::now());
         }
@@ -312,6 +342,8 @@
     }
     asio::io_context io(1);
     load it(io, ports, repeats);
+    asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&](const boost::system::error_code &, int) { it.stop(); });
     asio::co_spawn(io, run(io, it, of, phases, slow), asio::detached);
     io.run();
     return 0;
--- a/test/standins/worker.cpp
+++ b/test/standins/worker.cpp
@@ -61,9 +61,24 @@
         asio::co_spawn(io_, announce(), asio::detached);
     }
 
+    /// Says that it leaves, finishes what runs and ends the process's work.
     asio::awaitable<void> leave()
     {
-        co_await notify("/worker/leave");
+        asio::steady_timer pause(io_);
+        constexpr int tries = 5;
+        for (int i = 0; i < tries && !co_await notify("/worker/leave"); ++i) {
+            pause.expires_after(std::chrono::milliseconds(100));
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+        // What the node has queued still comes; it is over when nothing runs and
+        // nothing has come for a while.
+        constexpr auto quiet_time = std::chrono::milliseconds(500);
+        last_request_ = std::chrono::steady_clock::now();
+        while (running_ > 0 || std::chrono::steady_clock::now() - last_request_ < quiet_time) {
+            pause.expires_after(std::chrono::milliseconds(20));
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+        io_.stop();
     }
 
 private:
@@ -100,6 +115,7 @@
         if (!options_.crash_on.empty() && request[rt::header::request_id] == options_.crash_on) {
             std::_Exit(1);
         }
+        last_request_ = std::chrono::steady_clock::now();
         if (running_ >= options_.slots) {
             queue_.emplace_back(id, std::move(request));
             return;
@@ -118,12 +134,16 @@
             static_cast<std::int64_t>(options_.service_ms * 1000.0 * jitter)));
         co_await timer.async_wait(asio::use_awaitable);
         std::string operation = std::string(request.target()).substr(1);
-        http::status status = http::status::ok;
+        std::string failure;
         auto [begin, end] = chains_.equal_range(operation);
-        for (auto it = begin; it != end && status == http::status::ok; ++it) {
-            status = co_await call_on(it->second, request, abandoned_.count(id) > 0);
+        for (auto it = begin; it != end && failure.empty(); ++it) {
+            failure = co_await call_on(it->second, request, abandoned_.count(id) > 0);
+        }
+        if (failure.empty()) {
+            reply(id, http::status::ok, std::move(request.body()));
+        } else {
+            reply(id, http::status::bad_gateway, {failure.begin(), failure.end()});
         }
-        reply(id, status, std::move(request.body()));
         abandoned_.erase(id);
         --running_;
         if (!queue_.empty()) {
@@ -146,18 +166,27 @@
             << std::flush;
     }
 
-    asio::awaitable<http::status> call_on(const std::string &target, const rt::http_request &parent,
-                                          bool abandoned)
+    /// \returns why the call failed, empty when it did not
+    asio::awaitable<std::string> call_on(const std::string &target, const rt::http_request &parent,
+                                         bool abandoned)
     {
         if (abandoned) {
-            co_return http::status::bad_gateway;
+            co_return "abandoned";
         }
         rt::http_request request{http::verb::post, "/call/" + target, 11};
         request.set(rt::header::context, parent[rt::header::context]);
         rt::exchange it = co_await node_.send(std::move(request), gullstall::seconds(30), nullptr);
-        bool good =
-            it.end == rt::exchange_end::answered && it.response.result() == http::status::ok;
-        co_return good ? http::status::ok : http::status::bad_gateway;
+        if (it.end != rt::exchange_end::answered) {
+            co_return it.end == rt::exchange_end::lost ? "cut-off" : "not-sent";
+        }
+        if (it.response.result() == http::status::ok) {
+            co_return "";
+        }
+        if (it.response.result() == http::status::bad_gateway) {
+            co_return std::string(it.response.body().begin(), it.response.body().end());
+        }
+        co_return std::string(it.response[rt::header::outcome]) + "/" +
+            std::string(it.response[rt::header::reason]);
     }
 
     void reply(std::uint64_t id, http::status status, std::vector<std::uint8_t> body)
@@ -174,6 +203,7 @@
     gullstall::random_source random_;
     std::multimap<std::string, std::string> chains_;
     std::uint32_t running_ = 0;
+    std::chrono::steady_clock::time_point last_request_;
     std::deque<std::pair<std::uint64_t, rt::http_request>> queue_;
     std::set<std::uint64_t> abandoned_;
     rt::http_server server_;
@@ -199,7 +229,11 @@
     asio::io_context io(1);
     worker it(io, options);
     asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait([&](const boost::system::error_code &, int) { io.stop(); });
+    signals.async_wait([&](const boost::system::error_code &, int) {
+        asio::co_spawn(io, it.leave(), asio::detached);
+        // A second signal ends it at once.
+        signals.async_wait([&](const boost::system::error_code &, int) { io.stop(); });
+    });
     io.run();
     return 0;
 }
--- a/test/support/world.hpp
+++ b/test/support/world.hpp
@@ -34,7 +34,6 @@
     worker_function on_run;
     std::function<void(const std::string &instance, run_ref run)> on_cancel;
     answer_function on_answer;
-    std::function<void(const platform_request &what)> on_ask;  ///< sees what nodes ask
 
     duration link_delay = microseconds(500);
     duration platform_delay = milliseconds(2);
@@ -234,9 +233,6 @@
 
     void ask_for(const std::string &from, ask_platform &&order)
     {
-        if (on_ask) {
-            on_ask(order.what);
-        }
         bool cut = platform_cuts.count(nodes.at(from).settings.node.zone) > 0;
         platform_answer answer = cut      ? platform_answer{platform_status::unavailable, {}, {}}
                                  : on_ask ? on_ask(order.what)
--- a/test/unit/bundle_spread.cpp
+++ b/test/unit/bundle_spread.cpp
@@ -21,7 +21,10 @@
 
     bundle_spread_fixture()
     {
-        w.on_ask = [this](const platform_request &what) { count_read(what); };
+        w.on_ask = [this](const platform_request &what) {
+            count_read(what);
+            return w.platform.ask(what);
+        };
         w.on_answer = [this](const std::string &, call_ref, caller_answer &&answer) {
             answers.push_back(std::move(answer));
         };
