Average levels at the entry and let them rise in steps

Cause: an entry took the last instance's level for the service's, forgot it after 500 ms and then let everything through; and one window without waits raised a level to its end, which the entries carried on. Change: the entry averages over replies and lets a silent service's level rise by 500 ranks a second; it refuses on behalf of services that at least half of the type's calls reach, and a protected call only if the last news would too. The level rises in steps of half a class, and what passes grows by 2 % a window.

--- a/bench/support/overload_runs.hpp
+++ b/bench/support/overload_runs.hpp
@@ -22,7 +22,7 @@
             {"queue-target", {level_rule::queue_target, true, true, false, false, false}},
             {"keep-worked", {level_rule::queue_target, true, true, true, false, false}},
             {"protected-target", {level_rule::queue_target, true, true, true, true, false}},
-            {"drain-by-slots", {level_rule::queue_target, true, true, true, true, true}}};
+            {"in-use", {level_rule::queue_target, true, true, true, true, true}}};
 }
 
 constexpr std::uint64_t seed = 20261203;
--- a/gullstall/src/node/admission.cpp
+++ b/gullstall/src/node/admission.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "gullstall/src/node/internal.hpp"
 
 namespace gullstall::internal {
@@ -13,6 +15,9 @@
 /// that there is room for.
 constexpr double protected_targets = 3;
 
+/// Answers of a worker from this status on are not whole.
+constexpr std::uint16_t first_error_status = 400;
+
 /// \returns whether slots at services above were spent on the call already
 bool is_worked(const node &n, const wire::call_message &call)
 {
@@ -49,6 +54,36 @@
     }
 }
 
+std::optional<std::string> refused_at_entry(turn &t, const entry_request &request)
+{
+    return refusing_service(t.n.touches, request, t.now);
+}
+
+void learn_from(turn &t, const pending_call &call, const wire::reply_message &reply)
+{
+    touch_table &known = t.n.touches;
+    const std::string &type = call.request.call_type;
+    auto run = call.parent ? t.n.runs.find(*call.parent) : t.n.runs.end();
+    std::size_t n = std::min(reply.touched.size(), reply.levels.size());
+    for (std::size_t i = 0; i < n; ++i) {
+        admission_level level{reply.levels[i]};
+        learn_level(known, reply.touched[i], level, t.now);
+        learn_touch(known, type, reply.touched[i]);
+        if (run != t.n.runs.end()) {
+            run->second.touched[reply.touched[i]] = level;
+        }
+    }
+    bool whole = reply.outcome == wire::outcome::ran && reply.status < first_error_status;
+    if (call.parent || !whole) {
+        return;  // it may have stopped before it reached all that it would have
+    }
+    for (const auto &[service, share] : known.touched[type]) {
+        if (std::find(reply.touched.begin(), reply.touched.end(), service) == reply.touched.end()) {
+            learn_no_touch(known, type, service);
+        }
+    }
+}
+
 std::optional<wire::refusal> reason_to_refuse(turn &t, const wire::call_message &call)
 {
     if (t.n.stopping || t.n.worker_leaves) {
--- a/gullstall/src/node/entry.cpp
+++ b/gullstall/src/node/entry.cpp
@@ -145,21 +145,6 @@
     return true;
 }
 
-void learn_from(turn &t, const pending_call &call, const wire::reply_message &reply)
-{
-    std::size_t n = std::min(reply.touched.size(), reply.levels.size());
-    for (std::size_t i = 0; i < n; ++i) {
-        admission_level level{reply.levels[i]};
-        learn_touch(t.n.touches, call.request.call_type, reply.touched[i], level, t.now);
-        if (call.parent) {
-            auto run = t.n.runs.find(*call.parent);
-            if (run != t.n.runs.end()) {
-                run->second.touched[reply.touched[i]] = level;
-            }
-        }
-    }
-}
-
 /// Ends the current attempt with \a reply: re-sends or answers.
 void end_attempt(turn &t, call_ref id, wire::reply_message &reply)
 {
@@ -250,8 +235,7 @@
     call.request.key = e.request.key;
     call.request.body = std::move(e.request.body);
     set_context(t, call, e.request);
-    std::string type = call.request.call_type;
-    priority of_call = priority_of(call.request);
+    entry_request judged{call.request.call_type, priority_of(call.request), call.request.protect};
     note_event(t.n.events, t.now, event_kind::call_taken, call.request.request_id,
                call.request.service, call.request.operation);
     earn_retry(t.n.budgets[call.request.service],
@@ -259,7 +243,7 @@
     t.n.call_deadlines.emplace(call.deadline, e.call);
     t.n.calls.emplace(e.call, std::move(call));
     if (!parent) {
-        if (auto by = refusing_service(t.n.touches, type, of_call, t.now)) {
+        if (auto by = refused_at_entry(t, judged)) {
             refuse_call(t, e.call, wire::refusal::overload, *by);
             return;
         }
--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -35,6 +35,8 @@
 // admission.cpp: which calls this node lets onto its worker
 void on_level_tick(turn &t);
 std::optional<wire::refusal> reason_to_refuse(turn &t, const wire::call_message &call);
+std::optional<std::string> refused_at_entry(turn &t, const entry_request &request);
+void learn_from(turn &t, const pending_call &call, const wire::reply_message &reply);
 priority priority_of(const wire::call_message &it);
 queue_place place_of(const node &n, const wire::call_message &call);
 
--- a/gullstall/src/overload/demand.cpp
+++ b/gullstall/src/overload/demand.cpp
@@ -11,7 +11,7 @@
 
 /// Share of its estimate that a class keeps for each window in which it was
 /// held back entirely: the level climbs into it again and learns it anew.
-constexpr double unseen_share = 0.9;
+constexpr double unseen_share = 0.97;
 
 /// Fewer arrivals a window than this tell nothing of their ranks.
 constexpr double few_arrivals = 0.05;
@@ -49,7 +49,7 @@
     }
 }
 
-admission_level level_for(const demand_estimate &it, double target)
+std::optional<admission_level> level_for(const demand_estimate &it, double target)
 {
     for (std::uint16_t i = 0; i < class_count; ++i) {
         double whole = it.classes[i].whole;
@@ -61,7 +61,16 @@
         double level = i * ranks_per_class + ranks - 1;  // the level itself is admitted
         return admission_level{static_cast<std::uint16_t>(std::max(0.0, level))};
     }
-    return admit_all;
+    return std::nullopt;
+}
+
+admission_level end_of_demand(const demand_estimate &it)
+{
+    std::uint16_t end = class_count;
+    while (end > 1 && it.classes[end - 1].whole < few_arrivals) {
+        --end;
+    }
+    return admission_level{static_cast<std::uint16_t>(end * ranks_per_class - 1)};
 }
 
 }  // namespace gullstall
--- a/gullstall/src/overload/demand.hpp
+++ b/gullstall/src/overload/demand.hpp
@@ -2,6 +2,7 @@
 #define GULLSTALL_OVERLOAD_DEMAND_HPP
 
 #include <array>
+#include <optional>
 
 #include "gullstall/src/overload/priority.hpp"
 
@@ -30,8 +31,12 @@
 /// Ends a window during which the service was at \a level.
 void end_window(demand_estimate &it, admission_level level);
 
-/// \returns the level at which about \a target requests a window pass
-admission_level level_for(const demand_estimate &it, double target);
+/// \returns the level at which about \a target requests a window pass, none when
+/// there are fewer
+std::optional<admission_level> level_for(const demand_estimate &it, double target);
+
+/// \returns the end of the least important class that is asked for
+admission_level end_of_demand(const demand_estimate &it);
 
 }  // namespace gullstall
 
--- a/gullstall/src/overload/level_control.cpp
+++ b/gullstall/src/overload/level_control.cpp
@@ -16,13 +16,22 @@
 /// Share of the queue's distance from its target that one window makes up for.
 constexpr double queue_gain = 0.4;
 
-/// Growth in a window without waits: five times the load passes after eight.
-constexpr double growth = 1.25;
+/// Growth of what passes in a window without waits. What the slots drain is
+/// known, so that it need not be searched for; an overshoot reaches the slots
+/// only after the entries have heard of it.
+constexpr double growth = 1.02;
+
+/// Ranks that the level rises in a window once all that is asked for passes.
+/// A jump to the end would carry the average that the entries form with it.
+constexpr int rise = 64;
 
 /// Least share of what the slots drain that passes, however long the queue is:
 /// a burst is worked off without a pause in admission.
 constexpr double least_share = 0.5;
 
+/// Keeps what passes finite through a long time without waits.
+constexpr double most_passing = 1e6;
+
 /// Waits shorter than this are those of a service with slots to spare.
 constexpr duration no_wait = milliseconds(1);
 
@@ -67,6 +76,15 @@
     return std::max(wanted, least_share * it.drained);
 }
 
+admission_level raised_level(const level_control &it)
+{
+    if (std::optional<admission_level> solved = level_for(it.demand, it.passing)) {
+        return *solved;
+    }
+    int level = std::max(it.level, end_of_demand(it.demand)).highest + rise;
+    return std::min(admit_all, admission_level{static_cast<std::uint16_t>(level)});
+}
+
 void learn_held(level_control &it)
 {
     if (it.finished == 0) {
@@ -81,26 +99,27 @@
     learn_held(it);
     bool waited = queue.waiting > 0 || (it.waits > 0 && it.wait_sum / it.waits > no_wait);
     end_window(it.demand, it.level);
-    if (!waited) {
-        it.passing = std::max<double>(it.passing, it.admitted) * growth + 1;
-        // No more than the slots were seen to bear: a first overload starts from there.
-        it.passing = std::min(it.passing, 4.0 * priority_count);
-        it.level = std::max(it.level, level_for(it.demand, it.passing));
-        return;
-    }
-    if (!queue.drain_by_slots) {
+    if (!queue.drain_by_slots && waited) {
         it.drained += (it.drained == 0 ? 1 : drained_weight) * (it.finished - it.drained);
-    } else if (it.held_us > 0) {
+    } else if (queue.drain_by_slots && it.held_us > 0) {
         it.drained = queue.slots * static_cast<double>(target_window.count()) / it.held_us;
     }
+    if (!waited) {
+        it.passing = std::max({it.passing, it.drained, static_cast<double>(it.admitted)}) * growth;
+        it.passing = std::min(it.passing, most_passing);
+        it.level = std::max(it.level, raised_level(it));
+        return;
+    }
     it.passing = passing_for(it, queue.waiting, 1);
-    admission_level of_all = level_for(it.demand, it.passing);
+    admission_level of_all =
+        level_for(it.demand, it.passing).value_or(std::max(it.level, end_of_demand(it.demand)));
     // Protected calls overtake what waits, so that only their own queue counts
     // against them: a queue full of lower work must not refuse one.
     int protected_end = it.protected_classes * ranks_per_class - 1;
     if (of_all.highest < protected_end) {
         admission_level of_protected =
-            level_for(it.demand, passing_for(it, queue.protected_waiting, queue.protected_targets));
+            level_for(it.demand, passing_for(it, queue.protected_waiting, queue.protected_targets))
+                .value_or(admit_all);
         of_all.highest = std::min<std::uint16_t>(of_protected.highest,
                                                  static_cast<std::uint16_t>(protected_end));
     }
--- a/gullstall/src/overload/touch_table.hpp
+++ b/gullstall/src/overload/touch_table.hpp
@@ -10,29 +10,48 @@
 
 namespace gullstall {
 
-/// What a node has learned from replies: the services that calls of a type
-/// reach, and the admission level of each service. With it the entry refuses
+/// A service's admission level as its replies tell it. Each of its instances
+/// has a level of its own, so that a service is judged by their average.
+struct heard_level
+{
+    double average = 0;        ///< over replies, weighed by the time between them
+    admission_level latest{};  ///< of the last reply
+    time_point at{};           ///< of the last reply
+
+    auto operator<=>(const heard_level &) const = default;
+};
+
+/// What a node has learned from replies: how likely calls of a type reach a
+/// service, and the admission level of each service. With it the entry refuses
 /// what a deep service would refuse, before any work is done.
 struct touch_table
 {
-    struct heard_level
-    {
-        admission_level level;
-        time_point at;
-    };
-
-    std::map<std::string, std::map<std::string, time_point>> touched;  // type -> service -> last
-    std::map<std::string, heard_level> levels;                         // by service
+    std::map<std::string, std::map<std::string, double>> touched;  ///< type -> service -> share
+    std::map<std::string, heard_level> levels;                     ///< by service
 };
 
-/// Notes that a call of \a type reached \a service, which is at \a level.
-void learn_touch(touch_table &it, const std::string &type, const std::string &service,
-                 admission_level level, time_point now);
+/// Notes that a reply told of \a service, which is at \a level.
+void learn_level(touch_table &it, const std::string &service, admission_level level,
+                 time_point now);
+
+/// Notes that a call of \a type reached \a service.
+void learn_touch(touch_table &it, const std::string &type, const std::string &service);
+
+/// Notes that a call of \a type came back whole without having reached \a service.
+void learn_no_touch(touch_table &it, const std::string &type, const std::string &service);
+
+/// A request as the entry judges it.
+struct entry_request
+{
+    std::string type;
+    priority rank;
+    bool is_protected;
+};
 
-/// \returns the service that would refuse a request of \a of_request and
-/// \a type, none when all are known or thought to take it
-std::optional<std::string> refusing_service(const touch_table &it, const std::string &type,
-                                            priority of_request, time_point now);
+/// \returns the service that would refuse the request, none when all are
+/// known or thought to take it
+std::optional<std::string> refusing_service(const touch_table &it, const entry_request &request,
+                                            time_point now);
 
 }  // namespace gullstall
 
