--- a/gullstall/src/node/admission.cpp
+++ b/gullstall/src/node/admission.cpp
@@ -54,8 +54,9 @@
     }
 }
 
-std::optional<std::string> refused_at_entry(turn &t, const entry_request &request)
+std::optional<std::string> refused_at_entry(turn &t, const wire::call_message &call)
 {
+    entry_request request{call.call_type, priority_of(call), call.protect};
     return refusing_service(t.n.touches, request, t.now);
 }
 
@@ -89,7 +90,7 @@
     if (t.n.stopping || t.n.worker_leaves) {
         return wire::refusal::leaving;
     }
-    if (t.n.slots == 0) {
+    if (t.n.slots == 0 || !t.n.bundles.in_force) {
         return wire::refusal::starting;
     }
     priority of_call = priority_of(call);
--- a/gullstall/src/node/entry.cpp
+++ b/gullstall/src/node/entry.cpp
@@ -41,6 +41,14 @@
             run->second.children.erase(call.id);
             run->second.retries.left += call.retries.left;
         }
+    } else {
+        auto entered = t.n.entered.find(call.request.request_id);
+        if (entered != t.n.entered.end() && entered->second == call.id) {
+            t.n.entered.erase(entered);
+        }
+    }
+    for (call_ref waiter : call.waiters) {
+        t.n.joined.erase(waiter);
     }
     t.n.calls.erase(call.id);
 }
@@ -51,6 +59,34 @@
     ++t.n.counters.refusals[name + "/" + std::to_string(request.class_priority)];
 }
 
+/// Hands the final answer to whoever asked: a caller, or the node that sent
+/// the call on to the issuer of its key.
+void give_answer(turn &t, pending_call &call, wire::reply_message &reply)
+{
+    if (call.origin) {
+        wire::reply_message out = std::move(reply);
+        out.correlation = call.origin->second;
+        out.unspent = call.retries.left;
+        send_to(t, call.origin->first, frame_of(std::move(out)));
+        return;
+    }
+    caller_answer answer{reply.outcome,
+                         reply.refusal,
+                         reply.refused_by,
+                         call.request.request_id,
+                         reply.status,
+                         reply.retry_after_ms,
+                         call.request.bundle_version,
+                         std::move(reply.content_type),
+                         std::move(reply.body)};
+    for (call_ref waiter : call.waiters) {
+        ++t.n.counters.calls_answered;
+        t.out.emplace_back(answer_call{waiter, answer});
+    }
+}
+
+}  // namespace
+
 /// Answers the caller; this is the one place where a call ends with an answer.
 void finish_call(turn &t, call_ref id, wire::reply_message &reply)
 {
@@ -60,6 +96,7 @@
         // An earlier attempt may have run: nobody can say `not run` any more.
         reply.outcome = wire::outcome::unknown;
     }
+    end_once_call(t, call, reply);
     if (!ran) {
         count_refusal(t, call.request, reply.refusal);
         note_event(t.n.events, t.now, event_kind::call_refused, call.request.request_id,
@@ -71,11 +108,7 @@
         note_event(t.n.events, t.now, event_kind::call_answered, call.request.request_id,
                    call.request.service, std::to_string(reply.status));
     }
-    ++t.n.counters.calls_answered;
-    t.out.emplace_back(answer_call{
-        id, caller_answer{reply.outcome, reply.refusal, reply.refused_by, call.request.request_id,
-                          reply.status, reply.retry_after_ms, call.request.bundle_version,
-                          std::move(reply.content_type), std::move(reply.body)}});
+    give_answer(t, call, reply);
     forget_call(t, call);
 }
 
@@ -85,8 +118,27 @@
     finish_call(t, id, reply);
 }
 
+void send_attempt(turn &t, pending_call &call, const std::string &upstream, std::uint32_t share)
+{
+    const std::string &self = t.n.settings.node.instance;
+    std::uint64_t correlation = next_id(t.n);
+    call.current = attempt{correlation, upstream, share, t.now};
+    t.n.attempts[correlation] = call.id;
+    note_sent(t.n.routes, upstream);
+    wire::call_message message = call.request;
+    message.correlation = correlation;
+    message.allowance = share;
+    message.left_us = static_cast<std::uint64_t>((call.deadline - t.now).count());
+    note_event(t.n.events, t.now, event_kind::call_sent, call.request.request_id, upstream, "");
+    if (upstream == self) {
+        on_call(t, self, message);
+        return;
+    }
+    send_to(t, upstream, frame_of(std::move(message)));
+}
+
 /// Sends the call to an upstream that was not tried yet.
-void dispatch(turn &t, call_ref id)
+void start_call(turn &t, call_ref id)
 {
     pending_call &call = t.n.calls.at(id);
     const std::string &self = t.n.settings.node.instance;
@@ -96,26 +148,19 @@
         refuse_call(t, id, wire::refusal::no_upstream, call.request.service);
         return;
     }
-    std::uint64_t correlation = next_id(t.n);
-    std::uint32_t share = take_share(call.retries);
-    call.current = attempt{correlation, *upstream, share, t.now};
+    std::uint32_t share =
+        t.n.guards.divide_allowance ? take_share(call.retries) : call.retries.left;
     call.tried.push_back(*upstream);
-    t.n.attempts[correlation] = id;
-    note_sent(t.n.routes, *upstream);
-    wire::call_message message = call.request;
-    message.correlation = correlation;
-    message.allowance = share;
-    message.left_us = static_cast<std::uint64_t>((call.deadline - t.now).count());
-    note_event(t.n.events, t.now, event_kind::call_sent, call.request.request_id, *upstream, "");
-    if (*upstream == self) {
-        on_call(t, self, message);
-        return;
-    }
-    send_to(t, *upstream, frame_of(std::move(message)));
+    send_attempt(t, call, *upstream, share);
 }
 
+namespace {
+
 bool worth_resending(const pending_call &call, const wire::reply_message &reply)
 {
+    if (call.request.to_issuer) {
+        return false;  // only the issuer may run it, and it re-sends by itself
+    }
     switch (reply.refusal) {
         case wire::refusal::leaving:
         case wire::refusal::busy:
@@ -141,7 +186,7 @@
     ++t.n.counters.calls_resent;
     note_event(t.n.events, t.now, event_kind::call_resent, call.request.request_id,
                call.request.service, "");
-    dispatch(t, id);
+    start_call(t, id);
     return true;
 }
 
@@ -152,6 +197,8 @@
     return_share(call.retries, call.current->share, reply.unspent);
     t.n.attempts.erase(call.current->correlation);
     call.current.reset();
+    // The issuer of the key says `not run` only when it knows.
+    call.settled = call.request.to_issuer && reply.refusal != wire::refusal::connection_lost;
     call.may_have_run = call.may_have_run || reply.outcome == wire::outcome::unknown;
     if (worth_resending(call, reply) && try_resend(t, id)) {
         return;
@@ -164,7 +211,11 @@
 void set_context(turn &t, pending_call &call, const caller_call &asked)
 {
     wire::call_message &request = call.request;
-    const bundle &policy = t.n.bundles.in_force->content;
+    // A request keeps the version of its entry, also when a newer one has come
+    // into force here since.
+    std::uint64_t version =
+        call.parent ? t.n.runs.at(*call.parent).call.bundle_version : version_in_force(t.n.bundles);
+    const bundle &policy = content_of(t.n.bundles, version);
     call_policy rule = policy_for(policy, request.service, request.operation);
     request.non_idempotent = rule.non_idempotent;
     duration time = asked.time_left.value_or(milliseconds(rule.time_ms));
@@ -179,7 +230,8 @@
         request.bundle_version = run.call.bundle_version;
         request.depth = static_cast<std::uint8_t>(run.call.depth + 1);
         call.deadline = std::min(call.deadline, run.deadline);
-        call.retries.left = take_share(run.retries);
+        call.retries.left =
+            t.n.guards.divide_allowance ? take_share(run.retries) : run.retries.left;
         run.children.insert(call.id);
         return;
     }
@@ -192,7 +244,7 @@
     request.class_priority = rule.class_priority;
     request.protect = rule.protect;
     request.rank = rank_of(request.request_id);
-    request.bundle_version = version_in_force(t.n.bundles);
+    request.bundle_version = version;
     bool lost_context = !asked.context.empty();
     t.n.counters.contexts_unknown += lost_context ? 1 : 0;
     call.retries.left = lost_context ? 0 : policy.limits.retry_allowance;
@@ -201,15 +253,40 @@
 void refuse_unready(turn &t, call_ref id, wire::refusal why, const caller_call &asked)
 {
     ++t.n.counters.refusals[std::string(wire::EnumNamerefusal(why)) + "/-"];
-    t.out.emplace_back(answer_call{id, caller_answer{wire::outcome::not_run,
-                                                     why,
-                                                     "",
-                                                     asked.request_id,
-                                                     0,
-                                                     draw_retry_after(t),
-                                                     version_in_force(t.n.bundles),
-                                                     "",
-                                                     {}}});
+    bool knows = knows_not_run(t.n.once, asked.key, asked.attempt);
+    t.out.emplace_back(
+        answer_call{id, caller_answer{knows ? wire::outcome::not_run : wire::outcome::unknown,
+                                      why,
+                                      "",
+                                      asked.request_id,
+                                      0,
+                                      draw_retry_after(t),
+                                      version_in_force(t.n.bundles),
+                                      "",
+                                      {}}});
+}
+
+/// Lets a caller's repeat wait for the call in flight with the same request id,
+/// in place of running it a second time with an allowance of its own.
+/// \returns whether the repeat was taken care of
+bool join_call_in_flight(turn &t, const call_arrived &e)
+{
+    auto entered = t.n.entered.find(e.request.request_id);
+    if (!t.n.guards.join_repeats || entered == t.n.entered.end()) {
+        return false;
+    }
+    pending_call &call = t.n.calls.at(entered->second);
+    bool same = call.request.service == e.request.service &&
+                call.request.operation == e.request.operation &&
+                call.request.key == e.request.key && call.request.body == e.request.body;
+    if (!same) {
+        refuse_unready(t, e.call, wire::refusal::key_mismatch, e.request);
+        return true;
+    }
+    ++t.n.counters.repeats_joined;
+    call.waiters.push_back(e.call);
+    t.n.joined[e.call] = call.id;
+    return true;
 }
 
 }  // namespace
@@ -218,7 +295,7 @@
 {
     ++t.n.counters.calls_taken;
     std::optional<run_ref> parent = parse_context(t.n, e.request.context);
-    if (!t.n.bundles.in_force) {
+    if (!t.n.bundles.in_force || is_stale(t.n.gossip, t.now)) {
         refuse_unready(t, e.call, wire::refusal::starting, e.request);
         return;
     }
@@ -226,29 +303,48 @@
         refuse_unready(t, e.call, wire::refusal::leaving, e.request);
         return;
     }
+    if (!parent && join_call_in_flight(t, e)) {
+        return;
+    }
     pending_call call;
     call.id = e.call;
+    call.waiters.push_back(e.call);
     call.parent = parent;
     call.taken_at = t.now;
     call.request.service = e.request.service;
     call.request.operation = e.request.operation;
     call.request.key = e.request.key;
+    call.request.attempt = e.request.attempt;
     call.request.body = std::move(e.request.body);
     set_context(t, call, e.request);
-    entry_request judged{call.request.call_type, priority_of(call.request), call.request.protect};
+    take_call(t, std::move(call));
+}
+
+void take_call(turn &t, pending_call &&taken)
+{
+    call_ref id = taken.id;
+    auto [found, fresh] = t.n.calls.emplace(id, std::move(taken));
+    const pending_call &call = found->second;
     note_event(t.n.events, t.now, event_kind::call_taken, call.request.request_id,
                call.request.service, call.request.operation);
     earn_retry(t.n.budgets[call.request.service],
                t.n.bundles.in_force->content.limits.retry_budget_percent);
-    t.n.call_deadlines.emplace(call.deadline, e.call);
-    t.n.calls.emplace(e.call, std::move(call));
-    if (!parent) {
-        if (auto by = refused_at_entry(t, judged)) {
-            refuse_call(t, e.call, wire::refusal::overload, *by);
+    t.n.call_deadlines.emplace(call.deadline, id);
+    if (!call.parent && !call.request.non_idempotent) {
+        // Repeats of calls that must not run twice are joined by their key.
+        t.n.entered.try_emplace(call.request.request_id, id);
+    }
+    if (!call.parent) {
+        if (auto by = refused_at_entry(t, call.request)) {
+            refuse_call(t, id, wire::refusal::overload, *by);
             return;
         }
     }
-    dispatch(t, e.call);
+    if (call.request.non_idempotent) {
+        take_once_call(t, id);
+        return;
+    }
+    start_call(t, id);
 }
 
 void cancel_call(turn &t, call_ref id)
@@ -258,6 +354,9 @@
         return;
     }
     pending_call &call = found->second;
+    if (runs_on_without_caller(call)) {
+        return;
+    }
     if (call.current) {
         attempt last = *call.current;
         wire::cancel_message message;
@@ -274,7 +373,17 @@
 
 void on_call_abandoned(turn &t, call_ref id)
 {
-    cancel_call(t, id);
+    auto repeat = t.n.joined.find(id);
+    auto found = t.n.calls.find(repeat == t.n.joined.end() ? id : repeat->second);
+    if (found == t.n.calls.end()) {
+        return;
+    }
+    std::vector<call_ref> &waiters = found->second.waiters;
+    waiters.erase(std::remove(waiters.begin(), waiters.end(), id), waiters.end());
+    t.n.joined.erase(id);
+    if (waiters.empty()) {
+        cancel_call(t, found->first);
+    }
 }
 
 void on_reply(turn &t, const std::string &from, wire::reply_message &reply)
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -12,7 +12,7 @@
               const std::map<std::string, admission_level> &touched)
 {
     const std::string &self = t.n.settings.node.instance;
-    reply.leaving = t.n.stopping || t.n.worker_leaves;
+    reply.leaving = t.n.stopping || t.n.worker_leaves || t.n.contacts.worker_silent;
     reply.running = t.n.slots_used;
     reply.touched.push_back(t.n.settings.node.service);
     reply.levels.push_back(t.n.level.level.highest);
@@ -163,6 +163,10 @@
 
 void on_call(turn &t, const std::string &from, wire::call_message &call)
 {
+    if (call.to_issuer) {
+        on_call_to_issuer(t, from, call);
+        return;
+    }
     if (std::optional<wire::refusal> why = reason_to_refuse(t, call)) {
         refuse(t, from, call, *why);
         return;
@@ -198,6 +202,25 @@
     start_queued(t);
 }
 
+/// Breaks off what \a origin sent: nobody there waits for the replies any more,
+/// and slots that work for nobody are missing for requests that can be answered.
+/// A non-idempotent run that has started goes on, so that it ends whole.
+void on_origin_lost(turn &t, const std::string &origin)
+{
+    std::vector<run_ref> lost;
+    for (auto it = t.n.served.lower_bound({origin, 0});
+         it != t.n.served.end() && it->first.first == origin; ++it) {
+        const active_run &run = t.n.runs.at(it->second);
+        if (!run.started_at || !run.call.non_idempotent) {
+            lost.push_back(it->second);
+        }
+    }
+    for (run_ref id : lost) {
+        break_off(t, id);
+    }
+    start_queued(t);
+}
+
 void on_worker_answered(turn &t, worker_answered &e)
 {
     if (t.n.runs.count(e.run) == 0) {
@@ -207,6 +230,7 @@
     active_run run = forget_run(t, e.run);
     --t.n.slots_used;
     note_finished(t.n.level, t.now - run.started_at.value_or(t.now));
+    on_worker_end(t, e.end);
     t.n.counters.runs_lost += e.end == worker_end::lost ? 1 : 0;
     note_event(t.n.events, t.now, event_kind::run_finished, run.call.request_id,
                t.n.settings.node.instance, std::to_string(e.status));
--- a/gullstall/src/node/step.cpp
+++ b/gullstall/src/node/step.cpp
@@ -41,6 +41,10 @@
     {
         internal::on_call_arrived(t, e);
     }
+    void operator()(key_asked &e) const
+    {
+        internal::on_key_asked(t, e.call);
+    }
     void operator()(call_abandoned &e) const
     {
         internal::on_call_abandoned(t, e.call);
@@ -64,6 +68,8 @@
     void operator()(peer_unreachable &e) const
     {
         internal::on_peer_unreachable(t, e);
+        internal::on_origin_lost(t, e.instance);
+        internal::on_member_unreachable(t, e.instance);
     }
     void operator()(platform_answered &e) const
     {
@@ -77,6 +83,10 @@
     {
         internal::on_stop_requested(t);
     }
+    void operator()(worker_checked &e) const
+    {
+        internal::on_worker_checked(t, e);
+    }
     void operator()(tick &) const
     {
         on_tick(t);
@@ -103,9 +113,15 @@
     self.service = settings.node.service;
     self.address = settings.listen.address;
     self.port = settings.listen.peers_port;
+    self.admin_port = settings.listen.admin_port;
     self.incarnation = incarnation;
     self.state = wire::member_state::leaving;  // until the worker has announced itself
     out.members.members[self.instance] = self;
+    out.once.instance = self.instance;
+    out.once.incarnation = incarnation;
+    gossip_limits limits;
+    limits.probe_interval = milliseconds(settings.membership.gossip_interval_ms);
+    out.gossip = make_gossip(self.instance, out.members, limits);
     return out;
 }
 
@@ -113,6 +129,7 @@
 {
     actions out;
     turn t{it, now, out};
+    internal::on_step_time(t);
     std::visit(event_visitor{t}, what);
     internal::finish_stop(t);
     return out;
--- a/gullstall/src/runtime/daemon.cpp
+++ b/gullstall/src/runtime/daemon.cpp
@@ -3,7 +3,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <cstdlib>
 #include <random>
 #include <thread>
@@ -27,6 +31,18 @@
 /// connection limits allow, so rings that carry answers are never full.
 constexpr std::size_t ring_entries = 131072;
 
+/// Entries that calls leave free in the ring from the callers. Each call may be
+/// followed by one notice that its caller has gone, which must find room even
+/// when the decisions lag and the ring is full of calls.
+constexpr std::size_t callers_reserve = ring_entries / 4 * 3;
+
+/// Entries that frames leave free in the ring from the peers, for the notices
+/// that a connection broke: a full ring itself breaks connections.
+constexpr std::size_t peers_reserve = 4096;
+
+/// Entries that log lines leave free for answers on the admin port.
+constexpr std::size_t admin_reserve = 1024;
+
 /// The admin port is for operators: few connections, small requests.
 constexpr http_limits admin_limits{4096, 8192, 64, seconds(5)};
 
@@ -34,7 +50,10 @@
 /// the node's own deadline comes first.
 constexpr duration worker_grace = seconds(1);
 
-using worker_order = std::variant<run_on_worker, cancel_on_worker>;
+using worker_order = std::variant<run_on_worker, cancel_on_worker, check_worker>;
+
+/// Time in which a worker that lives takes a connection.
+constexpr duration worker_check_timeout = milliseconds(500);
 using admin_order = std::variant<answer_admin, write_log>;
 
 /// Time since the epoch of the process's start, on a clock that never goes back.
@@ -94,11 +113,14 @@
 private:
     void apply(event &&what);
     void carry_out(action &&what);
+    void log_line(write_log &&line);
     void schedule_tick();
+    void refuse_busy(std::uint64_t id, wire::outcome outcome);
     void on_callers_request(std::uint64_t id, http_request &&request);
     void on_admin_request(std::uint64_t id, const http_request &request);
     void on_worker_order(worker_order &&order);
     asio::awaitable<void> run_call(run_on_worker order, std::shared_ptr<exchange_handle> handle);
+    asio::awaitable<void> try_worker();
     asio::awaitable<void> ask(ask_platform order);
     void on_admin_order(admin_order &&order);
     void wait_signal();
@@ -117,6 +139,7 @@
     daemon_clock clock_;
     node node_;
     std::optional<time_point> stop_at_;
+    std::uint64_t lost_lines_ = 0;
 
     duty decisions_;
     duty callers_;
@@ -197,7 +220,7 @@
           peer_handlers{
               [this](wire::frame_message &&frame) {
                   event arrived{frame_arrived{std::move(frame)}};
-                  return from_peers_.push(arrived);
+                  return from_peers_.push_leaving(arrived, peers_reserve);
               },
               [this](const std::string &instance, std::vector<std::uint64_t> unsent) {
                   push_always(from_peers_, event{peer_unreachable{instance, std::move(unsent)}});
@@ -251,13 +274,15 @@
             } else if constexpr (std::is_same_v<kind, send_frame>) {
                 send(std::move(it));
             } else if constexpr (std::is_same_v<kind, run_on_worker> ||
-                                 std::is_same_v<kind, cancel_on_worker>) {
+                                 std::is_same_v<kind, cancel_on_worker> ||
+                                 std::is_same_v<kind, check_worker>) {
                 push_always(to_worker_, worker_order{std::move(it)});
             } else if constexpr (std::is_same_v<kind, ask_platform>) {
                 push_always(to_platform_, std::move(it));
-            } else if constexpr (std::is_same_v<kind, answer_admin> ||
-                                 std::is_same_v<kind, write_log>) {
+            } else if constexpr (std::is_same_v<kind, answer_admin>) {
                 push_always(to_admin_, admin_order{std::move(it)});
+            } else if constexpr (std::is_same_v<kind, write_log>) {
+                log_line(std::move(it));
             } else {
                 static_assert(std::is_same_v<kind, stop_now>, "an action is not carried out");
                 // The last answers are still on their way out of the other threads.
@@ -268,6 +293,23 @@
         what);
 }
 
+/// Hands a line to the log's thread. The log may block on its reader: lines
+/// that find no room are counted, and the count is logged when there is room.
+void daemon::log_line(write_log &&line)
+{
+    if (lost_lines_ > 0) {
+        admin_order count{write_log{write_log::severity::warning, "node",
+                                    std::to_string(lost_lines_) + " log lines were lost"}};
+        if (to_admin_.push_leaving(count, admin_reserve)) {
+            lost_lines_ = 0;
+        }
+    }
+    admin_order order{std::move(line)};
+    if (!to_admin_.push_leaving(order, admin_reserve)) {
+        ++lost_lines_;
+    }
+}
+
 void daemon::schedule_tick()
 {
     tick_timer_.expires_after(tick_interval);
@@ -284,6 +326,12 @@
     });
 }
 
+void daemon::refuse_busy(std::uint64_t id, wire::outcome outcome)
+{
+    callers_server_.answer(id, encode_caller_answer(caller_answer{
+                                   outcome, wire::refusal::busy, "", "", 0, 1000, 0, "", {}}));
+}
+
 void daemon::on_callers_request(std::uint64_t id, http_request &&request)
 {
     result<callers_request> read = decode_callers_request(std::move(request));
@@ -293,11 +341,18 @@
     }
     callers_request &what = value_of(read);
     if (auto *call = std::get_if<caller_call>(&what)) {
+        // A repeat of a key may have run before: only a first attempt is not run for sure.
+        bool knows = call->key.empty() || call->attempt == 1;
         event arrived{call_arrived{call_ref{id}, std::move(*call)}};
-        if (!from_callers_.push(arrived)) {
-            callers_server_.answer(
-                id, encode_caller_answer(caller_answer{
-                        wire::outcome::not_run, wire::refusal::busy, "", "", 0, 1000, 0, "", {}}));
+        if (!from_callers_.push_leaving(arrived, callers_reserve)) {
+            refuse_busy(id, knows ? wire::outcome::not_run : wire::outcome::unknown);
+        }
+        return;
+    }
+    if (std::holds_alternative<key_request>(what)) {
+        event asked{key_asked{call_ref{id}}};
+        if (!from_callers_.push_leaving(asked, callers_reserve)) {
+            refuse_busy(id, wire::outcome::not_run);
         }
         return;
     }
@@ -336,6 +391,10 @@
         asio::co_spawn(worker_.io, run_call(std::move(*run), handle), asio::detached);
         return;
     }
+    if (std::holds_alternative<check_worker>(order)) {
+        asio::co_spawn(worker_.io, try_worker(), asio::detached);
+        return;
+    }
     auto it = running_.find(std::get<cancel_on_worker>(order).run);
     if (it != running_.end()) {
         http_client::cancel(*it->second);
@@ -362,6 +421,21 @@
     push_always(from_worker_, event{std::move(answer)});
 }
 
+asio::awaitable<void> daemon::try_worker()
+{
+    using namespace asio::experimental::awaitable_operators;
+    boost::system::error_code ec;
+    boost::system::error_code timer_ec;
+    tcp::socket socket(worker_.io);
+    asio::steady_timer limit(worker_.io, worker_check_timeout);
+    tcp::endpoint at = endpoint_of(settings_.worker.address, settings_.worker.port);
+    auto ended =
+        co_await (socket.async_connect(at, asio::redirect_error(asio::use_awaitable, ec)) ||
+                  limit.async_wait(asio::redirect_error(asio::use_awaitable, timer_ec)));
+    bool reachable = ended.index() == 0 && !ec;
+    push_always(from_worker_, event{worker_checked{reachable}});
+}
+
 asio::awaitable<void> daemon::ask(ask_platform order)
 {
     platform_answer answer = co_await ask_over_http(platform_client_, std::move(order.what),
--- a/test/support/world.hpp
+++ b/test/support/world.hpp
@@ -34,14 +34,19 @@
     worker_function on_run;
     std::function<void(const std::string &instance, run_ref run)> on_cancel;
     answer_function on_answer;
+    std::function<void(const platform_request &what)> watch_ask;  ///< sees what nodes ask
 
     duration link_delay = microseconds(500);
     duration platform_delay = milliseconds(2);
     double loss = 0;                                     ///< share of frames that vanish
     std::set<std::pair<std::string, std::string>> cuts;  ///< zones that cannot hear each other
     std::set<std::string> platform_cuts;                 ///< zones cut off from the platform
+    std::set<std::string> dead_workers;                  ///< instances whose worker is gone
     std::map<std::string, std::uint64_t> bytes_sent;     ///< by instance, when count_bytes
     bool count_bytes = false;
+    duration tick_every = tick_interval;  ///< wider for long runs over slow decisions
+    /// When set, answers in place of the platform; it may call platform.ask().
+    std::function<platform_answer(const platform_request &what)> on_ask;
 
     /// Calls \a what at \a when.
     void at(time_point when, std::function<void()> what)
@@ -165,7 +170,7 @@
 
     void tick_on(const std::string &name, std::uint64_t life)
     {
-        after(tick_interval, [this, name, life] {
+        after(tick_every, [this, name, life] {
             if (lives_[name] != life) {
                 return;
             }
@@ -188,6 +193,9 @@
             if (on_cancel) {
                 on_cancel(name, cancel->run);
             }
+        } else if (std::holds_alternative<check_worker>(what)) {
+            after(link_delay,
+                  [this, name] { feed(name, worker_checked{dead_workers.count(name) == 0}); });
         } else if (auto *answer = std::get_if<answer_call>(&what)) {
             if (on_answer) {
                 on_answer(name, answer->call, std::move(answer->answer));
@@ -230,9 +238,13 @@
 
     void ask_for(const std::string &from, ask_platform &&order)
     {
+        if (watch_ask) {
+            watch_ask(order.what);
+        }
         bool cut = platform_cuts.count(nodes.at(from).settings.node.zone) > 0;
-        platform_answer answer =
-            cut ? platform_answer{platform_status::unavailable, {}, {}} : platform.ask(order.what);
+        platform_answer answer = cut      ? platform_answer{platform_status::unavailable, {}, {}}
+                                 : on_ask ? on_ask(order.what)
+                                          : platform.ask(order.what);
         std::uint64_t life = lives_[from];
         platform_ref id = order.request;
         after(platform_delay, [this, from, life, id, answer] {
@@ -277,18 +289,39 @@
         return {trusted_key{"board", keys.public_key}};
     }
 
-    /// Signs \a text and makes it the published bundle.
-    void publish(standin::platform_store &platform, const std::string &text) const
+    /// \returns \a text in canonical form, signed
+    std::string sign(const std::string &text) const
     {
-        signed_bundle made{
-            text, {bundle_signature{"board", value_of(sign_text(text, keys.private_key))}}};
-        std::string stored = print_signed(made);
-        std::string digest = digest_of(stored);
-        platform.objects[bundle_object_name(digest)] = stored;
-        table_row &row = platform.rows[bundle_head_key];
-        std::uint64_t version = value_of(parse_bundle("test", text)).head.version;
-        row = table_row{bundle_head_key, row.version + 1,
-                        print_head(bundle_head{version, digest, "test"})};
+        return value_of(add_signature("test", text, "board", keys.private_key));
+    }
+
+    /// Signs \a text and makes it the published bundle; `previous = none` is
+    /// replaced by the digest of the version that is published.
+    void publish(standin::platform_store &platform, std::string text) const
+    {
+        const std::string none = "previous = none";
+        std::size_t at = text.find(none);
+        auto before = platform.rows.find(bundle_head_key);
+        if (before != platform.rows.end() && at != std::string::npos) {
+            text.replace(at, none.size(),
+                         "previous = " + value_of(parse_head(before->second.value)).digest);
+        }
+        put(platform, sign(text), "test");
+    }
+
+    /// Puts a signed bundle straight into the platform as the published one.
+    static void put(standin::platform_store &platform, const std::string &stored,
+                    const std::string &token)
+    {
+        std::string canonical = value_of(parse_signed(stored)).text;
+        bundle_head head =
+            head_of(value_of(parse_bundle("test", canonical)), stored, canonical, token);
+        platform.objects[bundle_object_name(head.object)] = stored;
+        for (const std::string &key :
+             {std::string(bundle_head_key), bundle_version_key(head.version)}) {
+            table_row &row = platform.rows[key];
+            row = table_row{key, row.version + 1, print_head(head)};
+        }
     }
 };
 
