Queue what is not protected in order of arrival

Cause: requests with slots spent above went before fresh ones, so that fresh lookups waited while prices, whose chains are deeper, overtook them. Change: only protected calls overtake; beyond the bound the least important fresh call loses its place.

--- a/gullstall/src/node/admission.cpp
+++ b/gullstall/src/node/admission.cpp
@@ -31,12 +31,9 @@
     return make_priority(it.class_priority, it.rank);
 }
 
-queue_place place_of(const node &n, const wire::call_message &call)
+waiting_run waiting_of(const node &n, const active_run &run)
 {
-    if (!n.rules.by_priority) {
-        return fresh_place;
-    }
-    return make_place(call.class_priority, call.protect, is_worked(n, call));
+    return waiting_run{run.id, priority_of(run.call), run.call.protect, is_worked(n, run.call)};
 }
 
 void on_level_tick(turn &t)
@@ -44,7 +41,7 @@
     if (t.now < t.n.level.window_end) {
         return;
     }
-    queue_state queue{t.n.queue.waiting.size(), waiting_before(t.n.queue, worked_place),
+    queue_state queue{t.n.queue.waiting.size(), protected_waiting(t.n.queue),
                       t.n.rules.protected_target ? protected_targets : 1.0, t.n.slots,
                       t.n.rules.drain_by_slots};
     update_level(t.n.level, t.n.rules.level, queue, t.now);
--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -44,7 +44,7 @@
 std::optional<std::string> refused_at_entry(turn &t, const wire::call_message &call);
 void learn_from(turn &t, const pending_call &call, const wire::reply_message &reply);
 priority priority_of(const wire::call_message &it);
-queue_place place_of(const node &n, const wire::call_message &call);
+waiting_run waiting_of(const node &n, const active_run &run);
 
 // control.cpp: the platform's answers, the worker's notices and the stop
 void on_control_tick(turn &t);
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -106,7 +106,7 @@
         note_event(t.n.events, t.now, event_kind::run_cancelled, run.call.request_id,
                    t.n.settings.node.instance, "");
     } else {
-        remove_run(t.n.queue, place_of(t.n, run.call), id);
+        remove_run(t.n.queue, id);
     }
     return run;
 }
@@ -179,7 +179,7 @@
     run.queued_at = t.now;
     run.retries.left = call.allowance;
     run.call = std::move(call);
-    queue_place place = place_of(t.n, run.call);
+    waiting_run waiting = waiting_of(t.n, run);
     t.n.served[{from, run.call.correlation}] = id;
     t.n.run_deadlines.emplace(run.deadline, id);
     t.n.runs.emplace(id, std::move(run));
@@ -187,7 +187,7 @@
         start_run(t, id);
         return;
     }
-    if (std::optional<run_ref> displaced = enqueue(t.n.queue, place, id)) {
+    if (std::optional<run_ref> displaced = enqueue(t.n.queue, waiting)) {
         refuse_queued(t, *displaced, wire::refusal::overload);
     }
 }
--- a/gullstall/src/overload/run_queue.hpp
+++ b/gullstall/src/overload/run_queue.hpp
@@ -1,7 +1,6 @@
 #ifndef GULLSTALL_OVERLOAD_RUN_QUEUE_HPP
 #define GULLSTALL_OVERLOAD_RUN_QUEUE_HPP
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -12,55 +11,43 @@
 
 namespace gullstall {
 
-/// Where a call waits: protected calls by class, then calls that have cost slots
-/// at services above, then the others by class. A lower value goes first, equal
-/// ones in order of arrival: by rank, the least of what is admitted would wait
-/// until it is of no use.
-struct queue_place
+/// A call that waits for a slot.
+struct waiting_run
 {
-    std::uint16_t value;
+    run_ref run;
+    priority rank;
+    bool is_protected;
+    bool worked;  ///< slots at services above were spent on it
 
-    auto operator<=>(const queue_place &) const = default;
+    bool operator==(const waiting_run &) const = default;
 };
 
-/// First place of calls that are not protected and have cost slots above.
-constexpr queue_place worked_place{class_count};
-
-/// First place of calls that are not protected and have cost nothing yet.
-constexpr queue_place fresh_place{2 * class_count};
-
-/// \returns the place of a call
-constexpr queue_place make_place(std::uint8_t class_priority, bool is_protected, bool worked)
-{
-    std::uint16_t first = 0;
-    if (!is_protected) {
-        first = (worked ? worked_place : fresh_place).value;
-    }
-    return queue_place{static_cast<std::uint16_t>(first + class_priority)};
-}
-
-/// Admitted calls that wait for a slot of the worker, most important first.
+/// Admitted calls that wait for a slot of the worker. Protected calls go before
+/// all others, by class; the others in order of arrival. Which of these are
+/// taken at all is the level's matter: ordered by importance, the least of what
+/// is admitted would wait until it is of no use, with slots above held for it.
 struct run_queue
 {
-    std::multimap<queue_place, run_ref> waiting;
-    std::size_t limit = 0;  ///< of all calls
-    std::size_t bound = 0;  ///< beyond it the last call loses its place if it is fresh
+    std::multimap<std::uint16_t, waiting_run> waiting;  ///< by place
+    std::size_t limit = 0;                              ///< of all calls
+    std::size_t bound = 0;  ///< beyond it the least important fresh call loses its place
+    bool by_priority = true;
 };
 
-/// Queues \a run.
-/// \returns the least important run when the queue was full: it has lost its
-/// place and is to be refused; it may be \a run itself
-std::optional<run_ref> enqueue(run_queue &it, queue_place place, run_ref run);
+/// Queues \a it.
+/// \returns the run that has lost its place and is to be refused, when the
+/// queue was full; it may be the run itself
+std::optional<run_ref> enqueue(run_queue &queue, const waiting_run &it);
 
 /// \returns the most important run, taken out of the queue
 std::optional<run_ref> dequeue(run_queue &it);
 
-/// \returns how many runs wait at places before \a end; it takes as many steps
-std::size_t waiting_before(const run_queue &it, queue_place end);
+/// \returns how many protected calls wait; it takes as many steps
+std::size_t protected_waiting(const run_queue &it);
 
 /// Takes \a run out of the queue.
 /// \returns whether it was there
-bool remove_run(run_queue &it, queue_place place, run_ref run);
+bool remove_run(run_queue &it, run_ref run);
 
 }  // namespace gullstall
 
