Spill over to other zones by the wait told in replies

Cause: a zone with one till sent everything to it while the tills of the other zones had idle slots: protected calls were refused beside free slots. Change: replies tell the wait for a slot; a call leaves its zone with a chance that grows with the difference in wait, one in two at most. The protected queue aims at two target waits.

--- a/gullstall/src/node/admission.cpp
+++ b/gullstall/src/node/admission.cpp
@@ -13,7 +13,7 @@
 /// Queue of protected calls that lets the level go into their classes, in target
 /// waits. A short one is passed by chance at 80 % load, and would refuse calls
 /// that there is room for.
-constexpr double protected_targets = 3;
+constexpr double protected_targets = 2;
 
 /// Answers of a worker from this status on are not whole.
 constexpr std::uint16_t first_error_status = 400;
@@ -36,6 +36,15 @@
     return waiting_run{run.id, priority_of(run.call), run.call.protect, is_worked(n, run.call)};
 }
 
+duration expected_wait(const node &n)
+{
+    if (n.slots == 0) {
+        return duration{};
+    }
+    double held_us = n.level.held_us * static_cast<double>(n.queue.waiting.size()) / n.slots;
+    return duration(static_cast<std::int64_t>(held_us));
+}
+
 void on_level_tick(turn &t)
 {
     if (t.now < t.n.level.window_end) {
@@ -59,6 +68,7 @@
 
 void learn_from(turn &t, const pending_call &call, const wire::reply_message &reply)
 {
+    note_queue_wait(t.n.routes, call.current->instance, microseconds(reply.wait_us));
     touch_table &known = t.n.touches;
     const std::string &type = call.request.call_type;
     auto run = call.parent ? t.n.runs.find(*call.parent) : t.n.runs.end();
--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -43,6 +43,7 @@
 std::optional<wire::refusal> reason_to_refuse(turn &t, const wire::call_message &call);
 std::optional<std::string> refused_at_entry(turn &t, const wire::call_message &call);
 void learn_from(turn &t, const pending_call &call, const wire::reply_message &reply);
+duration expected_wait(const node &n);
 priority priority_of(const wire::call_message &it);
 waiting_run waiting_of(const node &n, const active_run &run);
 
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -14,6 +14,7 @@
     const std::string &self = t.n.settings.node.instance;
     reply.leaving = t.n.stopping || t.n.worker_leaves || t.n.contacts.worker_silent;
     reply.running = t.n.slots_used;
+    reply.wait_us = static_cast<std::uint32_t>(expected_wait(t.n).count());
     reply.touched.push_back(t.n.settings.node.service);
     reply.levels.push_back(t.n.level.level.highest);
     for (const auto &[service, level] : touched) {
--- a/gullstall/src/route/router.cpp
+++ b/gullstall/src/route/router.cpp
@@ -20,6 +20,21 @@
     return (record->second.in_flight + 1) * (record->second.latency_us + 1);
 }
 
+/// Longer wait that the own zone's nearness is worth.
+constexpr duration zone_advantage = milliseconds(2);
+
+/// Difference in wait, beyond that, at which every second call goes to another
+/// zone. All callers see the same waits: more would move the queue and not
+/// level it.
+constexpr double full_spill_us = 20000;
+constexpr double most_spilled = 0.5;
+
+duration queue_wait(const router &it, const std::string &instance)
+{
+    auto record = it.upstreams.find(instance);
+    return record == it.upstreams.end() ? duration{} : record->second.queue_wait;
+}
+
 bool is_usable(const router &it, const std::string &instance, time_point now)
 {
     auto record = it.upstreams.find(instance);
@@ -40,6 +55,14 @@
                                                                               : b->instance;
 }
 
+bool spills_over(const router &it, const std::string &nearby, const std::string &elsewhere,
+                 random_source &random)
+{
+    duration more = queue_wait(it, nearby) - queue_wait(it, elsewhere) - zone_advantage;
+    double share = most_spilled * static_cast<double>(more.count()) / full_spill_us;
+    return draw_fraction(random) < std::min(share, most_spilled);
+}
+
 }  // namespace
 
 std::optional<std::string> choose_upstream(const router &it, const member_table &members,
@@ -47,19 +70,21 @@
                                            time_point now)
 {
     std::vector<const member *> near;
-    std::vector<const member *> all;
+    std::vector<const member *> far;
     for (const member *candidate : upstreams_of(members, request.service)) {
         bool tried = std::find(request.tried.begin(), request.tried.end(), candidate->instance) !=
                      request.tried.end();
         if (tried || !is_usable(it, candidate->instance, now)) {
             continue;
         }
-        all.push_back(candidate);
-        if (candidate->zone == request.own_zone) {
-            near.push_back(candidate);
-        }
+        (candidate->zone == request.own_zone ? near : far).push_back(candidate);
+    }
+    auto nearby = better_of_two(it, near, random);
+    auto elsewhere = better_of_two(it, far, random);
+    if (!nearby || !elsewhere) {
+        return nearby ? nearby : elsewhere;
     }
-    return better_of_two(it, near.empty() ? all : near, random);
+    return spills_over(it, *nearby, *elsewhere, random) ? elsewhere : nearby;
 }
 
 void note_sent(router &it, const std::string &instance)
@@ -77,6 +102,11 @@
         record.latency_us == 0 ? us : record.latency_us + latency_weight * (us - record.latency_us);
 }
 
+void note_queue_wait(router &it, const std::string &instance, duration wait)
+{
+    it.upstreams[instance].queue_wait = wait;
+}
+
 void note_failed(router &it, const std::string &instance, time_point now)
 {
     upstream_record &record = it.upstreams[instance];
--- a/gullstall/src/route/router.hpp
+++ b/gullstall/src/route/router.hpp
@@ -18,6 +18,7 @@
 {
     std::uint32_t in_flight = 0;
     double latency_us = 0;  ///< moving average of answers
+    duration queue_wait{};  ///< for a slot, as the last reply told it
     std::uint32_t failures_in_row = 0;
     time_point ejected_until{};
     time_point leaving_until{};
@@ -39,7 +40,8 @@
 };
 
 /// Chooses an upstream: two at random, the one with the shorter estimated wait;
-/// the own zone first.
+/// the own zone first, another zone the more likely the longer the wait in the
+/// own zone is beyond that in the other.
 /// \returns the instance, none when no upstream is left
 std::optional<std::string> choose_upstream(const router &it, const member_table &members,
                                            const route_request &request, random_source &random,
@@ -51,6 +53,9 @@
 /// Notes an answer of \a instance after \a took.
 void note_answered(router &it, const std::string &instance, duration took);
 
+/// Notes how long a call waits for a slot at \a instance.
+void note_queue_wait(router &it, const std::string &instance, duration wait);
+
 /// Notes that \a instance gave no answer.
 void note_failed(router &it, const std::string &instance, time_point now);
 
