Refuse what waits 200 ms behind protected calls

Cause: while protected calls alone took every slot, calls let in before held slots above until their deadline of 3 s and then failed. Change: a call that is not protected is refused after 200 ms in a queue.

--- a/gullstall/src/node/admission.cpp
+++ b/gullstall/src/node/admission.cpp
@@ -55,6 +55,7 @@
                       t.n.rules.drain_by_slots};
     update_level(t.n.level, t.n.rules.level, queue, t.now);
     if (t.n.rules.keep_worked) {
+        refuse_overdue(t);
         t.n.queue.limit = t.n.slots * worked_per_slot;
         t.n.queue.bound = queue_bound(t.n.level, t.n.slots);
     }
--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -34,6 +34,7 @@
 void on_cancel(turn &t, const std::string &from, std::uint64_t correlation);
 void on_worker_answered(turn &t, worker_answered &e);
 void expire_runs(turn &t);
+void refuse_overdue(turn &t);
 void on_origin_lost(turn &t, const std::string &origin);
 std::string print_context(const node &n, run_ref run);
 std::optional<run_ref> parse_context(const node &n, const std::string &context);
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -76,6 +76,10 @@
     refuse(t, run.origin, run.call, why);
 }
 
+/// Longest wait of a call that is not protected. While protected calls take all
+/// slots such a call would hold slots above it until its deadline, for nothing.
+constexpr duration longest_wait = milliseconds(200);
+
 void start_queued(turn &t)
 {
     while (t.n.slots_used < t.n.slots) {
@@ -193,6 +197,17 @@
     }
 }
 
+void refuse_overdue(turn &t)
+{
+    while (std::optional<run_ref> oldest = first_common(t.n.queue)) {
+        if (t.now - t.n.runs.at(*oldest).queued_at <= longest_wait) {
+            return;
+        }
+        remove_run(t.n.queue, *oldest);
+        refuse_queued(t, *oldest, wire::refusal::overload);
+    }
+}
+
 void on_cancel(turn &t, const std::string &from, std::uint64_t correlation)
 {
     auto found = t.n.served.find({from, correlation});
--- a/gullstall/src/overload/run_queue.cpp
+++ b/gullstall/src/overload/run_queue.cpp
@@ -60,6 +60,12 @@
     return first;
 }
 
+std::optional<run_ref> first_common(const run_queue &it)
+{
+    auto first = it.waiting.lower_bound(common_place);
+    return first == it.waiting.end() ? std::nullopt : std::optional(first->second.run);
+}
+
 std::size_t protected_waiting(const run_queue &it)
 {
     return static_cast<std::size_t>(
--- a/gullstall/src/overload/run_queue.hpp
+++ b/gullstall/src/overload/run_queue.hpp
@@ -42,6 +42,9 @@
 /// \returns the most important run, taken out of the queue
 std::optional<run_ref> dequeue(run_queue &it);
 
+/// \returns the call that waits longest among those that are not protected
+std::optional<run_ref> first_common(const run_queue &it);
+
 /// \returns how many protected calls wait; it takes as many steps
 std::size_t protected_waiting(const run_queue &it);
 
