--- a/gullstall/src/node/admission.cpp
+++ b/gullstall/src/node/admission.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "gullstall/src/node/internal.hpp"
 
 namespace gullstall::internal {
@@ -11,7 +13,10 @@
 /// Queue of protected calls that lets the level go into their classes, in target
 /// waits. A short one is passed by chance at 80 % load, and would refuse calls
 /// that there is room for.
-constexpr double protected_targets = 3;
+constexpr double protected_targets = 2;
+
+/// Answers of a worker from this status on are not whole.
+constexpr std::uint16_t first_error_status = 400;
 
 /// \returns whether slots at services above were spent on the call already
 bool is_worked(const node &n, const wire::call_message &call)
@@ -26,12 +31,18 @@
     return make_priority(it.class_priority, it.rank);
 }
 
-queue_place place_of(const node &n, const wire::call_message &call)
+waiting_run waiting_of(const node &n, const active_run &run)
 {
-    if (!n.rules.by_priority) {
-        return fresh_place;
+    return waiting_run{run.id, priority_of(run.call), run.call.protect, is_worked(n, run.call)};
+}
+
+duration expected_wait(const node &n)
+{
+    if (n.slots == 0) {
+        return duration{};
     }
-    return make_place(call.class_priority, call.protect, is_worked(n, call));
+    double held_us = n.level.held_us * static_cast<double>(n.queue.waiting.size()) / n.slots;
+    return duration(static_cast<std::int64_t>(held_us));
 }
 
 void on_level_tick(turn &t)
@@ -39,16 +50,49 @@
     if (t.now < t.n.level.window_end) {
         return;
     }
-    queue_state queue{t.n.queue.waiting.size(), waiting_before(t.n.queue, worked_place),
+    queue_state queue{t.n.queue.waiting.size(), protected_waiting(t.n.queue),
                       t.n.rules.protected_target ? protected_targets : 1.0, t.n.slots,
                       t.n.rules.drain_by_slots};
     update_level(t.n.level, t.n.rules.level, queue, t.now);
     if (t.n.rules.keep_worked) {
+        refuse_overdue(t);
         t.n.queue.limit = t.n.slots * worked_per_slot;
         t.n.queue.bound = queue_bound(t.n.level, t.n.slots);
     }
 }
 
+std::optional<std::string> refused_at_entry(turn &t, const wire::call_message &call)
+{
+    entry_request request{call.call_type, priority_of(call), call.protect};
+    return refusing_service(t.n.touches, request, t.now);
+}
+
+void learn_from(turn &t, const pending_call &call, const wire::reply_message &reply)
+{
+    note_queue_wait(t.n.routes, call.current->instance, microseconds(reply.wait_us));
+    touch_table &known = t.n.touches;
+    const std::string &type = call.request.call_type;
+    auto run = call.parent ? t.n.runs.find(*call.parent) : t.n.runs.end();
+    std::size_t n = std::min(reply.touched.size(), reply.levels.size());
+    for (std::size_t i = 0; i < n; ++i) {
+        admission_level level{reply.levels[i]};
+        learn_level(known, reply.touched[i], level, t.now);
+        learn_touch(known, type, reply.touched[i]);
+        if (run != t.n.runs.end()) {
+            run->second.touched[reply.touched[i]] = level;
+        }
+    }
+    bool whole = reply.outcome == wire::outcome::ran && reply.status < first_error_status;
+    if (call.parent || !whole) {
+        return;  // it may have stopped before it reached all that it would have
+    }
+    for (const auto &[service, share] : known.touched[type]) {
+        if (std::find(reply.touched.begin(), reply.touched.end(), service) == reply.touched.end()) {
+            learn_no_touch(known, type, service);
+        }
+    }
+}
+
 std::optional<wire::refusal> reason_to_refuse(turn &t, const wire::call_message &call)
 {
     if (t.n.stopping || t.n.worker_leaves) {
--- a/gullstall/src/route/router.cpp
+++ b/gullstall/src/route/router.cpp
@@ -32,6 +32,15 @@
 constexpr double spill_factor = 1.5;
 constexpr double spill_margin_us = 2000;
 
+/// Longer wait for a slot that the own zone's nearness is worth.
+constexpr duration zone_advantage = milliseconds(2);
+
+/// Difference in wait, beyond that, at which every second call goes to another
+/// zone. All callers see the same waits: more would move the queue and not
+/// level it.
+constexpr double full_spill_us = 20000;
+constexpr double most_spilled = 0.5;
+
 /// Answers' time of an upstream that has not answered yet, microseconds.
 constexpr double unknown_latency_us = 1000;
 
@@ -48,16 +57,13 @@
     return std::clamp(share, least_start_share, 1.0);
 }
 
-/// \returns the time in which an answer is expected, microseconds, made longer
-/// by calls in flight, refusals and a cold start
-double estimated_time(const upstream_record &it, const member &upstream, double usual_us,
-                      time_point now)
+/// \returns how long an answer takes, microseconds, made longer by refusals and
+/// a cold start
+double answer_time(const upstream_record &it, double usual_us, time_point now)
 {
     double latency = it.latency_us == 0 ? usual_us : it.latency_us;
-    double slots = std::max<std::uint32_t>(upstream.slots, 1);
-    double load = 1.0 + (it.in_flight + 1) / slots;
     double refusals = 1.0 + it.refused_share * refusal_cost;
-    return latency * load * refusals / start_share(it, now);
+    return latency * refusals / start_share(it, now);
 }
 
 struct candidate
@@ -81,9 +87,11 @@
 struct choice
 {
     const candidate *chosen;
-    double time_us;
+    double time_us;  ///< in which an answer is expected
 };
 
+/// Of two at random the one with less work in flight from here. What this node
+/// has in flight is the only news of an upstream that is never old.
 choice better_of_two(const std::vector<candidate> &candidates, double usual_us,
                      random_source &random, time_point now)
 {
@@ -92,9 +100,31 @@
     std::size_t k = n == 1 ? i : (i + 1 + draw_below(random, n - 1)) % n;
     const candidate &a = candidates[i];
     const candidate &b = candidates[k];
-    double time_a = estimated_time(*a.record, *a.upstream, usual_us, now);
-    double time_b = estimated_time(*b.record, *b.upstream, usual_us, now);
-    return time_a <= time_b ? choice{&a, time_a} : choice{&b, time_b};
+    double time_a = answer_time(*a.record, usual_us, now);
+    double time_b = answer_time(*b.record, usual_us, now);
+    double work_a = time_a * (a.record->in_flight + 1);
+    double work_b = time_b * (b.record->in_flight + 1);
+    return work_a <= work_b ? choice{&a, time_a} : choice{&b, time_b};
+}
+
+/// \returns how much longer an answer takes for the calls in flight from here
+double load_factor(const candidate &it)
+{
+    double slots = std::max<std::uint32_t>(it.upstream->slots, 1);
+    return 1.0 + it.record->in_flight / slots;
+}
+
+bool spills_over(const choice &near, const choice &far, random_source &random)
+{
+    double near_us = near.time_us * load_factor(*near.chosen);
+    double far_us = far.time_us * load_factor(*far.chosen);
+    if (far_us * spill_factor + spill_margin_us < near_us) {
+        return true;
+    }
+    duration more =
+        near.chosen->record->queue_wait - far.chosen->record->queue_wait - zone_advantage;
+    double share = most_spilled * static_cast<double>(more.count()) / full_spill_us;
+    return draw_fraction(random) < std::min(share, most_spilled);
 }
 
 /// \returns the record of a member; a member that is new, or came back as a new
@@ -161,7 +191,7 @@
     choice best = better_of_two(near, usual_us, random, now);
     if (!far.empty()) {
         choice other = better_of_two(far, usual_us, random, now);
-        if (other.time_us * spill_factor + spill_margin_us < best.time_us) {
+        if (spills_over(best, other, random)) {
             best = other;
         }
     }
@@ -184,6 +214,11 @@
         record.latency_us == 0 ? us : record.latency_us + latency_weight * (us - record.latency_us);
 }
 
+void note_queue_wait(router &it, const std::string &instance, duration wait)
+{
+    it.upstreams[instance].queue_wait = wait;
+}
+
 void note_refused(router &it, const std::string &instance)
 {
     upstream_record &record = it.upstreams[instance];
