Allow for the spread between a service's instances

Cause: the entry judges by the average over a service's instances; a request let in by it reached the instance with the lowest level after slots above were spent on it, and was refused there. Change: a request with slots spent passes up to half a class beyond the levels of the last 500 ms; the entry leaves protected calls within 16 ranks of the average to their service.

--- a/gullstall/src/node/admission.cpp
+++ b/gullstall/src/node/admission.cpp
@@ -24,6 +24,16 @@
     return n.rules.keep_worked && call.depth > 0;
 }
 
+/// Ranks by which the levels of a service's instances differ. The entry judges
+/// by their average, and the request may reach the instance with the lowest.
+constexpr int instance_spread = 64;
+
+admission_level widened(admission_level it)
+{
+    int level = it.highest + instance_spread;
+    return std::min(admit_all, admission_level{static_cast<std::uint16_t>(level)});
+}
+
 }  // namespace
 
 priority priority_of(const wire::call_message &it)
@@ -106,7 +116,8 @@
     // The entry judged this request by a level that this service had a moment
     // ago. Refusing it now wastes the slots spent since; the queue bounds how
     // many come too much. One that the entry did not judge is refused here.
-    admitted = admitted || (is_worked(t.n, call) && admits(recent_level(t.n.level), of_call));
+    admitted =
+        admitted || (is_worked(t.n, call) && admits(widened(recent_level(t.n.level)), of_call));
     note_arrival(t.n.level, of_call, call.protect, admitted);
     if (!admitted) {
         return wire::refusal::overload;
--- a/gullstall/src/overload/touch_table.cpp
+++ b/gullstall/src/overload/touch_table.cpp
@@ -23,6 +23,10 @@
 constexpr double touch_share = 0.5;
 constexpr double touch_weight = 0.05;
 
+/// Ranks by which a protected call must be beyond the average to be refused
+/// here: on the edge its own service decides.
+constexpr double protected_margin = 16;
+
 double believed_level(const heard_level &it, time_point now)
 {
     duration silent = now - it.at - level_memory;
@@ -34,8 +38,10 @@
     if (request.rank.value <= believed_level(it, now)) {
         return false;
     }
-    // An average lags: a protected call is refused only if the last news would too.
-    return !request.is_protected || !admits(it.latest, request.rank);
+    // An average lags: a protected call is refused only if the last news would
+    // too, and clearly.
+    bool clear = request.rank.value > believed_level(it, now) + protected_margin;
+    return !request.is_protected || (clear && !admits(it.latest, request.rank));
 }
 
 }  // namespace
