Bound ejection to half of a service's upstreams

Cause: three failures in a row ejected each upstream by itself, so that one bad signal could empty a service (choose_upstream returned none). Change: beyond half, ejection is passed over.

--- a/gullstall/src/route/router.cpp
+++ b/gullstall/src/route/router.cpp
@@ -35,11 +35,29 @@
     return record == it.upstreams.end() ? duration{} : record->second.queue_wait;
 }
 
-bool is_usable(const router &it, const std::string &instance, time_point now)
+bool is_leaving(const router &it, const std::string &instance, time_point now)
 {
     auto record = it.upstreams.find(instance);
-    return record == it.upstreams.end() ||
-           (now >= record->second.ejected_until && now >= record->second.leaving_until);
+    return record != it.upstreams.end() && now < record->second.leaving_until;
+}
+
+bool is_ejected(const router &it, const std::string &instance, time_point now)
+{
+    auto record = it.upstreams.find(instance);
+    return record != it.upstreams.end() && now < record->second.ejected_until;
+}
+
+/// Takes out ejected upstreams, unless they are more than half: then the signal
+/// is what is wrong (a caller cut off, a bad request), and following it would
+/// leave a healthy service without upstreams.
+void drop_ejected(const router &it, std::vector<const member *> &candidates, time_point now)
+{
+    auto ejected = [&](const member *m) { return is_ejected(it, m->instance, now); };
+    auto n = std::count_if(candidates.begin(), candidates.end(), ejected);
+    if (static_cast<std::size_t>(n) * 2 <= candidates.size()) {
+        candidates.erase(std::remove_if(candidates.begin(), candidates.end(), ejected),
+                         candidates.end());
+    }
 }
 
 std::optional<std::string> better_of_two(const router &it,
@@ -69,14 +87,18 @@
                                            const route_request &request, random_source &random,
                                            time_point now)
 {
-    std::vector<const member *> near;
-    std::vector<const member *> far;
+    std::vector<const member *> all;
     for (const member *candidate : upstreams_of(members, request.service)) {
         bool tried = std::find(request.tried.begin(), request.tried.end(), candidate->instance) !=
                      request.tried.end();
-        if (tried || !is_usable(it, candidate->instance, now)) {
-            continue;
+        if (!tried && !is_leaving(it, candidate->instance, now)) {
+            all.push_back(candidate);
         }
+    }
+    drop_ejected(it, all, now);
+    std::vector<const member *> near;
+    std::vector<const member *> far;
+    for (const member *candidate : all) {
         (candidate->zone == request.own_zone ? near : far).push_back(candidate);
     }
     auto nearby = better_of_two(it, near, random);
--- a/test/unit/overload_decisions.cpp
+++ b/test/unit/overload_decisions.cpp
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <set>
+
 #include "gullstall/overload.hpp"
 #include "gullstall/route.hpp"
 #include "test/support/world.hpp"
@@ -95,9 +97,19 @@
     call_ref id = w.call("faultbook-1", caller_call{"boxwatch", "status", "r1", "", "", {}, {}});
     w.run_for(milliseconds(5));
     CHECK(w.nodes.at("boxwatch-1").slots_used == 1);
-    w.feed("faultbook-1", call_abandoned{id});
-    w.run_for(w.link_delay);
-    CHECK(w.nodes.at("boxwatch-1").slots_used == 0);
+    SUBCASE("cancellation on")
+    {
+        w.feed("faultbook-1", call_abandoned{id});
+        w.run_for(w.link_delay);
+        CHECK(w.nodes.at("boxwatch-1").slots_used == 0);
+    }
+    SUBCASE("cancellation off")
+    {
+        w.nodes.at("boxwatch-1").rules.cancel_below = false;
+        w.feed("faultbook-1", call_abandoned{id});
+        w.run_for(w.link_delay);
+        CHECK(w.nodes.at("boxwatch-1").slots_used == 1);
+    }
 }
 
 TEST_CASE("queue, protected call among others, goes first")
@@ -213,3 +225,31 @@
     note_queue_wait(routes, "till-perth-a", milliseconds(200));
     CHECK(spilled() == doctest::Approx(500).epsilon(0.2));
 }
+
+// A caller's link is bad and every upstream seems to fail. Ejecting them all
+// would turn a bad minute into an outage of the whole service.
+TEST_CASE("route, most upstreams fail, at most half are ejected")
+{
+    member_table members;
+    for (int i = 0; i < 4; ++i) {
+        member it;
+        it.instance = "till-" + std::to_string(i);
+        it.service = "till";
+        it.state = wire::member_state::alive;
+        learn_member(members, it);
+    }
+    router routes;
+    random_source random(1);
+    time_point now{seconds(10)};
+    route_request request{"till", "intake-1", "", {}};
+    for (int failing = 1; failing <= 4; ++failing) {
+        for (int i = 0; i < 3; ++i) {
+            note_failed(routes, "till-" + std::to_string(failing - 1), now);
+        }
+        std::set<std::string> chosen;
+        for (int i = 0; i < 200; ++i) {
+            chosen.insert(choose_upstream(routes, members, request, random, now).value_or(""));
+        }
+        CHECK(chosen.size() == (failing <= 2 ? 4 - failing : 4));
+    }
+}
