--- a/gullstall/src/node/entry.cpp
+++ b/gullstall/src/node/entry.cpp
@@ -6,14 +6,6 @@
 
 namespace {
 
-constexpr std::uint32_t base_retry_after_ms = 500;
-
-std::uint32_t draw_retry_after(turn &t)
-{
-    return base_retry_after_ms +
-           static_cast<std::uint32_t>(draw_below(t.n.random, base_retry_after_ms));
-}
-
 wire::reply_message refusal_reply(wire::refusal why, const std::string &by)
 {
     wire::reply_message out;
@@ -102,7 +94,9 @@
         note_event(t.n.events, t.now, event_kind::call_refused, call.request.request_id,
                    reply.refused_by, wire::EnumNamerefusal(reply.refusal));
         if (reply.retry_after_ms == 0) {
-            reply.retry_after_ms = draw_retry_after(t);
+            double beyond =
+                classes_beyond(t.n.touches, reply.refused_by, priority_of(call.request), t.now);
+            reply.retry_after_ms = draw_retry_after_ms(t.n.random, beyond);
         }
     } else {
         note_event(t.n.events, t.now, event_kind::call_answered, call.request.request_id,
@@ -260,7 +254,7 @@
                                       "",
                                       asked.request_id,
                                       0,
-                                      draw_retry_after(t),
+                                      draw_retry_after_ms(t.n.random, 0),
                                       version_in_force(t.n.bundles),
                                       "",
                                       {}}});
--- a/gullstall/src/overload/touch_table.cpp
+++ b/gullstall/src/overload/touch_table.cpp
@@ -89,4 +89,15 @@
     return std::nullopt;
 }
 
+double classes_beyond(const touch_table &it, const std::string &service, priority of_request,
+                      time_point now)
+{
+    auto heard = it.levels.find(service);
+    if (heard == it.levels.end()) {
+        return 0;
+    }
+    double ranks = of_request.value - believed_level(heard->second, now);
+    return std::max(0.0, ranks / ranks_per_class);
+}
+
 }  // namespace gullstall
--- a/gullstall/src/overload/touch_table.hpp
+++ b/gullstall/src/overload/touch_table.hpp
@@ -53,6 +53,11 @@
 std::optional<std::string> refusing_service(const touch_table &it, const entry_request &request,
                                             time_point now);
 
+/// \returns by how many classes the request is beyond the level of \a service,
+/// 0 when the level is not known or takes it
+double classes_beyond(const touch_table &it, const std::string &service, priority of_request,
+                      time_point now);
+
 }  // namespace gullstall
 
 #endif
--- a/test/unit/overload_decisions.cpp
+++ b/test/unit/overload_decisions.cpp
@@ -253,3 +253,21 @@
         CHECK(chosen.size() == (failing <= 2 ? 4 - failing : 4));
     }
 }
+
+// Callers refused in the same moment come back in the same moment unless they
+// are told different times, and too soon unless the times grow.
+TEST_CASE("retry after, further beyond the level, later and spread")
+{
+    random_source random(1);
+    std::set<std::uint32_t> near;
+    std::set<std::uint32_t> far;
+    for (int i = 0; i < 100; ++i) {
+        near.insert(draw_retry_after_ms(random, 0));
+        far.insert(draw_retry_after_ms(random, 3));
+    }
+    CHECK(near.size() > 80);
+    CHECK(*near.begin() >= 500);
+    CHECK(*near.rbegin() < 1000);
+    CHECK(*far.begin() >= 2000);
+    CHECK(*far.rbegin() < 4000);
+}
