Refuse at once what cannot finish in its time left

Cause: a call with less time left than its operation takes was queued and run until its deadline. Change: runs teach how long an operation holds a slot; a call with less left than the wait and half of that is refused on arrival. Refusals lower the estimate, or a service that was slow once would refuse for ever.

--- a/bench/support/overload_runs.hpp
+++ b/bench/support/overload_runs.hpp
@@ -16,13 +16,14 @@
 /// \returns all ways, the one in use last
 inline std::vector<control_plan> controls()
 {
-    return {{"none", {level_rule::none, false, false, false, false, false}},
-            {"static-limit", {level_rule::static_limit, false, true, false, false, false}},
-            {"admitted-share", {level_rule::admitted_share, true, true, false, false, false}},
-            {"queue-target", {level_rule::queue_target, true, true, false, false, false}},
-            {"keep-worked", {level_rule::queue_target, true, true, true, false, false}},
-            {"protected-target", {level_rule::queue_target, true, true, true, true, false}},
-            {"in-use", {level_rule::queue_target, true, true, true, true, true}}};
+    return {
+        {"none", {level_rule::none, false, false, false, false, false, false}},
+        {"static-limit", {level_rule::static_limit, false, true, false, false, false, false}},
+        {"admitted-share", {level_rule::admitted_share, true, true, false, false, false, false}},
+        {"queue-target", {level_rule::queue_target, true, true, false, false, false, false}},
+        {"keep-worked", {level_rule::queue_target, true, true, true, false, false, false}},
+        {"protected-target", {level_rule::queue_target, true, true, true, true, false, false}},
+        {"in-use", {level_rule::queue_target, true, true, true, true, true, true}}};
 }
 
 constexpr std::uint64_t seed = 20261203;
--- a/gullstall/src/node/admission.cpp
+++ b/gullstall/src/node/admission.cpp
@@ -111,6 +111,12 @@
     if (t.n.slots == 0 || !t.n.bundles.in_force) {
         return wire::refusal::starting;
     }
+    // Protected calls overtake the queue, so that its wait is not theirs.
+    duration wait = call.protect ? duration{} : expected_wait(t.n);
+    if (t.n.rules.refuse_hopeless &&
+        !can_finish(t.n.times, call.operation, wait, microseconds(call.left_us))) {
+        return wire::refusal::deadline;
+    }
     priority of_call = priority_of(call);
     bool admitted = admits(t.n.level.level, of_call);
     // The entry judged this request by a level that this service had a moment
--- a/gullstall/src/node/node.hpp
+++ b/gullstall/src/node/node.hpp
@@ -43,7 +43,7 @@
     std::vector<std::string> tried;
     bool may_have_run = false;      ///< an attempt ended without anyone knowing
     std::vector<call_ref> waiters;  ///< callers that get the answer, repeats included
-    bool settled = false;       ///< its outcome is known from the key's memory
+    bool settled = false;           ///< its outcome is known from the key's memory
     std::optional<std::pair<std::string, std::uint64_t>> origin;  ///< node and correlation, when
                                                                   ///< it came for its issuer
 };
@@ -111,6 +111,7 @@
     overload_rules rules;
     level_control level;
     run_queue queue;
+    run_times times;
     touch_table touches;
     std::map<std::string, retry_budget> budgets;  ///< by service
     timeline events;
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -246,6 +246,9 @@
     active_run run = forget_run(t, e.run);
     --t.n.slots_used;
     note_finished(t.n.level, t.now - run.started_at.value_or(t.now));
+    if (e.end == worker_end::answered) {
+        learn_run_time(t.n.times, run.call.operation, t.now - run.started_at.value_or(t.now));
+    }
     on_worker_end(t, e.end);
     t.n.counters.runs_lost += e.end == worker_end::lost ? 1 : 0;
     note_event(t.n.events, t.now, event_kind::run_finished, run.call.request_id,
--- a/gullstall/src/overload/rules.hpp
+++ b/gullstall/src/overload/rules.hpp
@@ -24,7 +24,8 @@
     bool keep_worked = true;       ///< requests that cost slots above are judged by the queue only
     bool protected_target = true;  ///< protected calls are cut by a longer queue of their own
 
-    bool drain_by_slots = true;  ///< what the slots drain follows from how long runs hold one
+    bool drain_by_slots = true;   ///< what the slots drain follows from how long runs hold one
+    bool refuse_hopeless = true;  ///< refuse at once what cannot finish in its time left
 
     auto operator<=>(const overload_rules &) const = default;
 };
--- a/test/unit/overload_decisions.cpp
+++ b/test/unit/overload_decisions.cpp
@@ -271,3 +271,38 @@
     CHECK(*far.begin() >= 2000);
     CHECK(*far.rbegin() < 4000);
 }
+
+// A call arrives with 30 ms left at a service that needs 100 ms. Run, it would
+// cost a slot and fail at its deadline all the same.
+TEST_CASE_FIXTURE(overload_decisions_fixture,
+                  "time left, less than the service needs, refused at once")
+{
+    node &served = w.nodes.at("boxwatch-1");
+    learn_run_time(served.times, "status", milliseconds(100));
+    for (bool refuse_hopeless : {false, true}) {
+        served.rules.refuse_hopeless = refuse_hopeless;
+        answers.clear();
+        time_point asked = w.now;
+        std::string id = refuse_hopeless ? "r2" : "r1";
+        w.call("faultbook-1", caller_call{"boxwatch", "status", id, "", "", milliseconds(30), {}});
+        w.run_for(milliseconds(100));
+        REQUIRE(answers.size() == 1);
+        CHECK(answers[0].second.refusal == wire::refusal::deadline);
+        duration took = answers[0].first - asked;
+        CHECK((took == 2 * w.link_delay) == refuse_hopeless);
+    }
+}
+
+// The service was slow and is quick again. All it refuses for want of time tells
+// it nothing: it has to try again by itself.
+TEST_CASE("run times, refusals go on, a call is let through again")
+{
+    run_times it;
+    learn_run_time(it, "status", seconds(5));
+    int refused = 0;
+    while (!can_finish(it, "status", duration{}, seconds(1))) {
+        ++refused;
+    }
+    CHECK(refused > 10);
+    CHECK(refused < 200);
+}
