--- a/gullstall/src/node/admission.cpp
+++ b/gullstall/src/node/admission.cpp
@@ -24,6 +24,16 @@
     return n.rules.keep_worked && call.depth > 0;
 }
 
+/// Ranks by which the levels of a service's instances differ. The entry judges
+/// by their average, and the request may reach the instance with the lowest.
+constexpr int instance_spread = 64;
+
+admission_level widened(admission_level it)
+{
+    int level = it.highest + instance_spread;
+    return std::min(admit_all, admission_level{static_cast<std::uint16_t>(level)});
+}
+
 }  // namespace
 
 priority priority_of(const wire::call_message &it)
@@ -101,12 +111,19 @@
     if (t.n.slots == 0 || !t.n.bundles.in_force) {
         return wire::refusal::starting;
     }
+    // Protected calls overtake the queue, so that its wait is not theirs.
+    duration wait = call.protect ? duration{} : expected_wait(t.n);
+    if (t.n.rules.refuse_hopeless &&
+        !can_finish(t.n.times, call.operation, wait, microseconds(call.left_us))) {
+        return wire::refusal::deadline;
+    }
     priority of_call = priority_of(call);
     bool admitted = admits(t.n.level.level, of_call);
     // The entry judged this request by a level that this service had a moment
     // ago. Refusing it now wastes the slots spent since; the queue bounds how
     // many come too much. One that the entry did not judge is refused here.
-    admitted = admitted || (is_worked(t.n, call) && admits(recent_level(t.n.level), of_call));
+    admitted =
+        admitted || (is_worked(t.n, call) && admits(widened(recent_level(t.n.level)), of_call));
     note_arrival(t.n.level, of_call, call.protect, admitted);
     if (!admitted) {
         return wire::refusal::overload;
--- a/gullstall/src/node/node.hpp
+++ b/gullstall/src/node/node.hpp
@@ -119,6 +119,7 @@
     overload_rules rules;
     level_control level;
     run_queue queue;
+    run_times times;
     touch_table touches;
     std::map<std::string, retry_budget> budgets;  ///< by service
     timeline events;
