--- a/gullstall/src/node/entry.cpp
+++ b/gullstall/src/node/entry.cpp
@@ -92,7 +92,7 @@
     if (!ran) {
         count_refusal(t, call.request, reply.refusal);
         note_event(t.n.events, t.now, event_kind::call_refused, call.request.request_id,
-                   reply.refused_by, wire::EnumNamerefusal(reply.refusal));
+                   reply.refused_by, describe_refusal(t.n, call, reply));
         if (reply.retry_after_ms == 0) {
             double beyond =
                 classes_beyond(t.n.touches, reply.refused_by, priority_of(call.request), t.now);
@@ -102,6 +102,7 @@
         note_event(t.n.events, t.now, event_kind::call_answered, call.request.request_id,
                    call.request.service, std::to_string(reply.status));
     }
+    note_latency(t.n.latencies.call, t.now - call.taken_at);
     give_answer(t, call, reply);
     forget_call(t, call);
 }
@@ -248,6 +249,8 @@
 {
     ++t.n.counters.refusals[std::string(wire::EnumNamerefusal(why)) + "/-"];
     bool knows = knows_not_run(t.n.once, asked.key, asked.attempt);
+    note_event(t.n.events, t.now, event_kind::call_refused, asked.request_id,
+               t.n.settings.node.service, describe_unready(t.n, asked, why));
     t.out.emplace_back(
         answer_call{id, caller_answer{knows ? wire::outcome::not_run : wire::outcome::unknown,
                                       why,
@@ -360,7 +363,7 @@
         } else {
             send_to(t, last.instance, frame_of(message));
         }
-        note_answered(t.n.routes, last.instance, t.now - last.sent_at);
+        note_ended(t.n.routes, last.instance);
     }
     forget_call(t, call);
 }
@@ -380,6 +383,25 @@
     }
 }
 
+namespace {
+
+/// Tells the router what a reply says of the upstream.
+void note_reply(router &routes, const std::string &from, const wire::reply_message &reply,
+                duration took, time_point now)
+{
+    if (reply.refusal == wire::refusal::connection_lost) {
+        note_failed(routes, from, now);
+    } else if (reply.outcome == wire::outcome::not_run) {
+        note_refused(routes, from);
+    } else {
+        // Also one that ran into its deadline: the time it took makes the
+        // upstream look slow, which a silent one is.
+        note_answered(routes, from, took);
+    }
+}
+
+}  // namespace
+
 void on_reply(turn &t, const std::string &from, wire::reply_message &reply)
 {
     auto known = t.n.attempts.find(reply.correlation);
@@ -394,11 +416,7 @@
     if (reply.leaving) {
         note_leaving(t.n.routes, from, t.now);
     }
-    if (reply.refusal == wire::refusal::connection_lost) {
-        note_failed(t.n.routes, from, t.now);
-    } else {
-        note_answered(t.n.routes, from, t.now - call.current->sent_at);
-    }
+    note_reply(t.n.routes, from, reply, t.now - call.current->sent_at, t.now);
     learn_from(t, call, reply);
     end_attempt(t, id, reply);
 }
