--- a/gullstall/src/node/explain.cpp
+++ b/gullstall/src/node/explain.cpp
@@ -43,7 +43,7 @@
                       pair_of("bundle", it.bundle_version) + pair_of("tried", call.tried.size());
     auto heard = n.touches.levels.find(reply.refused_by);
     if (heard != n.touches.levels.end()) {
-        out += pair_of("admitted_level", heard->second.latest.highest);
+        out += pair_of("admitted_level", static_cast<std::uint64_t>(heard->second.average));
     }
     return out;
 }
