--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "gullstall/node.hpp"
-#include "test/standins/platform_store.hpp"
+#include "test/support/world.hpp"
 
 using namespace gullstall;
 
@@ -21,7 +21,6 @@
 constexpr std::size_t services = 21;
 constexpr duration link_delay = microseconds(500);
 constexpr duration tick_every = milliseconds(20);
-constexpr duration meet_for = seconds(40);
 constexpr duration measure_for = seconds(20);
 constexpr std::size_t transport_bytes = 66;  // Ethernet, IP and TCP headers of a packet
 constexpr double us_per_second = 1e6;
@@ -39,6 +38,7 @@
     double table_reads_per_second = 0;   ///< of the whole fleet, a row each
     double spread_ms = 0;                ///< until a leave was known everywhere
     double crash_ms = 0;                 ///< until a silent crash was known everywhere
+    double meet_ms = 0;                  ///< until all knew all, after a start of all at once
     double join_peak_bytes = 0;          ///< sent in the busiest second of a start of all at once
     bool met = false;
 };
@@ -49,6 +49,7 @@
 public:
     explicit fleet(std::size_t n)
     {
+        publisher_.publish(platform_, bundle);
         for (std::size_t i = 0; i < n; ++i) {
             add(i);
         }
@@ -156,6 +157,10 @@
         return out;
     }
 
+    std::size_t size() const
+    {
+        return nodes_.size();
+    }
     std::uint64_t bytes() const
     {
         return bytes_;
@@ -188,6 +193,7 @@
         it.listen.peers_port = static_cast<std::uint16_t>(first_port + i);
         it.worker.slots = 100;
         it.worker.connections = 800;
+        it.trusted_keys = publisher_.trusted();
         nodes_.push_back(value_of(make_node(it, 1000 + i, 7 * i + 1)));
         silent_.push_back(false);
         // Ticks of different nodes do not fall on the same moment.
@@ -220,8 +226,11 @@
         feed(next.to, frame_arrived{value_of(std::move(frame))});
     }
 
-    std::size_t index_of(const send_frame &it) const
+    static std::size_t index_of(const send_frame &it)
     {
+        if (!it.instance.empty()) {
+            return std::stoul(it.instance.substr(it.instance.find('-') + 1));
+        }
         constexpr std::uint16_t first_port = 20000;
         return static_cast<std::size_t>(it.to.port - first_port);
     }
@@ -237,18 +246,22 @@
 
     void answer(std::size_t from, const ask_platform &asked)
     {
-        bool writes = std::holds_alternative<table_commit>(asked.what);
-        bool bundle = std::holds_alternative<table_read>(asked.what);
+        const auto *commit = std::get_if<table_commit>(&asked.what);
+        bool writes =
+            commit != nullptr && commit->rows.front().key.rfind(member_row_prefix, 0) == 0;
+        bool reads = std::holds_alternative<table_scan>(asked.what);
         platform_answer answer = platform_.ask(asked.what);
-        if (!bundle) {  // membership alone; the bundle's polls are its own part
-            writes_ += writes ? 1 : 0;
-            reads_ += writes ? 0 : std::max<std::size_t>(1, answer.rows.size());
-        }
+        writes_ += writes ? 1 : 0;  // of membership alone
+        reads_ += reads ? std::max<std::size_t>(1, answer.rows.size()) : 0;
         auto held = std::make_shared<platform_answered>(
             platform_answered{asked.request, std::move(answer)});
         push(now_ + milliseconds(2), from, nullptr, std::move(held));
     }
 
+    static constexpr const char *bundle =
+        "[bundle]\nversion = 1\nprevious = none\nauthor = bench\nreference = CB-1\n";
+
+    test::test_publisher publisher_;
     time_point now_{seconds(1000)};
     std::vector<node> nodes_;
     std::vector<bool> silent_;
@@ -277,25 +290,30 @@
     return pages * page_kb;
 }
 
-/// The busiest second while all nodes start at once.
-double join_peak(fleet &it, std::size_t n)
+/// Starts all nodes at once and lets them meet, then rest.
+void meet(fleet &it, measurement &out)
 {
-    double peak = 0;
-    for (duration passed{}; passed < meet_for; passed += seconds(1)) {
+    constexpr duration limit = seconds(180);
+    constexpr duration rest = seconds(20);
+    for (duration passed{}; passed < limit && !it.all_met(); passed += seconds(1)) {
         std::uint64_t before = it.bytes();
         it.run_for(seconds(1));
-        peak = std::max(peak, static_cast<double>(it.bytes() - before) / static_cast<double>(n));
+        double sent = static_cast<double>(it.bytes() - before) / static_cast<double>(it.size());
+        out.join_peak_bytes = std::max(out.join_peak_bytes, sent);
+        out.meet_ms = static_cast<double>(to_ms(passed + seconds(1)));
     }
-    return peak;
+    it.run_for(rest);
 }
 
 measurement measure_size(std::size_t n)
 {
     double before = resident_kb();
     fleet it(n);
-    double peak = join_peak(it, n);
+    measurement met;
+    meet(it, met);
     measurement out = it.measure(measure_for);
-    out.join_peak_bytes = peak;
+    out.join_peak_bytes = met.join_peak_bytes;
+    out.meet_ms = met.meet_ms;
     out.state_kb = (resident_kb() - before) / static_cast<double>(n);
     it.feed(n / 2, worker_leaving{});
     out.spread_ms = it.spread_ms(n / 2, wire::member_state::leaving);
@@ -337,21 +355,21 @@
 
 int main()
 {
-    std::printf("membership, per node; %lld s of virtual time at rest after %lld s to meet\n",
-                static_cast<long long>(duration_cast<seconds>(measure_for).count()),
-                static_cast<long long>(duration_cast<seconds>(meet_for).count()));
+    std::printf("membership, per node, at rest for %lld s of virtual time after all have met\n",
+                static_cast<long long>(duration_cast<seconds>(measure_for).count()));
     std::printf(
         "nodes  msg/s  bytes/s  cpu%%   state KB  connections  table w/s  r/s   leave ms  "
-        "crash ms  join peak B/s  met\n");
+        "crash ms  meet ms  join peak B/s  met\n");
     std::vector<measurement> rows;
     for (std::size_t n : sizes) {
         measurement it = measure_size(n);
         rows.push_back(it);
         std::printf(
-            "%5zu  %5.1f  %7.0f  %5.3f  %8.0f  %11.1f  %9.2f  %4.1f  %8.0f  %8.0f  %13.0f  %s\n",
+            "%5zu  %5.1f  %7.0f  %5.3f  %8.0f  %11.1f  %9.2f  %4.1f  %8.0f  %8.0f  %7.0f  %13.0f  "
+            "%s\n",
             it.nodes, it.messages_per_second, it.bytes_per_second, it.cpu_percent, it.state_kb,
             it.connections, it.table_writes_per_second, it.table_reads_per_second, it.spread_ms,
-            it.crash_ms, it.join_peak_bytes, it.met ? "yes" : "NO");
+            it.crash_ms, it.meet_ms, it.join_peak_bytes, it.met ? "yes" : "NO");
         std::fflush(stdout);
     }
     print_fit("msg/s", rows, &measurement::messages_per_second, true);
