--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -38,6 +38,12 @@
 std::string print_context(const node &n, run_ref run);
 std::optional<run_ref> parse_context(const node &n, const std::string &context);
 
+// admission.cpp: which calls this node lets onto its worker
+void on_level_tick(turn &t);
+std::optional<wire::refusal> reason_to_refuse(turn &t, const wire::call_message &call);
+priority priority_of(const wire::call_message &it);
+queue_place place_of(const node &n, const wire::call_message &call);
+
 // control.cpp: the platform's answers, the worker's notices and the stop
 void on_control_tick(turn &t);
 void on_platform_answered(turn &t, platform_answered &e);
@@ -75,10 +81,21 @@
 void take_once_call(turn &t, call_ref id);
 void end_once_call(turn &t, const pending_call &call, wire::reply_message &reply);
 void on_call_to_issuer(turn &t, const std::string &from, wire::call_message &call);
-void on_claim_commit(turn &t, platform_ref request, const platform_answer &answer);
+void take_batch_answer(turn &t, std::uint64_t batch, const platform_answer &answer);
 void on_claim_read(turn &t, platform_ref request, const platform_answer &answer);
 bool runs_on_without_caller(const pending_call &call);
 
+// claim_control.cpp: writes of claims, grouped over the nodes of a zone
+void flush_claims(turn &t);
+void on_claim_commit(turn &t, platform_ref request, const platform_answer &answer);
+void expire_forwarded(turn &t);
+void on_claim_frame(turn &t, wire::frame_message &frame);
+void on_claim_writer_gone(turn &t, const std::string &instance);
+// explain.cpp: the words of a refusal, for `gullstall explain`
+std::string describe_refusal(const node &n, const pending_call &call,
+                             const wire::reply_message &reply);
+std::string describe_unready(const node &n, const caller_call &asked, wire::refusal why);
+
 // admin.cpp
 void on_admin_asked(turn &t, const admin_asked &e);
 
