--- a/gullstall/src/caller/repeat.cpp
+++ b/gullstall/src/caller/repeat.cpp
@@ -13,8 +13,10 @@
         case wire::refusal::bad_request:
         case wire::refusal::key_expired:
         case wire::refusal::key_mismatch:
-        case wire::refusal::suspect: return true;
-        default: return false;
+        case wire::refusal::suspect:
+            return true;
+        default:
+            return false;
     }
 }
 
--- a/gullstall/src/node/node.hpp
+++ b/gullstall/src/node/node.hpp
@@ -109,6 +109,7 @@
     gossip_state gossip;
     contact_turns contacts;
     router routes;
+    overload_rules rules;
     level_control level;
     run_queue queue;
     touch_table touches;
--- a/test/unit/settings_bad_input.cpp
+++ b/test/unit/settings_bad_input.cpp
@@ -250,6 +250,8 @@
     const std::string size_line = "bundle " + std::to_string(good_bundle.size()) + "\n";
     const std::vector<std::pair<std::string, std::string>> table{
         {"", "bundle: expected a first line 'bundle BYTES'"},
+        {"signature board\n\n", "bundle: expected a first line 'bundle BYTES'"},
+        {"bundle 0\nsignature board", "bundle: cut off before its text"},
         {"signature board", "bundle: expected a first line 'bundle BYTES'"},
         {"bundle many\n", "bundle: expected a first line 'bundle BYTES'"},
         {size_line, "bundle: cut off before its text"},
