--- a/gullstall/src/timeline/view.cpp
+++ b/gullstall/src/timeline/view.cpp
@@ -177,12 +177,13 @@
             return pairs.count(key) > 0 ? pairs[key] : std::string("-");
         };
         std::string by = it.subject.empty() ? "no service" : it.subject;
-        out += request + ": " + text("outcome") + ", reason " + text("reason") + ", refused by " +
-               by + "\n  call " + text("service") + "/" + text("operation") + " at " + it.instance +
-               " in " + it.zone + "\n  class " + text("class") + ", priority " + text("priority") +
-               ", rank " + text("rank") + ", level of the request " + text("request_level") +
-               ", level admitted by " + by + " " + text("admitted_level") + "\n  bundle version " +
-               text("bundle") + ", upstreams tried " + text("tried") + "\n";
+        std::string level = text("admitted_level");
+        out += request + ": " + text("outcome") + ", reason " + text("reason") + ", refused by ";
+        out += by + "\n  call " + text("service") + "/" + text("operation") + " at ";
+        out += it.instance + " in " + it.zone + "\n  class " + text("class") + ", priority ";
+        out += text("priority") + ", rank " + text("rank") + ", level of the request ";
+        out += text("request_level") + ", level admitted by " + by + " " + level;
+        out += "\n  bundle version " + text("bundle") + ", upstreams tried " + text("tried") + "\n";
     }
     return out;
 }
@@ -200,9 +201,9 @@
                       fill("STATE", narrow) + "ADDRESS\n";
     for (const json::value &value : read.as_array()) {
         const json::object &it = value.as_object();
-        out += fill(text_at(it, "instance"), wide) + fill(text_at(it, "service"), narrow) +
-               fill(text_at(it, "zone"), narrow) + fill(text_at(it, "state"), narrow) +
-               text_at(it, "address") + ":" + json::serialize(it.at("port")) + "\n";
+        out += fill(text_at(it, "instance"), wide) + fill(text_at(it, "service"), narrow);
+        out += fill(text_at(it, "zone"), narrow) + fill(text_at(it, "state"), narrow);
+        out += text_at(it, "address") + ":" + json::serialize(it.at("port")) + "\n";
     }
     return out;
 }
--- a/test/runtime/bodies.cpp
+++ b/test/runtime/bodies.cpp
@@ -190,10 +190,11 @@
 // place of the reason.
 TEST_CASE_FIXTURE(bodies_fixture, "body, sent above the limit, the reason still reaches the caller")
 {
-    std::string answer =
-        exchange_text("POST /call/photodesk/photo HTTP/1.1\r\nContent-Length: 10000000\r\n\r\n" +
-                          std::string(10000000, 'x'),
-                      true);
+    constexpr std::size_t too_many = 10000000;
+    std::string body;
+    body.resize(too_many, 'x');
+    std::string answer = exchange_text(
+        "POST /call/photodesk/photo HTTP/1.1\r\nContent-Length: 10000000\r\n\r\n" + body, true);
     CHECK(has(answer, "413"));
     CHECK(has(answer, "body-too-large"));
     CHECK_FALSE(has(answer, "reset"));
@@ -285,7 +286,7 @@
     for (const std::string &bytes : {too_long, noise}) {
         asio::ip::tcp::socket stranger = connect(port);
         asio::write(stranger, asio::buffer(bytes));
-        CHECK(read_all(stranger).find("(") == std::string::npos);
+        CHECK(read_all(stranger).find('(') == std::string::npos);
         runtime::exchange it = call("photo", {1, 2, 3});
         CHECK(it.response.result_int() == 200);
         CHECK(it.response.body() == body_bytes{1, 2, 3});
--- a/test/runtime/mix_up.cpp
+++ b/test/runtime/mix_up.cpp
@@ -126,7 +126,7 @@
         runtime::http_client client(site.clients(), endpoint_of_entry(), 1U << 20U);
         auto handle = std::make_shared<runtime::exchange_handle>();
         asio::steady_timer timer(site.clients(),
-                                 std::chrono::milliseconds(draw_below(random_here(), 10)));
+                                 std::chrono::milliseconds(draw_below(client_random, 10)));
         timer.async_wait(
             [handle](const boost::system::error_code &) { runtime::http_client::cancel(*handle); });
         (void)co_await client.send(
@@ -159,11 +159,6 @@
         return {asio::ip::make_address("127.0.0.1"), site.port_of("dispatcher-1")};
     }
 
-    random_source &random_here()
-    {
-        return client_random_;
-    }
-
     void drive()
     {
         running = connections;
@@ -175,7 +170,7 @@
         }
     }
 
-    random_source client_random_{11};
+    random_source client_random{11};
 };
 
 }  // namespace
--- a/test/unit/settings_bad_input.cpp
+++ b/test/unit/settings_bad_input.cpp
@@ -205,7 +205,7 @@
     frame.sender = "boxwatch-1";
     wire::cancel_message cancel;
     cancel.correlation = 7;
-    frame.payload.Set(std::move(cancel));
+    frame.payload.Set(cancel);
     return encode_frame(frame).substr(frame_prefix_bytes);
 }
 
@@ -265,7 +265,9 @@
         {size_line + "signature board " + std::string(128, 'a') + "\n\n" + good_bundle,
          "bundle: signed by unknown key 'board'"},
     };
-    for (const auto &[stored, message] : table) {
+    for (const auto &it : table) {
+        const std::string &stored = it.first;
+        const std::string &message = it.second;
         CAPTURE(stored);
         auto read = verify_bundle(stored, {}, 1);
         REQUIRE_FALSE(succeeded(read));
--- a/test/unit/timeline_view.cpp
+++ b/test/unit/timeline_view.cpp
@@ -53,6 +53,7 @@
 std::vector<std::string> kinds_of(const std::vector<fleet_event> &events)
 {
     std::vector<std::string> out;
+    out.reserve(events.size());
     for (const fleet_event &it : events) {
         out.push_back(it.kind);
     }
