--- a/gullstall/src/runtime/daemon.cpp
+++ b/gullstall/src/runtime/daemon.cpp
@@ -54,6 +54,14 @@
 
 /// Time in which a worker that lives takes a connection.
 constexpr duration worker_check_timeout = milliseconds(500);
+
+/// Time that a stopping node goes on refusing calls after its last one ended,
+/// until callers and peers have all heard that it leaves. A call sent to a node
+/// that is gone already would end without anyone knowing whether it ran.
+constexpr duration stop_linger = seconds(2);
+
+/// Time that the last answers have to leave the process.
+constexpr duration stop_flush_limit = seconds(10);
 using admin_order = std::variant<answer_admin, write_log>;
 
 /// Time since the epoch of the process's start, on a clock that never goes back.
@@ -115,6 +123,7 @@
     void carry_out(action &&what);
     void log_line(write_log &&line);
     void schedule_tick();
+    bool flushed();
     void refuse_busy(std::uint64_t id, wire::outcome outcome);
     void on_callers_request(std::uint64_t id, http_request &&request);
     void on_admin_request(std::uint64_t id, const http_request &request);
@@ -140,6 +149,7 @@
     node node_;
     std::optional<time_point> stop_at_;
     std::uint64_t lost_lines_ = 0;
+    std::optional<time_point> flush_until_;
 
     duty decisions_;
     duty callers_;
@@ -285,9 +295,7 @@
                 log_line(std::move(it));
             } else {
                 static_assert(std::is_same_v<kind, stop_now>, "an action is not carried out");
-                // The last answers are still on their way out of the other threads.
-                constexpr duration flush_time = milliseconds(200);
-                stop_at_ = clock_.now() + flush_time;
+                stop_at_ = clock_.now() + stop_linger;
             }
         },
         what);
@@ -318,7 +326,7 @@
             return;
         }
         apply(event{tick{}});
-        if (stop_at_ && clock_.now() >= *stop_at_) {
+        if (stop_at_ && clock_.now() >= *stop_at_ && flushed()) {
             decisions_.io.stop();
             return;
         }
@@ -326,6 +334,20 @@
     });
 }
 
+/// Closes the callers' connections after their answers.
+/// \returns whether all answers have left the process, or had time enough
+bool daemon::flushed()
+{
+    if (!flush_until_) {
+        flush_until_ = clock_.now() + stop_flush_limit;
+        asio::post(callers_.io, [this] { callers_server_.stop(); });
+        return false;
+    }
+    bool empty = node_.calls.empty() && node_.runs.empty() && callers_server_.is_drained() &&
+                 transport_.bytes_waiting() == 0;
+    return empty || clock_.now() >= *flush_until_;
+}
+
 void daemon::refuse_busy(std::uint64_t id, wire::outcome outcome)
 {
     callers_server_.answer(id, encode_caller_answer(caller_answer{
