--- a/test/unit/settings_bad_input.cpp
+++ b/test/unit/settings_bad_input.cpp
@@ -205,7 +205,7 @@
     frame.sender = "boxwatch-1";
     wire::cancel_message cancel;
     cancel.correlation = 7;
-    frame.payload.Set(std::move(cancel));
+    frame.payload.Set(cancel);
     return encode_frame(frame).substr(frame_prefix_bytes);
 }
 
@@ -250,6 +250,8 @@
     const std::string size_line = "bundle " + std::to_string(good_bundle.size()) + "\n";
     const std::vector<std::pair<std::string, std::string>> table{
         {"", "bundle: expected a first line 'bundle BYTES'"},
+        {"signature board\n\n", "bundle: expected a first line 'bundle BYTES'"},
+        {"bundle 0\nsignature board", "bundle: cut off before its text"},
         {"signature board", "bundle: expected a first line 'bundle BYTES'"},
         {"bundle many\n", "bundle: expected a first line 'bundle BYTES'"},
         {size_line, "bundle: cut off before its text"},
@@ -263,7 +265,9 @@
         {size_line + "signature board " + std::string(128, 'a') + "\n\n" + good_bundle,
          "bundle: signed by unknown key 'board'"},
     };
-    for (const auto &[stored, message] : table) {
+    for (const auto &it : table) {
+        const std::string &stored = it.first;
+        const std::string &message = it.second;
         CAPTURE(stored);
         auto read = verify_bundle(stored, {}, 1);
         REQUIRE_FALSE(succeeded(read));
