--- a/gullstall/src/bundle/follow.cpp
+++ b/gullstall/src/bundle/follow.cpp
@@ -80,12 +80,15 @@
     }
 }
 
-bool may_begin(const bundle_follow &it, time_point now)
+bool may_begin(const bundle_follow &it, bool knows_members, time_point now)
 {
     if (!it.best || !it.began_at) {
         return false;
     }
     duration waited = now - *it.began_at;
+    if (!knows_members && waited < member_wait) {
+        return false;
+    }
     bool peers_heard = it.peers_answered.size() >= it.peers_asked || waited >= peer_wait;
     switch (it.table) {
         case table_view::unknown:
--- a/gullstall/src/node/bundle_control.cpp
+++ b/gullstall/src/node/bundle_control.cpp
@@ -153,7 +153,7 @@
     if (!it.began_at) {
         it.began_at = t.now;
     }
-    if (may_begin(it, t.now)) {
+    if (may_begin(it, t.n.members.members.size() > 1, t.now)) {
         std::string stored = std::move(it.best->stored);
         it.best.reset();
         take_bundle(t, stored);
