--- a/test/process/process_rolling_stop.sh
+++ b/test/process/process_rolling_stop.sh
@@ -34,7 +34,7 @@
 replace() { # NAME
   kill -TERM "${pid_of[$1-worker]}"
   for _ in $(seq 250); do
-    grep -q '"state":"leaving"\|"leaving":true' <("$bin/gullstall" members --admin "127.0.0.1:${admin_of[$1]}" |
+    grep -q '"state":"leaving"\|"leaving":true' <("$bin/gullstall" members --admin "127.0.0.1:${admin_of[$1]}" --json |
       tr '{' '\n' | grep "\"instance\":\"$1\"") && break
     sleep 0.02
   done
