--- a/bench/support/overload_runs.hpp
+++ b/bench/support/overload_runs.hpp
@@ -22,7 +22,7 @@
             {"queue-target", {level_rule::queue_target, true, true, false, false, false}},
             {"keep-worked", {level_rule::queue_target, true, true, true, false, false}},
             {"protected-target", {level_rule::queue_target, true, true, true, true, false}},
-            {"drain-by-slots", {level_rule::queue_target, true, true, true, true, true}}};
+            {"in-use", {level_rule::queue_target, true, true, true, true, true}}};
 }
 
 constexpr std::uint64_t seed = 20261203;
@@ -33,8 +33,10 @@
 {
     return experiment(site, seed, [&control](node &it) {
         it.rules = control.rules;
+        it.queue.by_priority = control.rules.by_priority;
         if (control.rules.level == level_rule::none) {
             it.queue.limit = std::numeric_limits<std::size_t>::max();
+            it.queue.bound = it.queue.limit;
         }
     });
 }
--- a/gullstall/src/node/entry.cpp
+++ b/gullstall/src/node/entry.cpp
@@ -191,21 +191,6 @@
     return true;
 }
 
-void learn_from(turn &t, const pending_call &call, const wire::reply_message &reply)
-{
-    std::size_t n = std::min(reply.touched.size(), reply.levels.size());
-    for (std::size_t i = 0; i < n; ++i) {
-        admission_level level{reply.levels[i]};
-        learn_touch(t.n.touches, call.request.call_type, reply.touched[i], level, t.now);
-        if (call.parent) {
-            auto run = t.n.runs.find(*call.parent);
-            if (run != t.n.runs.end()) {
-                run->second.touched[reply.touched[i]] = level;
-            }
-        }
-    }
-}
-
 /// Ends the current attempt with \a reply: re-sends or answers.
 void end_attempt(turn &t, call_ref id, wire::reply_message &reply)
 {
@@ -353,8 +338,7 @@
         t.n.entered.try_emplace(call.request.request_id, id);
     }
     if (!call.parent) {
-        if (auto by = refusing_service(t.n.touches, call.request.call_type,
-                                       priority_of(call.request), t.now)) {
+        if (auto by = refused_at_entry(t, call.request)) {
             refuse_call(t, id, wire::refusal::overload, *by);
             return;
         }
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -14,6 +14,7 @@
     const std::string &self = t.n.settings.node.instance;
     reply.leaving = t.n.stopping || t.n.worker_leaves || t.n.contacts.worker_silent;
     reply.running = t.n.slots_used;
+    reply.wait_us = static_cast<std::uint32_t>(expected_wait(t.n).count());
     reply.touched.push_back(t.n.settings.node.service);
     reply.levels.push_back(t.n.level.level.highest);
     for (const auto &[service, level] : touched) {
@@ -76,6 +77,10 @@
     refuse(t, run.origin, run.call, why);
 }
 
+/// Longest wait of a call that is not protected. While protected calls take all
+/// slots such a call would hold slots above it until its deadline, for nothing.
+constexpr duration longest_wait = milliseconds(200);
+
 void start_queued(turn &t)
 {
     while (t.n.slots_used < t.n.slots) {
@@ -107,7 +112,7 @@
         note_event(t.n.events, t.now, event_kind::run_cancelled, run.call.request_id,
                    t.n.settings.node.instance, "");
     } else {
-        remove_run(t.n.queue, place_of(t.n, run.call), id);
+        remove_run(t.n.queue, id);
     }
     return run;
 }
@@ -180,7 +185,7 @@
     run.queued_at = t.now;
     run.retries.left = call.allowance;
     run.call = std::move(call);
-    queue_place place = place_of(t.n, run.call);
+    waiting_run waiting = waiting_of(t.n, run);
     t.n.served[{from, run.call.correlation}] = id;
     t.n.run_deadlines.emplace(run.deadline, id);
     t.n.runs.emplace(id, std::move(run));
@@ -188,11 +193,22 @@
         start_run(t, id);
         return;
     }
-    if (std::optional<run_ref> displaced = enqueue(t.n.queue, place, id)) {
+    if (std::optional<run_ref> displaced = enqueue(t.n.queue, waiting)) {
         refuse_queued(t, *displaced, wire::refusal::overload);
     }
 }
 
+void refuse_overdue(turn &t)
+{
+    while (std::optional<run_ref> oldest = first_common(t.n.queue)) {
+        if (t.now - t.n.runs.at(*oldest).queued_at <= longest_wait) {
+            return;
+        }
+        remove_run(t.n.queue, *oldest);
+        refuse_queued(t, *oldest, wire::refusal::overload);
+    }
+}
+
 void on_cancel(turn &t, const std::string &from, std::uint64_t correlation)
 {
     auto found = t.n.served.find({from, correlation});
--- a/gullstall/src/route/router.hpp
+++ b/gullstall/src/route/router.hpp
@@ -18,6 +18,7 @@
 {
     std::uint32_t in_flight = 0;
     double latency_us = 0;     ///< moving average of answers, 0: none yet
+    duration queue_wait{};     ///< for a slot, as the last reply told it
     double refused_share = 0;  ///< moving share of calls that it refused
     std::uint32_t failures_in_row = 0;
     time_point ejected_until{};
@@ -43,7 +44,8 @@
 
 /// Chooses an upstream: of two at random in the own zone the one with the
 /// shorter estimated time; of two in other zones the better one, when its
-/// estimate is clearly shorter. A new upstream gets its share of calls slowly;
+/// estimate is clearly shorter, or the more likely the longer the wait for a
+/// slot in the own zone is beyond that in the other. A new upstream gets its share of calls slowly;
 /// one that fails in a row is passed over for a while, unless half of the
 /// service would be.
 /// \returns the instance, none when no upstream is left
@@ -57,6 +59,9 @@
 /// Notes an answer of \a instance after \a took.
 void note_answered(router &it, const std::string &instance, duration took);
 
+/// Notes how long a call waits for a slot at \a instance.
+void note_queue_wait(router &it, const std::string &instance, duration wait);
+
 /// Notes that \a instance refused a call; how fast it did says nothing about
 /// how fast it would run one.
 void note_refused(router &it, const std::string &instance);
