--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -125,13 +125,14 @@
 # Waits until the node has a bundle and a worker, and sees all members alive.
 wait_ready() { # ADMIN_PORT
   local ready=0 alive=0
-  for _ in $(seq 150); do
+  for _ in $(seq 100); do
     ready=$("$bin/gullstall" status --admin "127.0.0.1:$1" 2>/dev/null | grep -c '"ready":true' || true)
     alive=$("$bin/gullstall" members --admin "127.0.0.1:$1" --json 2>/dev/null | grep -o '"state":"alive"' | wc -l || true)
     [ "$ready" = 1 ] && [ "$alive" = "${#instances[@]}" ] && return 0
     sleep 0.2
   done
-  echo "demo: node at $1 is not ready ($ready, $alive members alive)" >&2
+  echo "demo: node at $1 is not ready ($ready, $alive members alive); not alive there:" >&2
+  "$bin/gullstall" members --admin "127.0.0.1:$1" | grep -v ' alive ' >&2 || true
   return 1
 }
 
--- a/gullstall/src/bundle/follow.hpp
+++ b/gullstall/src/bundle/follow.hpp
@@ -45,6 +45,9 @@
 /// Time after which a fresh node makes do with less than the head row names.
 constexpr duration head_wait = seconds(3);
 
+/// Time that a fresh node waits for its first news of other members.
+constexpr duration member_wait = seconds(1);
+
 /// Time after which a fresh node without a bundle asks everybody again.
 constexpr duration first_ask_period = milliseconds(500);
 
@@ -136,8 +139,10 @@
 void offer_candidate(bundle_follow &it, first_candidate candidate);
 
 /// \returns whether a fresh node may begin with its best candidate now: the
-/// table and the peers have told what they know, or had time enough
-bool may_begin(const bundle_follow &it, time_point now);
+/// table and the peers have told what they know, or had time enough. It waits
+/// for other members too, since whoever begins takes calls, and would refuse
+/// every one that needs an upstream it has not heard of.
+bool may_begin(const bundle_follow &it, bool knows_members, time_point now);
 
 }  // namespace gullstall
 
--- a/gullstall/src/runtime/daemon.cpp
+++ b/gullstall/src/runtime/daemon.cpp
@@ -50,11 +50,6 @@
 /// the node's own deadline comes first.
 constexpr duration worker_grace = seconds(1);
 
-using worker_order = std::variant<run_on_worker, cancel_on_worker, check_worker>;
-
-/// Time in which a worker that lives takes a connection.
-constexpr duration worker_check_timeout = milliseconds(500);
-
 /// Time that a stopping node goes on refusing calls after its last one ended,
 /// until callers and peers have all heard that it leaves. A call sent to a node
 /// that is gone already would end without anyone knowing whether it ran.
@@ -62,6 +57,11 @@
 
 /// Time that the last answers have to leave the process.
 constexpr duration stop_flush_limit = seconds(10);
+
+/// Time in which a worker that lives takes a connection.
+constexpr duration worker_check_timeout = milliseconds(500);
+
+using worker_order = std::variant<run_on_worker, cancel_on_worker, check_worker>;
 using admin_order = std::variant<answer_admin, write_log>;
 
 /// Time since the epoch of the process's start, on a clock that never goes back.
@@ -148,8 +148,8 @@
     daemon_clock clock_;
     node node_;
     std::optional<time_point> stop_at_;
-    std::uint64_t lost_lines_ = 0;
     std::optional<time_point> flush_until_;
+    std::uint64_t lost_lines_ = 0;
 
     duty decisions_;
     duty callers_;
--- a/gullstall/src/runtime/http_server.cpp
+++ b/gullstall/src/runtime/http_server.cpp
@@ -165,7 +165,6 @@
     for (beast::tcp_stream *it : idle_) {
         it->cancel();
     }
-    asio::post(io_, [this] { closed_ = true; });  // after the last ones taken have begun
 }
 
 asio::awaitable<void> http_server::accept_loop()
@@ -175,7 +174,7 @@
         asio::ip::tcp::socket socket =
             co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, ec));
         if (ec == asio::error::operation_aborted) {
-            co_return;
+            break;
         }
         if (ec) {
             // Out of descriptors: the accept fails at once again, so wait a moment.
@@ -186,6 +185,9 @@
         socket.set_option(asio::ip::tcp::no_delay(true), ec);
         asio::co_spawn(io_, serve(beast::tcp_stream(std::move(socket))), asio::detached);
     }
+    // An accept that had succeeded before the stop is served above; only after
+    // the last one has begun may an open count of none be believed.
+    asio::post(io_, [this] { closed_ = true; });
 }
 
 asio::awaitable<void> http_server::refuse(beast::tcp_stream &stream, http::status status,
