Refuse requests that crashed two upstreams

Cause: a request that crashes the worker which runs it was sent on, and repeated by its caller, until no worker was left.

Change: lost runs make suspects, told to all members; a suspect has the worker for itself; after two crashes it is refused everywhere as unknown. An answered run clears it. A silent instance counts unless its whole zone is silent.

A suspect whose chain comes back to its own worker waited for itself; it may run beside its own chain.

--- a/gullstall/src/node/control.cpp
+++ b/gullstall/src/node/control.cpp
@@ -15,6 +15,7 @@
     on_member_tick(t);
     on_bundle_tick(t);
     on_once_tick(t);
+    on_suspect_tick(t);
 }
 
 void on_platform_answered(turn &t, platform_answered &e)
@@ -92,6 +93,7 @@
     on_member_frame(t, frame);
     on_bundle_frame(t, frame);
     on_claim_frame(t, frame);
+    on_suspect_frame(t, frame);
 }
 
 void finish_stop(turn &t)
--- a/gullstall/src/node/entry.cpp
+++ b/gullstall/src/node/entry.cpp
@@ -141,6 +141,13 @@
 void start_call(turn &t, call_ref id)
 {
     pending_call &call = t.n.calls.at(id);
+    if (refuses_suspect(t, call.request)) {
+        // It ran before, on the workers that it took down.
+        wire::reply_message reply = refusal_reply(wire::refusal::suspect, call.request.service);
+        reply.outcome = wire::outcome::unknown;
+        finish_call(t, id, reply);
+        return;
+    }
     const std::string &self = t.n.settings.node.instance;
     route_request wanted{call.request.service, self, t.n.settings.node.zone, call.tried};
     auto upstream = choose_upstream(t.n.routes, t.n.members, wanted, t.n.random, t.now);
@@ -238,6 +245,7 @@
     if (call.parent) {
         active_run &run = t.n.runs.at(*call.parent);
         request.request_id = run.call.request_id;
+        request.suspect_id = run.call.suspect_id;
         request.call_type = run.call.call_type;
         request.class_priority = run.call.class_priority;
         request.protect = run.call.protect;
@@ -251,6 +259,7 @@
         return;
     }
     request.request_id = asked.request_id;
+    request.suspect_id = suspect_id_of(asked);
     if (request.request_id.empty()) {
         request.request_id = t.n.settings.node.instance + "-" + std::to_string(t.n.incarnation) +
                              "-" + std::to_string(next_id(t.n));
@@ -418,6 +427,7 @@
     }
     if (reply.refusal == wire::refusal::connection_lost) {
         note_failed(t.n.routes, from, t.now);
+        call.request.suspicion += reply.outcome == wire::outcome::unknown ? 1 : 0;
     } else {
         note_answered(t.n.routes, from, t.now - call.current->sent_at);
     }
@@ -444,6 +454,9 @@
                                                   t.n.calls.at(known->second).request.service);
         reply.outcome = unsent ? wire::outcome::not_run : wire::outcome::unknown;
         note_failed(t.n.routes, e.instance, t.now);
+        if (!unsent) {
+            on_attempt_lost(t, t.n.calls.at(known->second), e.instance);
+        }
         end_attempt(t, known->second, reply);
     }
 }
--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -92,6 +92,16 @@
 void on_claim_frame(turn &t, wire::frame_message &frame);
 void on_claim_writer_gone(turn &t, const std::string &instance);
 
+// suspect_control.cpp: requests that may crash upstreams
+std::string suspect_id_of(const caller_call &asked);
+bool refuses_suspect(turn &t, wire::call_message &request);
+void on_run_lost(turn &t, const active_run &run);
+void on_run_answered(turn &t, const active_run &run);
+void on_attempt_lost(turn &t, pending_call &call, const std::string &instance);
+void on_suspect_tick(turn &t);
+void on_suspect_frame(turn &t, wire::frame_message &frame);
+bool runs_alone(const node &n, const wire::call_message &call);
+
 // admin.cpp
 void on_admin_asked(turn &t, const admin_asked &e);
 
--- a/gullstall/src/node/node.hpp
+++ b/gullstall/src/node/node.hpp
@@ -2,6 +2,7 @@
 #define GULLSTALL_NODE_NODE_HPP
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -17,6 +18,7 @@
 #include "gullstall/settings.hpp"
 #include "gullstall/src/node/action.hpp"
 #include "gullstall/src/node/event.hpp"
+#include "gullstall/suspects.hpp"
 #include "gullstall/timeline.hpp"
 
 namespace gullstall {
@@ -123,7 +125,10 @@
     timeline events;
     node_counters counters;
     once_book once;
-    claim_group claims;  ///< of this zone's nodes, when this node writes for them
+    suspect_table suspects;
+    std::deque<run_ref> alone_waiting;  ///< runs that want the worker for themselves
+    std::optional<run_ref> alone;       ///< the run that has the worker for itself
+    claim_group claims;                 ///< of this zone's nodes, when this node writes for them
     std::map<std::uint64_t, forwarded_claims> claims_forwarded;     ///< by batch
     time_point claims_alone_until{};                                ///< the zone's writer is silent
     std::unordered_map<platform_ref, std::uint64_t> claim_commits;  ///< group of each
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -31,7 +31,8 @@
 {
     wire::reply_message reply;
     reply.correlation = call.correlation;
-    reply.outcome = wire::outcome::not_run;
+    // A request that is refused for its crashes has run before.
+    reply.outcome = why == wire::refusal::suspect ? wire::outcome::unknown : wire::outcome::not_run;
     reply.refusal = why;
     reply.refused_by = t.n.settings.node.service;
     reply.unspent = call.allowance;
@@ -45,6 +46,10 @@
     active_run run = std::move(found->second);
     t.n.runs.erase(found);
     t.n.served.erase({run.origin, run.call.correlation});
+    std::erase(t.n.alone_waiting, id);
+    if (t.n.alone == id) {
+        t.n.alone.reset();
+    }
     auto [begin, end] = t.n.run_deadlines.equal_range(run.deadline);
     for (auto it = begin; it != end; ++it) {
         if (it->second == id) {
@@ -75,9 +80,41 @@
     refuse(t, run.origin, run.call, why);
 }
 
+/// \returns whether a run can start beside those that run
+bool takes_runs(const node &n)
+{
+    return n.slots_used < n.slots && !n.alone && n.alone_waiting.empty();
+}
+
+/// \returns whether the worker runs nothing but what belongs to the request of
+/// \a suspect_id: a call that comes back to the worker of its own chain must not
+/// wait for the run that waits for it
+bool only_runs_of(const node &n, const std::string &suspect_id)
+{
+    return std::all_of(n.runs.begin(), n.runs.end(), [&](const auto &entry) {
+        return !entry.second.started_at || entry.second.call.suspect_id == suspect_id;
+    });
+}
+
+/// Starts suspects, each with the worker for itself: if one crashes the worker,
+/// no innocent request is in flight beside it and shares the suspicion.
+void start_suspects(turn &t)
+{
+    std::deque<run_ref> waiting = t.n.alone_waiting;
+    for (run_ref id : waiting) {
+        const std::string &suspect_id = t.n.runs.at(id).call.suspect_id;
+        if (t.n.slots_used < t.n.slots && only_runs_of(t.n, suspect_id)) {
+            std::erase(t.n.alone_waiting, id);
+            t.n.alone = t.n.alone.value_or(id);
+            start_run(t, id);
+        }
+    }
+}
+
 void start_queued(turn &t)
 {
-    while (t.n.slots_used < t.n.slots) {
+    start_suspects(t);
+    while (takes_runs(t.n)) {
         std::optional<run_ref> next = dequeue(t.n.queue);
         if (!next) {
             return;
@@ -167,6 +204,10 @@
         on_call_to_issuer(t, from, call);
         return;
     }
+    if (refuses_suspect(t, call)) {
+        refuse(t, from, call, wire::refusal::suspect);
+        return;
+    }
     if (std::optional<wire::refusal> why = reason_to_refuse(t, call)) {
         refuse(t, from, call, *why);
         return;
@@ -183,7 +224,12 @@
     t.n.served[{from, run.call.correlation}] = id;
     t.n.run_deadlines.emplace(run.deadline, id);
     t.n.runs.emplace(id, std::move(run));
-    if (t.n.slots_used < t.n.slots) {
+    if (runs_alone(t.n, t.n.runs.at(id).call)) {
+        t.n.alone_waiting.push_back(id);
+        start_queued(t);
+        return;
+    }
+    if (takes_runs(t.n)) {
         start_run(t, id);
         return;
     }
@@ -232,6 +278,11 @@
     on_worker_end(t, e.end);
     note_finished(t.n.level, t.now - run.started_at.value_or(t.now));
     t.n.counters.runs_lost += e.end == worker_end::lost ? 1 : 0;
+    if (e.end == worker_end::lost) {
+        on_run_lost(t, run);
+    } else if (e.end == worker_end::answered) {
+        on_run_answered(t, run);
+    }
     note_event(t.n.events, t.now, event_kind::run_finished, run.call.request_id,
                t.n.settings.node.instance, std::to_string(e.status));
     reply_to(t, run.origin, reply_of(run, e, t.n.settings.node.service), run.touched);
--- /dev/null
+++ b/gullstall/src/node/suspect_control.cpp
@@ -0,0 +1,127 @@
+#include <algorithm>
+
+#include "gullstall/src/node/internal.hpp"
+
+namespace gullstall::internal {
+
+namespace {
+
+/// \returns whether a member of the zone of \a instance is alive, so that the
+/// silence of \a instance is its own and no cut
+bool zone_lives(const node &n, const std::string &instance)
+{
+    auto gone = n.members.members.find(instance);
+    if (gone == n.members.members.end()) {
+        return false;
+    }
+    return std::any_of(n.members.members.begin(), n.members.members.end(), [&](const auto &entry) {
+        const member &it = entry.second;
+        return it.instance != instance && it.zone == gone->second.zone &&
+               it.state == wire::member_state::alive;
+    });
+}
+
+void broadcast(turn &t, const wire::suspect_news_message &news)
+{
+    for (const auto &[instance, it] : t.n.members.members) {
+        if (instance != t.n.settings.node.instance && it.state != wire::member_state::dead) {
+            send_to(t, instance, frame_of(wire::suspect_news_message(news)));
+        }
+    }
+}
+
+void mark(turn &t, const std::string &request, const crash &what)
+{
+    if (note_suspect(t.n.suspects, request, what, t.now)) {
+        tell_suspect(t.n.suspects, request, what);
+        note_event(t.n.events, t.now, event_kind::suspect_marked, request, what.name, "");
+    }
+}
+
+}  // namespace
+
+std::string suspect_id_of(const caller_call &asked)
+{
+    if (!asked.request_id.empty()) {
+        return asked.request_id;
+    }
+    if (!asked.key.empty()) {
+        return asked.key;
+    }
+    // A caller that names neither request nor key repeats the same content.
+    std::string_view body(reinterpret_cast<const char *>(asked.body.data()), asked.body.size());
+    return "content-" + std::to_string(hash_text(asked.service + "/" + asked.operation)) + "-" +
+           std::to_string(hash_text(body));
+}
+
+bool refuses_suspect(turn &t, wire::call_message &request)
+{
+    std::size_t known = crashes_of(t.n.suspects, request.suspect_id);
+    request.suspicion = std::max(request.suspicion, static_cast<std::uint8_t>(known));
+    return t.n.suspects.refuse_crashers && request.suspicion >= crashes_to_refuse;
+}
+
+void on_run_lost(turn &t, const active_run &run)
+{
+    mark(t, run.call.suspect_id,
+         own_crash(t.n.suspects, t.n.settings.node.instance, t.n.incarnation, t.now));
+}
+
+void on_run_answered(turn &t, const active_run &run)
+{
+    bool was_suspect = clear_suspect(t.n.suspects, run.call.suspect_id);
+    if (was_suspect || run.call.suspicion > 0) {
+        t.n.suspects.cleared_to_tell.push_back(run.call.suspect_id);
+    }
+}
+
+void on_attempt_lost(turn &t, pending_call &call, const std::string &instance)
+{
+    auto known = t.n.members.members.find(instance);
+    std::uint64_t incarnation = known == t.n.members.members.end() ? 0 : known->second.incarnation;
+    mark(t, call.request.suspect_id,
+         crash{"peer:" + instance + ":" + std::to_string(incarnation), instance, incarnation});
+}
+
+void on_suspect_tick(turn &t)
+{
+    for (const suspect_report &it : t.n.suspects.to_tell) {
+        wire::suspect_news_message news;
+        news.request_ids = it.requests;
+        news.crash = it.what.name;
+        news.lost_peer = it.what.lost_peer;
+        news.lost_incarnation = it.what.incarnation;
+        broadcast(t, news);
+    }
+    t.n.suspects.to_tell.clear();
+    if (!t.n.suspects.cleared_to_tell.empty()) {
+        wire::suspect_news_message news;
+        news.cleared = std::move(t.n.suspects.cleared_to_tell);
+        t.n.suspects.cleared_to_tell.clear();
+        broadcast(t, news);
+    }
+    judge_suspects(t.n.suspects, t.now,
+                   [&](const std::string &instance) { return zone_lives(t.n, instance); });
+}
+
+void on_suspect_frame(turn &t, wire::frame_message &frame)
+{
+    const auto *news = frame.payload.Assuspect_news();
+    if (news == nullptr) {
+        return;
+    }
+    for (const std::string &request : news->request_ids) {
+        note_suspect(t.n.suspects, request,
+                     crash{news->crash, news->lost_peer, news->lost_incarnation}, t.now);
+    }
+    for (const std::string &request : news->cleared) {
+        clear_suspect(t.n.suspects, request);
+    }
+}
+
+bool runs_alone(const node &n, const wire::call_message &call)
+{
+    return n.suspects.run_alone && call.suspicion > 0;
+}
+
+}  // namespace gullstall::internal
--- a/gullstall/src/runtime/callers_http.cpp
+++ b/gullstall/src/runtime/callers_http.cpp
@@ -105,6 +105,9 @@
     if (answer.refusal == wire::refusal::key_expired) {
         return http::status::gone;
     }
+    if (answer.refusal == wire::refusal::suspect) {
+        return http::status::unprocessable_entity;
+    }
     switch (answer.outcome) {
         case wire::outcome::ran:
             return static_cast<http::status>(answer.status);
@@ -119,8 +122,6 @@
         case wire::refusal::key_mismatch:
         case wire::refusal::key_elsewhere:
             return http::status::conflict;
-        case wire::refusal::suspect:
-            return http::status::unprocessable_entity;
         default:
             return http::status::service_unavailable;
     }
--- /dev/null
+++ b/gullstall/suspects.hpp
@@ -0,0 +1,8 @@
+#ifndef GULLSTALL_SUSPECTS_HPP
+#define GULLSTALL_SUSPECTS_HPP
+
+/// Suspects module: requests that may crash the upstreams that run them.
+
+#include "gullstall/src/suspects/suspect_table.hpp"
+
+#endif
--- a/test/unit/retry_bound.cpp
+++ b/test/unit/retry_bound.cpp
@@ -63,8 +63,12 @@
         for (std::uint16_t s = 0; s < services; ++s) {
             for (std::uint16_t i = 0; i < nodes_each; ++i) {
                 std::string service = "s" + std::to_string(s);
-                w.add_node(test::make_settings(service + "-" + std::to_string(i), "midrand",
-                                               service, ++number, 64, publisher.trusted()));
+                node &made =
+                    w.add_node(test::make_settings(service + "-" + std::to_string(i), "midrand",
+                                                   service, ++number, 64, publisher.trusted()));
+                // A request that lost two runs would be refused before it spends
+                // its allowance, and the bound would not be reached.
+                made.suspects.refuse_crashers = false;
             }
         }
         w.run_for(seconds(3));
--- /dev/null
+++ b/test/unit/suspects_crash.cpp
@@ -0,0 +1,294 @@
+#include <doctest/doctest.h>
+
+#include <set>
+
+#include "test/support/world.hpp"
+
+using namespace gullstall;
+
+namespace {
+
+constexpr const char *bundle_text = R"(
+[bundle]
+version = 1
+previous = none
+author = tester
+reference = CB-1
+[class status]
+priority = 1
+[class dispatch]
+priority = 0
+protect = true
+[call boxwatch status]
+class_name = status
+time_ms = 2000
+[call boxwatch dispatch]
+class_name = dispatch
+non_idempotent = true
+time_ms = 2000
+)";
+
+const std::vector<std::string> zones{"midrand", "germiston", "centurion"};
+
+/// Three workers of one service in each of three zones. A request whose body
+/// begins with 66 crashes its worker, which takes all runs in flight with it;
+/// the worker is back 500 ms later.
+struct suspects_fixture
+{
+    test::test_publisher publisher;
+    test::world w{1};
+    std::map<call_ref, caller_answer> answers;
+    std::map<std::string, std::set<run_ref>> running;
+    std::map<std::string, int> runs;  ///< by request
+    std::set<std::string> down;
+    int crashes = 0;
+    bool nodes_crash_too = false;
+
+    suspects_fixture()
+    {
+        publisher.publish(w.platform, bundle_text);
+        w.on_run = [this](const std::string &instance, run_on_worker &&run) {
+            run_it(instance, std::move(run));
+        };
+        w.on_cancel = [this](const std::string &instance, run_ref run) {
+            running[instance].erase(run);
+        };
+        w.on_answer = [this](const std::string &, call_ref call, caller_answer &&answer) {
+            answers[call] = std::move(answer);
+        };
+        for (std::size_t i = 0; i < 9; ++i) {
+            add(i);
+        }
+        w.run_for(seconds(4));
+    }
+
+    static std::string name(std::size_t i)
+    {
+        return "boxwatch-" + std::to_string(i);
+    }
+
+    void add(std::size_t i)
+    {
+        w.add_node(test::make_settings(name(i), zones[i / 3], "boxwatch",
+                                       static_cast<std::uint16_t>(i), 8, publisher.trusted()));
+    }
+
+    void run_it(const std::string &instance, run_on_worker &&run)
+    {
+        if (down.count(instance) > 0) {
+            w.after(milliseconds(1), [this, instance, id = run.run] {
+                w.answer_run(instance, id, worker_end::not_sent);
+            });
+            return;
+        }
+        ++runs[run.request_id];
+        running[instance].insert(run.run);
+        if (run.body[0] == 66) {
+            w.after(milliseconds(5), [this, instance] { crash(instance); });
+            return;
+        }
+        w.after(milliseconds(50), [this, instance, id = run.run, body = run.body] {
+            if (running[instance].erase(id) > 0) {
+                w.answer_run(instance, id, worker_end::answered, 200, body);
+            }
+        });
+    }
+
+    void crash(const std::string &instance)
+    {
+        if (running[instance].empty()) {
+            return;
+        }
+        ++crashes;
+        std::set<run_ref> lost = std::move(running[instance]);
+        running[instance].clear();
+        if (nodes_crash_too) {
+            std::size_t i = static_cast<std::size_t>(instance.back() - '0');
+            w.kill(instance);
+            w.after(milliseconds(500), [this, i] { add(i); });
+            return;
+        }
+        down.insert(instance);
+        w.after(milliseconds(500), [this, instance] { down.erase(instance); });
+        for (run_ref it : lost) {
+            w.answer_run(instance, it, worker_end::lost);
+        }
+    }
+
+    call_ref send(std::size_t entry, const std::string &request, std::uint8_t first,
+                  const std::string &operation = "status", const std::string &key = "")
+    {
+        return w.call(name(entry),
+                      caller_call{"boxwatch", operation, request, key, "", {}, {first, 1}});
+    }
+
+    /// The caller sends the crasher again and again, through all zones.
+    void repeat_crasher(int times, duration gap)
+    {
+        for (int i = 0; i < times; ++i) {
+            last_ = send(static_cast<std::size_t>((i * 3) % 9), "crasher", 66);
+            w.run_for(gap);
+        }
+    }
+
+    void turn_off_refusals()
+    {
+        for (auto &[instance, it] : w.nodes) {
+            it.suspects.refuse_crashers = false;
+        }
+    }
+
+    call_ref last_{};
+};
+
+}  // namespace
+
+// Story: one malformed status query crashes every worker that runs it. Its
+// caller gets no answer and sends it again through the next zone, and one
+// worker after another goes down until no box status can be read at all.
+TEST_CASE_FIXTURE(suspects_fixture, "crasher, repeated in three zones, takes down two workers")
+{
+    SUBCASE("guard off: it goes on")
+    {
+        turn_off_refusals();
+        repeat_crasher(12, milliseconds(300));
+        CHECK(crashes > 2);
+    }
+    SUBCASE("guard on")
+    {
+        repeat_crasher(12, milliseconds(300));
+        CHECK(crashes == 2);
+        CHECK(answers.at(last_).refusal == wire::refusal::suspect);
+        CHECK(answers.at(last_).outcome == wire::outcome::unknown);
+    }
+}
+
+TEST_CASE_FIXTURE(suspects_fixture, "crasher, platform out, takes down two workers")
+{
+    w.platform.outage = true;
+    repeat_crasher(12, milliseconds(300));
+    CHECK(crashes == 2);
+}
+
+TEST_CASE_FIXTURE(suspects_fixture, "crasher, refused everywhere, answered at once")
+{
+    repeat_crasher(3, milliseconds(300));
+    for (std::size_t entry = 0; entry < 9; ++entry) {
+        call_ref id = send(entry, "crasher", 66);
+        REQUIRE(answers.count(id) == 1);
+        CHECK(answers.at(id).refusal == wire::refusal::suspect);
+    }
+    CHECK(crashes == 2);
+}
+
+TEST_CASE_FIXTURE(suspects_fixture, "crasher, zone cut off, takes down two workers per side")
+{
+    w.cuts.insert({"midrand", "germiston"});
+    w.cuts.insert({"midrand", "centurion"});
+    repeat_crasher(24, milliseconds(300));
+    CHECK(crashes <= 4);
+    CHECK(answers.at(last_).refusal == wire::refusal::suspect);
+}
+
+TEST_CASE_FIXTURE(suspects_fixture, "crasher, its nodes die with their workers, takes down two")
+{
+    nodes_crash_too = true;
+    // The entry is never the node that dies: the first node of each zone sends on.
+    for (int i = 0; i < 12; ++i) {
+        std::size_t entry = static_cast<std::size_t>((i * 3) % 9);
+        std::string own = name(entry);
+        if (w.nodes.count(own) > 0) {
+            w.nodes.at(own).routes.upstreams[own].ejected_until = w.now + seconds(100);
+            last_ = send(entry, "crasher", 66);
+        }
+        w.run_for(milliseconds(300));
+    }
+    CHECK(crashes == 2);
+}
+
+// Story: six status queries run on the worker that the crasher takes down. They
+// are suspects like it; if they stayed so, or met the crasher again on its next
+// worker, callers of sound requests would be refused for good.
+TEST_CASE_FIXTURE(suspects_fixture, "innocent requests, in flight at crashes, served in the end")
+{
+    std::vector<call_ref> innocent;
+    for (int i = 0; i < 48; ++i) {
+        innocent.push_back(send(static_cast<std::size_t>(i % 9), "query-" + std::to_string(i), 1));
+    }
+    w.run_for(milliseconds(5));
+    repeat_crasher(1, milliseconds(20));
+    CHECK(w.nodes.at(name(0)).suspects.suspects.size() > 1);  // innocent ones too
+    repeat_crasher(6, milliseconds(400));
+    w.run_for(seconds(3));
+    CHECK(crashes == 2);
+    int refused = 0;
+    for (int i = 0; i < 48; ++i) {
+        call_ref again = send(static_cast<std::size_t>(i % 9), "query-" + std::to_string(i), 1);
+        w.run_for(milliseconds(200));
+        refused += answers.at(again).outcome == wire::outcome::ran ? 0 : 1;
+    }
+    CHECK(refused == 0);
+    for (auto &[instance, it] : w.nodes) {
+        CHECK(it.suspects.suspects.size() == 1);  // the crasher alone
+    }
+}
+
+// Story: a zone is cut off while queries run there. To the others every node of
+// the zone falls silent, as if it had crashed; a query that was sent into the
+// zone twice must not be refused for good because of it.
+TEST_CASE_FIXTURE(suspects_fixture, "zone cut off, queries in flight, no suspects remain")
+{
+    for (auto &[instance, it] : w.nodes) {
+        note_suspect(it.suspects, "query", gullstall::crash{"peer:boxwatch-0", "boxwatch-0", 1},
+                     w.now);
+        note_suspect(it.suspects, "query", gullstall::crash{"peer:boxwatch-1", "boxwatch-1", 1},
+                     w.now);
+    }
+    CHECK(crashes_of(w.nodes.at(name(3)).suspects, "query") == 2);
+    w.cuts.insert({"midrand", "germiston"});
+    w.cuts.insert({"midrand", "centurion"});
+    w.run_for(seconds(6));
+    CHECK(crashes_of(w.nodes.at(name(3)).suspects, "query") == 0);
+    call_ref id = send(3, "query", 1);
+    w.run_for(milliseconds(200));
+    CHECK(answers.at(id).outcome == wire::outcome::ran);
+}
+
+TEST_CASE_FIXTURE(suspects_fixture, "two suspects, sent together, do not share a worker")
+{
+    // Both were in flight at one crash; only one of them is the cause.
+    auto suspects_after = [this](bool alone) {
+        for (auto &[instance, it] : w.nodes) {
+            it.suspects.run_alone = alone;
+            for (const char *request : {"crasher", "query"}) {
+                note_suspect(it.suspects, request, gullstall::crash{"first", "", 0}, w.now);
+            }
+        }
+        send(0, "query", 1);
+        send(0, "crasher", 66);
+        w.run_for(seconds(2));
+        return crashes_of(w.nodes.at(name(0)).suspects, "query");
+    };
+    for (std::size_t i = 1; i < 9; ++i) {
+        w.kill(name(i));
+    }
+    w.run_for(seconds(8));
+    SUBCASE("guard off: the innocent one is refused too")
+    {
+        CHECK(suspects_after(false) == crashes_to_refuse);
+    }
+    SUBCASE("guard on")
+    {
+        CHECK(suspects_after(true) == 0);
+    }
+}
+
+TEST_CASE_FIXTURE(suspects_fixture, "non-idempotent crasher, repeated, is never run again")
+{
+    for (int i = 0; i < 6; ++i) {
+        last_ = send(static_cast<std::size_t>((i * 3) % 9), "", 66, "dispatch", "order-1");
+        w.run_for(milliseconds(600));
+        CHECK(answers.at(last_).outcome == wire::outcome::unknown);
+    }
+    CHECK(crashes == 1);
+}
