--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -34,6 +34,7 @@
 void on_cancel(turn &t, const std::string &from, std::uint64_t correlation);
 void on_worker_answered(turn &t, worker_answered &e);
 void expire_runs(turn &t);
+void refuse_overdue(turn &t);
 void on_origin_lost(turn &t, const std::string &origin);
 std::string print_context(const node &n, run_ref run);
 std::optional<run_ref> parse_context(const node &n, const std::string &context);
@@ -41,8 +42,11 @@
 // admission.cpp: which calls this node lets onto its worker
 void on_level_tick(turn &t);
 std::optional<wire::refusal> reason_to_refuse(turn &t, const wire::call_message &call);
+std::optional<std::string> refused_at_entry(turn &t, const wire::call_message &call);
+void learn_from(turn &t, const pending_call &call, const wire::reply_message &reply);
+duration expected_wait(const node &n);
 priority priority_of(const wire::call_message &it);
-queue_place place_of(const node &n, const wire::call_message &call);
+waiting_run waiting_of(const node &n, const active_run &run);
 
 // control.cpp: the platform's answers, the worker's notices and the stop
 void on_control_tick(turn &t);
@@ -91,6 +95,10 @@
 void expire_forwarded(turn &t);
 void on_claim_frame(turn &t, wire::frame_message &frame);
 void on_claim_writer_gone(turn &t, const std::string &instance);
+// explain.cpp: the words of a refusal, for `gullstall explain`
+std::string describe_refusal(const node &n, const pending_call &call,
+                             const wire::reply_message &reply);
+std::string describe_unready(const node &n, const caller_call &asked, wire::refusal why);
 
 // suspect_control.cpp: requests that may crash upstreams
 std::string suspect_id_of(const caller_call &asked);
--- a/gullstall/src/node/node.hpp
+++ b/gullstall/src/node/node.hpp
@@ -11,6 +11,7 @@
 #include "gullstall/bundle.hpp"
 #include "gullstall/core.hpp"
 #include "gullstall/membership.hpp"
+#include "gullstall/metrics.hpp"
 #include "gullstall/once.hpp"
 #include "gullstall/overload.hpp"
 #include "gullstall/retry.hpp"
@@ -124,6 +125,7 @@
     std::map<std::string, retry_budget> budgets;  ///< by service
     timeline events;
     node_counters counters;
+    node_latencies latencies;
     once_book once;
     suspect_table suspects;
     std::deque<run_ref> alone_waiting;  ///< runs that want the worker for themselves
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -14,6 +14,7 @@
     const std::string &self = t.n.settings.node.instance;
     reply.leaving = t.n.stopping || t.n.worker_leaves || t.n.contacts.worker_silent;
     reply.running = t.n.slots_used;
+    reply.wait_us = static_cast<std::uint32_t>(expected_wait(t.n).count());
     reply.touched.push_back(t.n.settings.node.service);
     reply.levels.push_back(t.n.level.level.highest);
     for (const auto &[service, level] : touched) {
@@ -67,6 +68,7 @@
     ++t.n.slots_used;
     ++t.n.counters.runs_started;
     note_wait(t.n.level, t.now - run.queued_at);
+    note_latency(t.n.latencies.queue_wait, t.now - run.queued_at);
     note_event(t.n.events, t.now, event_kind::run_started, run.call.request_id,
                t.n.settings.node.instance, run.call.operation);
     t.out.emplace_back(run_on_worker{id, run.call.request_id, run.call.key, print_context(t.n, id),
@@ -111,6 +113,10 @@
     }
 }
 
+/// Longest wait of a call that is not protected. While protected calls take all
+/// slots such a call would hold slots above it until its deadline, for nothing.
+constexpr duration longest_wait = milliseconds(200);
+
 void start_queued(turn &t)
 {
     start_suspects(t);
@@ -143,7 +149,7 @@
         note_event(t.n.events, t.now, event_kind::run_cancelled, run.call.request_id,
                    t.n.settings.node.instance, "");
     } else {
-        remove_run(t.n.queue, place_of(t.n, run.call), id);
+        remove_run(t.n.queue, id);
     }
     return run;
 }
@@ -220,7 +226,7 @@
     run.queued_at = t.now;
     run.retries.left = call.allowance;
     run.call = std::move(call);
-    queue_place place = place_of(t.n, run.call);
+    waiting_run waiting = waiting_of(t.n, run);
     t.n.served[{from, run.call.correlation}] = id;
     t.n.run_deadlines.emplace(run.deadline, id);
     t.n.runs.emplace(id, std::move(run));
@@ -233,11 +239,22 @@
         start_run(t, id);
         return;
     }
-    if (std::optional<run_ref> displaced = enqueue(t.n.queue, place, id)) {
+    if (std::optional<run_ref> displaced = enqueue(t.n.queue, waiting)) {
         refuse_queued(t, *displaced, wire::refusal::overload);
     }
 }
 
+void refuse_overdue(turn &t)
+{
+    while (std::optional<run_ref> oldest = first_common(t.n.queue)) {
+        if (t.now - t.n.runs.at(*oldest).queued_at <= longest_wait) {
+            return;
+        }
+        remove_run(t.n.queue, *oldest);
+        refuse_queued(t, *oldest, wire::refusal::overload);
+    }
+}
+
 void on_cancel(turn &t, const std::string &from, std::uint64_t correlation)
 {
     auto found = t.n.served.find({from, correlation});
@@ -283,6 +300,7 @@
     } else if (e.end == worker_end::answered) {
         on_run_answered(t, run);
     }
+    note_latency(t.n.latencies.run, t.now - *run.started_at);
     note_event(t.n.events, t.now, event_kind::run_finished, run.call.request_id,
                t.n.settings.node.instance, std::to_string(e.status));
     reply_to(t, run.origin, reply_of(run, e, t.n.settings.node.service), run.touched);
