--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -100,6 +100,16 @@
                              const wire::reply_message &reply);
 std::string describe_unready(const node &n, const caller_call &asked, wire::refusal why);
 
+// suspect_control.cpp: requests that may crash upstreams
+std::string suspect_id_of(const caller_call &asked);
+bool refuses_suspect(turn &t, wire::call_message &request);
+void on_run_lost(turn &t, const active_run &run);
+void on_run_answered(turn &t, const active_run &run);
+void on_attempt_lost(turn &t, pending_call &call, const std::string &instance);
+void on_suspect_tick(turn &t);
+void on_suspect_frame(turn &t, wire::frame_message &frame);
+bool runs_alone(const node &n, const wire::call_message &call);
+
 // admin.cpp
 void on_admin_asked(turn &t, const admin_asked &e);
 
