--- a/gullstall/src/timeline/view.cpp
+++ b/gullstall/src/timeline/view.cpp
@@ -182,7 +182,8 @@
         out += by + "\n  call " + text("service") + "/" + text("operation") + " at ";
         out += it.instance + " in " + it.zone + "\n  class " + text("class") + ", priority ";
         out += text("priority") + ", rank " + text("rank") + ", level of the request ";
-        out += text("request_level") + ", level admitted by " + by + " " + level;
+        out += text("request_level") + ", level admitted by " + by + " ";
+        out += level;
         out += "\n  bundle version " + text("bundle") + ", upstreams tried " + text("tried") + "\n";
     }
     return out;
--- a/test/fuzz/bundle.cpp
+++ b/test/fuzz/bundle.cpp
@@ -6,6 +6,7 @@
 
 #include "gullstall/bundle.hpp"
 
+// The name is libFuzzer's.  NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     std::string_view text(reinterpret_cast<const char *>(data), size);
--- a/test/fuzz/frame.cpp
+++ b/test/fuzz/frame.cpp
@@ -5,6 +5,7 @@
 
 #include "gullstall/wire.hpp"
 
+// The name is libFuzzer's.  NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     std::string_view bytes(reinterpret_cast<const char *>(data), size);
