Round a call's share of the allowance up

Cause: with an allowance of three, the second hop's own calls had none left: a dispatch whose call met a leaving upstream ended as the worker's 502, which is then the answer of its key (seen in process_rolling_stop, 1 of 5054). Ruled out: a larger allowance in the bundle (the bound is the operators'). Change: half rounded up goes along; what comes back unspent pays for the sender's own re-send.

--- a/gullstall/src/retry/allowance.cpp
+++ b/gullstall/src/retry/allowance.cpp
@@ -6,7 +6,7 @@
 
 std::uint32_t take_share(allowance &it)
 {
-    std::uint32_t share = it.left / 2;
+    std::uint32_t share = (it.left + 1) / 2;
     it.left -= share;
     return share;
 }
--- a/gullstall/src/retry/allowance.hpp
+++ b/gullstall/src/retry/allowance.hpp
@@ -16,8 +16,9 @@
     auto operator<=>(const allowance &) const = default;
 };
 
-/// Takes the share for one call out of \a it: half, rounded down, so that the
-/// sender can still re-send when the call fails.
+/// Takes the share for one call out of \a it: half, rounded up, so that the last
+/// re-send is not left with a hop high above the one that could use it. A share
+/// that comes back unspent still pays for the sender's own re-send.
 std::uint32_t take_share(allowance &it);
 
 /// Puts back \a unspent of a \a share; a reply can never return more than the
