--- /dev/null
+++ b/gullstall/src/node/answer.cpp
@@ -0,0 +1,114 @@
+#include "gullstall/src/node/internal.hpp"
+
+namespace gullstall::internal {
+
+wire::reply_message refusal_reply(wire::refusal why, const std::string &by)
+{
+    wire::reply_message out;
+    out.outcome = wire::outcome::not_run;
+    out.refusal = why;
+    out.refused_by = by;
+    return out;
+}
+
+void forget_call(turn &t, pending_call &call)
+{
+    if (call.current) {
+        t.n.attempts.erase(call.current->correlation);
+    }
+    auto [begin, end] = t.n.call_deadlines.equal_range(call.deadline);
+    for (auto it = begin; it != end; ++it) {
+        if (it->second == call.id) {
+            t.n.call_deadlines.erase(it);
+            break;
+        }
+    }
+    if (call.parent) {
+        auto run = t.n.runs.find(*call.parent);
+        if (run != t.n.runs.end()) {
+            run->second.children.erase(call.id);
+            run->second.retries.left += call.retries.left;
+        }
+    } else {
+        auto entered = t.n.entered.find(call.request.request_id);
+        if (entered != t.n.entered.end() && entered->second == call.id) {
+            t.n.entered.erase(entered);
+        }
+    }
+    for (call_ref waiter : call.waiters) {
+        t.n.joined.erase(waiter);
+    }
+    t.n.calls.erase(call.id);
+}
+
+namespace {
+
+void count_refusal(turn &t, const wire::call_message &request, wire::refusal why)
+{
+    std::string name = wire::EnumNamerefusal(why);
+    ++t.n.counters.refusals[name + "/" + std::to_string(request.class_priority)];
+}
+
+/// Hands the final answer to whoever asked: a caller, or the node that sent
+/// the call on to the issuer of its key.
+void give_answer(turn &t, pending_call &call, wire::reply_message &reply)
+{
+    if (call.origin) {
+        wire::reply_message out = std::move(reply);
+        out.correlation = call.origin->second;
+        out.unspent = call.retries.left;
+        send_to(t, call.origin->first, frame_of(std::move(out)));
+        return;
+    }
+    caller_answer answer{reply.outcome,
+                         reply.refusal,
+                         reply.refused_by,
+                         call.request.request_id,
+                         reply.status,
+                         reply.retry_after_ms,
+                         call.request.bundle_version,
+                         std::move(reply.content_type),
+                         std::move(reply.body)};
+    for (call_ref waiter : call.waiters) {
+        ++t.n.counters.calls_answered;
+        t.out.emplace_back(answer_call{waiter, answer});
+    }
+}
+
+}  // namespace
+
+/// Answers the caller; this is the one place where a call ends with an answer.
+void finish_call(turn &t, call_ref id, wire::reply_message &reply)
+{
+    pending_call &call = t.n.calls.at(id);
+    bool ran = reply.outcome == wire::outcome::ran;
+    if (!ran && call.may_have_run) {
+        // An earlier attempt may have run: nobody can say `not run` any more.
+        reply.outcome = wire::outcome::unknown;
+    }
+    end_once_call(t, call, reply);
+    if (!ran) {
+        count_refusal(t, call.request, reply.refusal);
+        note_event(t.n.events, t.now, event_kind::call_refused, call.request.request_id,
+                   reply.refused_by, describe_refusal(t.n, call, reply));
+        if (reply.retry_after_ms == 0) {
+            double beyond =
+                classes_beyond(t.n.touches, reply.refused_by, priority_of(call.request), t.now);
+            reply.retry_after_ms = draw_retry_after_ms(t.n.random, beyond);
+        }
+    } else {
+        note_event(t.n.events, t.now, event_kind::call_answered, call.request.request_id,
+                   call.request.service, std::to_string(reply.status));
+    }
+    note_latency(t.n.latencies.call, t.now - call.taken_at);
+    give_answer(t, call, reply);
+    forget_call(t, call);
+}
+
+void refuse_call(turn &t, call_ref id, wire::refusal why, const std::string &by)
+{
+    wire::reply_message reply = refusal_reply(why, by);
+    finish_call(t, id, reply);
+}
+
+}  // namespace gullstall::internal
--- /dev/null
+++ b/gullstall/src/node/attempt.cpp
@@ -0,0 +1,173 @@
+#include <algorithm>
+
+#include "gullstall/src/node/internal.hpp"
+
+namespace gullstall::internal {
+
+void send_attempt(turn &t, pending_call &call, const std::string &upstream, std::uint32_t share)
+{
+    const std::string &self = t.n.settings.node.instance;
+    std::uint64_t correlation = next_id(t.n);
+    call.current = attempt{correlation, upstream, share, t.now};
+    t.n.attempts[correlation] = call.id;
+    note_sent(t.n.routes, upstream);
+    wire::call_message message = call.request;
+    message.correlation = correlation;
+    message.allowance = share;
+    message.left_us = static_cast<std::uint64_t>((call.deadline - t.now).count());
+    note_event(t.n.events, t.now, event_kind::call_sent, call.request.request_id, upstream, "");
+    if (upstream == self) {
+        on_call(t, self, message);
+        return;
+    }
+    send_to(t, upstream, frame_of(std::move(message)));
+}
+
+/// Sends the call to an upstream that was not tried yet.
+void start_call(turn &t, call_ref id)
+{
+    pending_call &call = t.n.calls.at(id);
+    if (refuses_suspect(t, call.request)) {
+        // It ran before, on the workers that it took down.
+        wire::reply_message reply = refusal_reply(wire::refusal::suspect, call.request.service);
+        reply.outcome = wire::outcome::unknown;
+        finish_call(t, id, reply);
+        return;
+    }
+    const std::string &self = t.n.settings.node.instance;
+    route_request wanted{call.request.service, self, t.n.settings.node.zone, call.tried,
+                         call.request.non_idempotent};
+    auto upstream = choose_upstream(t.n.routes, t.n.members, wanted, t.n.random, t.now);
+    if (!upstream) {
+        refuse_call(t, id, wire::refusal::no_upstream, call.request.service);
+        return;
+    }
+    std::uint32_t share =
+        t.n.guards.divide_allowance ? take_share(call.retries) : call.retries.left;
+    call.tried.push_back(*upstream);
+    send_attempt(t, call, *upstream, share);
+}
+
+namespace {
+
+bool worth_resending(const pending_call &call, const wire::reply_message &reply)
+{
+    if (call.request.to_issuer) {
+        return false;  // only the issuer may run it, and it re-sends by itself
+    }
+    switch (reply.refusal) {
+        case wire::refusal::leaving:
+        case wire::refusal::busy:
+        case wire::refusal::starting:
+            return reply.outcome == wire::outcome::not_run;
+        case wire::refusal::connection_lost:
+            return reply.outcome == wire::outcome::not_run || !call.request.non_idempotent;
+        default:
+            return false;
+    }
+}
+
+/// Sends the call once more when the request's allowance and the service's
+/// budget both pay for it.
+bool try_resend(turn &t, call_ref id)
+{
+    pending_call &call = t.n.calls.at(id);
+    if (call.retries.left == 0 || t.now >= call.deadline ||
+        !spend_budget(t.n.budgets[call.request.service])) {
+        return false;
+    }
+    spend_retry(call.retries);
+    ++t.n.counters.calls_resent;
+    note_event(t.n.events, t.now, event_kind::call_resent, call.request.request_id,
+               call.request.service, "");
+    start_call(t, id);
+    return true;
+}
+
+/// Ends the current attempt with \a reply: re-sends or answers.
+void end_attempt(turn &t, call_ref id, wire::reply_message &reply)
+{
+    pending_call &call = t.n.calls.at(id);
+    return_share(call.retries, call.current->share, reply.unspent);
+    t.n.attempts.erase(call.current->correlation);
+    call.current.reset();
+    // The issuer of the key says `not run` only when it knows.
+    call.settled = call.request.to_issuer && reply.refusal != wire::refusal::connection_lost;
+    call.may_have_run = call.may_have_run || reply.outcome == wire::outcome::unknown;
+    if (worth_resending(call, reply) && try_resend(t, id)) {
+        return;
+    }
+    finish_call(t, id, reply);
+}
+
+}  // namespace
+
+namespace {
+
+/// Tells the router what a reply says of the upstream.
+void note_reply(router &routes, const std::string &from, const wire::reply_message &reply,
+                duration took, time_point now)
+{
+    if (reply.refusal == wire::refusal::connection_lost) {
+        note_failed(routes, from, now);
+    } else if (reply.outcome == wire::outcome::not_run) {
+        note_refused(routes, from, now);
+    } else {
+        // Also one that ran into its deadline: the time it took makes the
+        // upstream look slow, which a silent one is.
+        note_answered(routes, from, took);
+    }
+}
+
+}  // namespace
+
+void on_reply(turn &t, const std::string &from, wire::reply_message &reply)
+{
+    auto known = t.n.attempts.find(reply.correlation);
+    if (known == t.n.attempts.end()) {
+        return;  // late: its call has its answer already
+    }
+    call_ref id = known->second;
+    pending_call &call = t.n.calls.at(id);
+    if (call.current->instance != from) {
+        return;  // the number belongs to another node's attempt
+    }
+    if (reply.leaving) {
+        note_leaving(t.n.routes, from, t.now);
+    }
+    note_reply(t.n.routes, from, reply, t.now - call.current->sent_at, t.now);
+    if (reply.refusal == wire::refusal::connection_lost &&
+        reply.outcome == wire::outcome::unknown) {
+        ++call.request.suspicion;
+    }
+    learn_from(t, call, reply);
+    end_attempt(t, id, reply);
+}
+
+void on_peer_unreachable(turn &t, const peer_unreachable &e)
+{
+    std::vector<std::uint64_t> broken;
+    for (const auto &[correlation, id] : t.n.attempts) {
+        if (t.n.calls.at(id).current->instance == e.instance) {
+            broken.push_back(correlation);
+        }
+    }
+    std::sort(broken.begin(), broken.end());
+    for (std::uint64_t correlation : broken) {
+        auto known = t.n.attempts.find(correlation);
+        if (known == t.n.attempts.end()) {
+            continue;
+        }
+        bool unsent = std::find(e.unsent.begin(), e.unsent.end(), correlation) != e.unsent.end();
+        wire::reply_message reply = refusal_reply(wire::refusal::connection_lost,
+                                                  t.n.calls.at(known->second).request.service);
+        reply.outcome = unsent ? wire::outcome::not_run : wire::outcome::unknown;
+        note_failed(t.n.routes, e.instance, t.now);
+        if (!unsent) {
+            on_attempt_lost(t, t.n.calls.at(known->second), e.instance);
+        }
+        end_attempt(t, known->second, reply);
+    }
+}
+
+}  // namespace gullstall::internal
--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -4,8 +4,8 @@
 #include "gullstall/src/node/node.hpp"
 
 /// Parts of step(). One call passes through them in this order: entry.cpp takes
-/// it and sends it on, serve.cpp queues and runs it beside its upstream, and
-/// entry.cpp takes the reply and answers the caller.
+/// it, attempt.cpp sends it on, serve.cpp queues and runs it beside its
+/// upstream, attempt.cpp takes the reply, and answer.cpp answers the caller.
 namespace gullstall::internal {
 
 /// The node in the middle of one step.
@@ -19,15 +19,21 @@
 // entry.cpp: calls that this node has taken
 void on_call_arrived(turn &t, call_arrived &e);
 void on_call_abandoned(turn &t, call_ref id);
-void on_reply(turn &t, const std::string &from, wire::reply_message &reply);
-void on_peer_unreachable(turn &t, const peer_unreachable &e);
 void expire_calls(turn &t);
 void cancel_call(turn &t, call_ref id);
+void take_call(turn &t, pending_call &&call);
+
+// attempt.cpp: sends of a call to upstreams, and their replies
 void start_call(turn &t, call_ref id);
 void send_attempt(turn &t, pending_call &call, const std::string &upstream, std::uint32_t share);
+void on_reply(turn &t, const std::string &from, wire::reply_message &reply);
+void on_peer_unreachable(turn &t, const peer_unreachable &e);
+
+// answer.cpp: the end of a call
 void finish_call(turn &t, call_ref id, wire::reply_message &reply);
 void refuse_call(turn &t, call_ref id, wire::refusal why, const std::string &by);
-void take_call(turn &t, pending_call &&call);
+void forget_call(turn &t, pending_call &call);
+wire::reply_message refusal_reply(wire::refusal why, const std::string &by);
 
 // serve.cpp: calls that this node runs on its worker
 void on_call(turn &t, const std::string &from, wire::call_message &call);
