Break off an attempt in one place

Cause: leaving callers and passed deadlines sent the cancel of an attempt by two copies of the same lines; attempt.cpp closed and reopened a namespace. Ruled out: sharing more of the two paths (one tells the router of a slow answer, the other nothing). Change: break_off_attempt serves both; behaviour is the same. Measured: node_cancel, node_path, retry_join, retry_deep and once_keys pass before and after; the format check is clean.

--- a/gullstall/src/node/attempt.cpp
+++ b/gullstall/src/node/attempt.cpp
@@ -100,10 +100,6 @@
     finish_call(t, id, reply);
 }
 
-}  // namespace
-
-namespace {
-
 /// Tells the router what a reply says of the upstream.
 void note_reply(router &routes, const std::string &from, const wire::reply_message &reply,
                 duration took, time_point now)
--- a/gullstall/src/node/entry.cpp
+++ b/gullstall/src/node/entry.cpp
@@ -151,6 +151,22 @@
     start_call(t, id);
 }
 
+namespace {
+
+/// Breaks off the run of an attempt, here or at its upstream's node.
+void break_off_attempt(turn &t, const attempt &last)
+{
+    if (last.instance == t.n.settings.node.instance) {
+        on_cancel(t, last.instance, last.correlation);
+        return;
+    }
+    wire::cancel_message message;
+    message.correlation = last.correlation;
+    send_to(t, last.instance, frame_of(message));
+}
+
+}  // namespace
+
 void cancel_call(turn &t, call_ref id)
 {
     auto found = t.n.calls.find(id);
@@ -163,13 +179,7 @@
     }
     if (call.current) {
         attempt last = *call.current;
-        wire::cancel_message message;
-        message.correlation = last.correlation;
-        if (last.instance == t.n.settings.node.instance) {
-            on_cancel(t, last.instance, last.correlation);
-        } else {
-            send_to(t, last.instance, frame_of(message));
-        }
+        break_off_attempt(t, last);
         note_ended(t.n.routes, last.instance);
     }
     forget_call(t, call);
@@ -199,16 +209,10 @@
         if (call.current) {
             reply.outcome = wire::outcome::unknown;
             attempt last = *call.current;
-            wire::cancel_message message;
-            message.correlation = last.correlation;
             note_answered(t.n.routes, last.instance, t.now - last.sent_at);
             t.n.attempts.erase(last.correlation);
             call.current.reset();
-            if (last.instance == t.n.settings.node.instance) {
-                on_cancel(t, last.instance, last.correlation);
-            } else {
-                send_to(t, last.instance, frame_of(message));
-            }
+            break_off_attempt(t, last);
         }
         finish_call(t, id, reply);
     }
