--- /dev/null
+++ b/gullstall/mesh.hpp
@@ -0,0 +1,15 @@
+#ifndef GULLSTALL_MESH_HPP
+#define GULLSTALL_MESH_HPP
+
+/// Mesh module: decisions of a node that finds its peers in the platform's
+/// store: which upstream gets a request, when it is handed over, what a caller
+/// is told.
+#include "gullstall/src/mesh/directory.hpp"
+#include "gullstall/src/mesh/mesh_node.hpp"
+#include "gullstall/src/mesh/mesh_settings.hpp"
+#include "gullstall/src/mesh/own_upstream.hpp"
+#include "gullstall/src/mesh/repeat_budget.hpp"
+#include "gullstall/src/mesh/run_gate.hpp"
+#include "gullstall/src/mesh/traffic_split.hpp"
+
+#endif
--- a/gullstall/settings.hpp
+++ b/gullstall/settings.hpp
@@ -3,6 +3,7 @@
 
 /// Settings module: INI documents, sections read by schema, the node's settings.
 
+#include "gullstall/src/settings/endpoint.hpp"
 #include "gullstall/src/settings/ini.hpp"
 #include "gullstall/src/settings/node_settings.hpp"
 #include "gullstall/src/settings/section_reader.hpp"
--- /dev/null
+++ b/gullstall/src/edge/http_edge.cpp
@@ -0,0 +1,122 @@
+#include "gullstall/src/edge/http_edge.hpp"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "gullstall/src/edge/edge_connection.hpp"
+
+namespace gullstall::edge {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+/// Pause after an accept that failed, usually for want of descriptors.
+constexpr std::chrono::milliseconds accept_pause(10);
+
+bool concerns_one_connection(http::field name)
+{
+    constexpr std::array names{http::field::connection,
+                               http::field::keep_alive,
+                               http::field::proxy_connection,
+                               http::field::te,
+                               http::field::transfer_encoding,
+                               http::field::upgrade,
+                               http::field::content_length,
+                               http::field::trailer,
+                               http::field::expect};
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+}  // namespace
+
+std::string end_to_end_lines(const http::fields &fields)
+{
+    std::string out;
+    for (const auto &field : fields) {
+        if (concerns_one_connection(field.name())) {
+            continue;
+        }
+        out.append(field.name_string().data(), field.name_string().size());
+        out += ": ";
+        out.append(field.value().data(), field.value().size());
+        out += "\r\n";
+    }
+    return out;
+}
+
+http_edge::http_edge(asio::io_context &io, const asio::ip::tcp::endpoint &at, edge_limits limits,
+                     edge_handlers handlers)
+    : io_(io), acceptor_(io, at), limits_(limits), handlers_(std::move(handlers))
+{
+    asio::co_spawn(io_, accept_loop(), asio::detached);
+}
+
+asio::awaitable<void> http_edge::accept_loop()
+{
+    while (true) {
+        error_code ec;
+        asio::ip::tcp::socket socket =
+            co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, ec));
+        if (ec == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (ec || connections_.size() >= limits_.connections) {
+            asio::steady_timer pause(io_, accept_pause);
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            continue;
+        }
+        std::uint64_t id = ++last_id_;
+        auto connection = std::make_shared<edge_connection>(*this, id, std::move(socket));
+        connections_[id] = connection;
+        asio::co_spawn(
+            io_, [connection] { return connection->run(); }, asio::detached);
+    }
+}
+
+void http_edge::answer(call_ref id, edge_answer &&answer)
+{
+    auto found = waiting_.find(id);
+    if (found == waiting_.end()) {
+        return;
+    }
+    std::shared_ptr<edge_connection> connection = found->second;
+    connection->answer(id, std::move(answer));
+}
+
+void http_edge::set_limits(const edge_limits &limits)
+{
+    limits_ = limits;
+}
+
+void http_edge::sweep(time_point now)
+{
+    std::vector<std::shared_ptr<edge_connection>> all;
+    all.reserve(connections_.size());
+    for (const auto &[id, connection] : connections_) {
+        all.push_back(connection);
+    }
+    for (const auto &connection : all) {
+        connection->sweep(now);
+    }
+}
+
+void http_edge::close_gently()
+{
+    closing_ = true;
+    std::vector<std::shared_ptr<edge_connection>> all;
+    for (const auto &[id, connection] : connections_) {
+        all.push_back(connection);
+    }
+    for (const auto &connection : all) {
+        connection->close_gently();
+    }
+}
+
+}  // namespace gullstall::edge
--- /dev/null
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -0,0 +1,380 @@
+#include "gullstall/src/edge/mesh_daemon.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/lexical_cast/try_lexical_convert.hpp>
+#include <cmath>
+#include <cstdio>
+
+#include "gullstall/src/edge/clock.hpp"
+#include "gullstall/src/edge/tcp_options.hpp"
+
+namespace gullstall::edge {
+
+namespace asio = boost::asio;
+using mesh::mesh_turn;
+using mesh::write_line;
+
+namespace {
+
+/// Time between two looks at connections that are idle or too slow.
+constexpr duration sweep_interval = milliseconds(250);
+
+/// Time between the order to stop and the close of idle connections. The
+/// platform asks once a second whether the node is ready and takes it out after
+/// two misses; until then clients send over the connections that they have.
+constexpr duration stop_notice = milliseconds(2300);
+
+/// Time before the end of the stop's time at which the process ends in any case.
+constexpr duration stop_margin = milliseconds(300);
+
+endpoint endpoint_from(const std::string &text)
+{
+    result<endpoint> read = parse_endpoint(text);
+    return succeeded(read) ? value_of(read) : endpoint{};  // the settings are checked
+}
+
+asio::ip::tcp::endpoint listen_at(const std::string &text)
+{
+    return tcp_endpoint(endpoint_from(text));
+}
+
+/// Address of the own upstream; a node without one never uses it.
+asio::ip::tcp::endpoint upstream_at(const mesh::mesh_settings &settings)
+{
+    return settings.upstream.endpoint.empty() ? asio::ip::tcp::endpoint()
+                                              : listen_at(settings.upstream.endpoint);
+}
+
+std::string_view field_of(const boost::beast::http::fields &fields, const std::string &name)
+{
+    auto value = fields[name];
+    return {value.data(), value.size()};
+}
+
+/// \returns seconds with milliseconds, as a Retry-After field holds them
+std::string print_seconds(duration it)
+{
+    std::array<char, 32> out{};
+    std::snprintf(out.data(), out.size(), "%.3f", std::chrono::duration<double>(it).count());
+    return out.data();
+}
+
+const char *status_text(std::uint16_t status)
+{
+    switch (status) {
+        case 400:
+            return "Bad Request";
+        case 404:
+            return "Not Found";
+        case 502:
+            return "Bad Gateway";
+        case 503:
+            return "Service Unavailable";
+        case 504:
+            return "Gateway Timeout";
+        default:
+            return "";
+    }
+}
+
+}  // namespace
+
+mesh_daemon::mesh_daemon(asio::io_context &io, const mesh::mesh_settings &settings,
+                         platform_dialect dialect, std::uint64_t incarnation, std::uint64_t seed)
+    : io_(io),
+      settings_(settings),
+      dialect_(std::move(dialect)),
+      node_(mesh::make_mesh_node(settings, incarnation, seed, now())),
+      log_(settings.node.name, settings.log.level, settings.log.lines_per_second),
+      callers_(io, listen_at(settings.listen.callers), edge_limits{},
+               edge_handlers{
+                   [this](call_ref id, edge_request &&it) { request(id, std::move(it)); },
+                   [this](call_ref id) { step([&](mesh_turn &t) { abandon_request(t, id); }); }}),
+      metrics_(io, listen_at(settings.listen.metrics), edge_limits{},
+               edge_handlers{[this](call_ref id, edge_request &&) {
+                                 std::string text = print_metrics(node_, now());
+                                 text +=
+                                     "# TYPE gullstall_log_lines_dropped_total counter\n"
+                                     "gullstall_log_lines_dropped_total " +
+                                     std::to_string(log_.dropped()) + "\n";
+                                 metrics_.answer(id, edge_answer{200,
+                                                                 "OK",
+                                                                 "Content-Type: text/plain\r\n",
+                                                                 {text.begin(), text.end()}});
+                             },
+                             [](call_ref) {}}),
+      upstream_(io, upstream_at(settings), dialect_.names,
+                [this](run_ref id, mesh::run_result &&result) {
+                    step([&](mesh_turn &t) { take_run_result(t, id, std::move(result)); });
+                }),
+      peers_(
+          io, listen_at(settings.listen.peers),
+          peer_link_handlers{
+              [this] { return own_hello(node_, now()); },
+              [this](const std::string &node) { step([&](mesh_turn &t) { link_node(t, node); }); },
+              [this](const std::string &node, const std::string &why,
+                     const std::vector<std::uint64_t> &unsent) {
+                  log(write_line{write_line::severity::warning,
+                                 "members",
+                                 "node-lost",
+                                 {{"peer", node}, {"why", why}}});
+                  step([&](mesh_turn &t) { lose_node(t, node, unsent); });
+              },
+              [this](const std::string &node, mesh_wire::frame_message &&frame) {
+                  from_node(node, std::move(frame));
+              },
+              [this](mesh::link_ref link, mesh_wire::frame_message &&frame) {
+                  from_link(link, std::move(frame));
+              },
+              [this](mesh::link_ref link) { step([&](mesh_turn &t) { lose_link(t, link); }); }}),
+      expiry_timer_(io),
+      tick_timer_(io)
+{
+    schedule_tick();
+}
+
+void mesh_daemon::step(const std::function<void(mesh_turn &)> &what)
+{
+    mesh::mesh_actions out;
+    mesh_turn turn{node_, now(), out};
+    what(turn);
+    for (mesh::mesh_action &it : out) {
+        carry_out(std::move(it));
+    }
+    schedule_expiry();
+}
+
+void mesh_daemon::carry_out(mesh::mesh_action &&what)
+{
+    std::visit(
+        [this](auto &it) {
+            using kind = std::decay_t<decltype(it)>;
+            if constexpr (std::is_same_v<kind, mesh::answer_caller>) {
+                answer(it.call, std::move(it.answer));
+            } else if constexpr (std::is_same_v<kind, mesh::send_to_node>) {
+                send_to_node(it);
+            } else if constexpr (std::is_same_v<kind, mesh::send_to_link>) {
+                peers_.send_to_link(it.link, it.frame);
+            } else if constexpr (std::is_same_v<kind, mesh::start_run>) {
+                upstream_.start(std::move(it));
+            } else if constexpr (std::is_same_v<kind, mesh::cancel_run>) {
+                upstream_.cancel(it.run);
+            } else if constexpr (std::is_same_v<kind, mesh::upstream_replaced>) {
+                upstream_.forget_connections();
+            } else if constexpr (std::is_same_v<kind, mesh::connect_node>) {
+                peers_.connect(it.address);
+            } else {
+                static_assert(std::is_same_v<kind, write_line>, "an action is not carried out");
+                log_.write(it);
+            }
+        },
+        what);
+}
+
+void mesh_daemon::send_to_node(const mesh::send_to_node &order)
+{
+    const mesh_wire::call_message *call = order.frame.payload.Ascall();
+    if (peers_.send_to_node(order.node, order.frame) || call == nullptr) {
+        return;
+    }
+    // The call has not left: the next loop tells it as a refusal, so that it is
+    // placed elsewhere. Not at once: the node is in the middle of a step.
+    std::uint64_t correlation = call->correlation;
+    asio::post(io_, [this, node = order.node, correlation] {
+        mesh_wire::reply_message reply;
+        reply.correlation = correlation;
+        reply.outcome = mesh_wire::outcome::not_started;
+        reply.reason = mesh_wire::reason::unreachable;
+        step([&](mesh_turn &t) { take_reply(t, node, reply); });
+    });
+}
+
+void mesh_daemon::request(call_ref id, edge_request &&it)
+{
+    mesh::caller_request request;
+    request.request_id = std::string(field_of(it.fields, dialect_.names.request_id));
+    request.host = std::string(it.fields[boost::beast::http::field::host]);
+    request.method = std::move(it.method);
+    request.target = std::move(it.target);
+    request.body = std::move(it.body);
+    std::int64_t left_ms = 0;
+    std::string_view told = field_of(it.fields, dialect_.names.time_left_ms);
+    if (!told.empty() && boost::conversion::try_lexical_convert(told, left_ms)) {
+        request.time_left = milliseconds(left_ms);
+    }
+    if (request.request_id.empty()) {
+        callers_.answer(id, edge_answer{400, status_text(400), "", {}});
+        return;
+    }
+    // What this node sets itself must not be taken from the caller.
+    it.fields.erase(dialect_.names.time_left_ms);
+    it.fields.erase(dialect_.names.expected_upstream);
+    it.fields.erase(dialect_.names.caller_service);
+    request.header_lines = end_to_end_lines(it.fields);
+    step([&](mesh_turn &t) { take_request(t, id, std::move(request)); });
+}
+
+void mesh_daemon::answer(call_ref id, mesh::caller_answer &&answer)
+{
+    edge_answer out;
+    out.status = answer.status;
+    if (answer.from_upstream) {
+        out.status_text = std::move(answer.status_text);
+        out.header_lines = std::move(answer.header_lines);
+        out.body = std::move(answer.body);
+    } else {
+        out.status_text = status_text(answer.status);
+        if (answer.retry_after) {
+            out.header_lines = "Retry-After: " + print_seconds(*answer.retry_after) + "\r\n";
+        }
+    }
+    callers_.answer(id, std::move(out));
+}
+
+void mesh_daemon::from_node(const std::string &node, mesh_wire::frame_message &&frame)
+{
+    if (mesh_wire::reply_message *reply = frame.payload.Asreply()) {
+        step([&](mesh_turn &t) { take_reply(t, node, *reply); });
+    } else if (const mesh_wire::node_status_message *status = frame.payload.Asnode_status()) {
+        step([&](mesh_turn &t) { take_status(t, *status); });
+    } else if (const mesh_wire::policy_content_message *it = frame.payload.Aspolicy_content()) {
+        policy_text(std::string(it->content.begin(), it->content.end()), "peer");
+    }
+}
+
+void mesh_daemon::from_link(mesh::link_ref link, mesh_wire::frame_message &&frame)
+{
+    if (mesh_wire::call_message *call = frame.payload.Ascall()) {
+        step([&](mesh_turn &t) { take_call(t, link, std::move(*call)); });
+    } else if (const mesh_wire::cancel_message *it = frame.payload.Ascancel()) {
+        step([&](mesh_turn &t) { take_cancel(t, link, it->correlation); });
+    } else if (const mesh_wire::hello_message *hello = frame.payload.Ashello()) {
+        step([&](mesh_turn &t) { take_hello(t, link, *hello); });
+    } else if (frame.payload.Asping() != nullptr) {
+        step([&](mesh_turn &t) { take_ping(t, link); });
+    } else if (frame.payload.Aspolicy_fetch() != nullptr) {
+        step([&](mesh_turn &t) { take_policy_fetch(t, link); });
+    }
+}
+
+mesh::heartbeat_verdict mesh_daemon::heartbeat(const mesh::upstream_heartbeat &beat)
+{
+    mesh::heartbeat_verdict verdict{};
+    step([&](mesh_turn &t) { verdict = on_heartbeat(t, beat); });
+    return verdict;
+}
+
+void mesh_daemon::leave(const std::string &upstream)
+{
+    step([&](mesh_turn &t) { on_leave(t, upstream, unix_ms()); });
+}
+
+void mesh_daemon::policy_text(const std::string &text, const char *source)
+{
+    result<traffic_policy> read = dialect_.read_policy(text);
+    if (!succeeded(read)) {
+        log(write_line{write_line::severity::warning,
+                       "policy",
+                       "policy-unreadable",
+                       {{"source", source}, {"error", error_of(read).message}}});
+        return;
+    }
+    bool taken = false;
+    step([&](mesh_turn &t) { taken = take_policy(t, value_of(std::move(read)), text, source); });
+    if (taken) {
+        const caller_limits &limits = node_.policy->limits;
+        callers_.set_limits(edge_limits{limits.max_header_bytes, limits.max_body_bytes,
+                                        limits.header_timeout, limits.idle_timeout});
+    }
+}
+
+void mesh_daemon::address(const mesh::node_address &address)
+{
+    step([&](mesh_turn &t) { take_address(t, address); });
+}
+
+void mesh_daemon::log(const write_line &line)
+{
+    log_.write(line);
+}
+
+void mesh_daemon::stop()
+{
+    if (!stop_asked_at_) {
+        stop_asked_at_ = now();
+        step([](mesh_turn &t) { stop_node(t); });
+    }
+}
+
+bool mesh_daemon::is_ready() const
+{
+    return mesh::is_ready(node_, now());
+}
+
+void mesh_daemon::schedule_expiry()
+{
+    std::optional<time_point> next = next_expiry(node_);
+    // A timer that ends too early looks again; setting it anew for each request
+    // costs a system call each.
+    if (!next || (expiry_at_ && *expiry_at_ <= *next)) {
+        return;
+    }
+    expiry_at_ = next;
+    expiry_timer_.expires_after(std::max(duration{}, *next - now()));
+    expiry_timer_.async_wait([this](const boost::system::error_code &ec) {
+        if (ec) {
+            return;
+        }
+        expiry_at_.reset();
+        step([](mesh_turn &t) {
+            expire_calls(t);
+            expire_runs(t);
+        });
+    });
+}
+
+void mesh_daemon::schedule_tick()
+{
+    tick_timer_.expires_after(mesh::mesh_tick_interval);
+    tick_timer_.async_wait([this](const boost::system::error_code &ec) {
+        if (!ec) {
+            tick();
+            schedule_tick();
+        }
+    });
+}
+
+void mesh_daemon::tick()
+{
+    time_point at = now();
+    step([](mesh_turn &t) { members_tick(t); });
+    peers_.tick(at);
+    log_.tick(at);
+    if (at - swept_at_ >= sweep_interval) {
+        swept_at_ = at;
+        callers_.sweep(at);
+        metrics_.sweep(at);
+        upstream_.sweep(at);
+    }
+    if (stop_asked_at_ && !closing_ && at - *stop_asked_at_ >= stop_notice) {
+        closing_ = true;
+        callers_.close_gently();
+    }
+    if (has_stopped(at)) {
+        log(write_line{write_line::severity::info, "node", "stopped", {}});
+        log_.tick(at);
+        io_.stop();
+    }
+}
+
+bool mesh_daemon::has_stopped(time_point now) const
+{
+    if (!stop_asked_at_) {
+        return false;
+    }
+    duration passed = now - *stop_asked_at_;
+    bool is_empty = closing_ && callers_.open_connections() == 0 && node_.runs.empty();
+    return is_empty || passed >= milliseconds(settings_.limits.stop_ms) - stop_margin;
+}
+
+}  // namespace gullstall::edge
--- /dev/null
+++ b/gullstall/src/edge/tcp_options.hpp
@@ -0,0 +1,21 @@
+#ifndef GULLSTALL_EDGE_TCP_OPTIONS_HPP
+#define GULLSTALL_EDGE_TCP_OPTIONS_HPP
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "gullstall/settings.hpp"
+
+namespace gullstall::edge {
+
+/// Sets what all connections share: no delay of small writes, and keep-alive
+/// probes with a bound on unacknowledged bytes. A connection can fall silent
+/// for good while new ones work, and without these it would look healthy.
+/// \returns false when the connection is gone already
+bool set_tcp_options(boost::asio::ip::tcp::socket &socket);
+
+/// \returns \a it as Asio takes it; its address was checked by the settings
+boost::asio::ip::tcp::endpoint tcp_endpoint(const endpoint &it);
+
+}  // namespace gullstall::edge
+
+#endif
--- /dev/null
+++ b/gullstall/src/edge/upstream_client.cpp
@@ -0,0 +1,80 @@
+#include "gullstall/src/edge/upstream_client.hpp"
+
+#include <sys/socket.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <cerrno>
+
+#include "gullstall/src/edge/clock.hpp"
+#include "gullstall/src/edge/upstream_exchange.hpp"
+
+namespace gullstall::edge {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// \returns whether an idle connection can carry a request: readable means
+/// that the upstream closed it or sent what nobody asked for
+bool is_fresh(asio::ip::tcp::socket &socket)
+{
+    char byte = 0;
+    ssize_t n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace
+
+upstream_client::upstream_client(asio::io_context &io, asio::ip::tcp::endpoint to,
+                                 field_names names, ended_handler ended)
+    : io_(io), to_(std::move(to)), names_(std::move(names)), ended_(std::move(ended))
+{
+}
+
+std::optional<asio::ip::tcp::socket> upstream_client::take_idle()
+{
+    time_point at = now();
+    while (!idle_.empty()) {
+        idle_connection last = std::move(idle_.back());
+        idle_.pop_back();
+        if (at - last.idle_since < last.reusable_for && is_fresh(last.socket)) {
+            return std::move(last.socket);
+        }
+    }
+    return std::nullopt;
+}
+
+void upstream_client::start(mesh::start_run &&order)
+{
+    run_ref id = order.run;
+    auto exchange = std::make_shared<upstream_exchange>(*this, std::move(order));
+    exchanges_[id] = exchange;
+    asio::co_spawn(
+        io_, [exchange] { return exchange->run(); }, asio::detached);
+}
+
+void upstream_client::cancel(run_ref run)
+{
+    auto found = exchanges_.find(run);
+    if (found == exchanges_.end()) {
+        return;
+    }
+    std::shared_ptr<upstream_exchange> exchange = std::move(found->second);
+    exchanges_.erase(found);
+    exchange->cancel();
+}
+
+void upstream_client::forget_connections()
+{
+    ++generation_;
+    idle_.clear();
+}
+
+void upstream_client::sweep(time_point now)
+{
+    std::erase_if(
+        idle_, [now](const idle_connection &it) { return now - it.idle_since >= it.reusable_for; });
+}
+
+}  // namespace gullstall::edge
--- /dev/null
+++ b/gullstall/src/edge/upstream_exchange.hpp
@@ -0,0 +1,47 @@
+#ifndef GULLSTALL_EDGE_UPSTREAM_EXCHANGE_HPP
+#define GULLSTALL_EDGE_UPSTREAM_EXCHANGE_HPP
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/vector_body.hpp>
+
+#include "gullstall/src/edge/upstream_client.hpp"
+
+namespace gullstall::edge {
+
+/// One request to the upstream and its answer.
+class upstream_exchange : public std::enable_shared_from_this<upstream_exchange>
+{
+public:
+    upstream_exchange(upstream_client &owner, mesh::start_run &&order);
+
+    boost::asio::awaitable<void> run();
+    void cancel();
+
+private:
+    using response_parser =
+        boost::beast::http::response_parser<boost::beast::http::vector_body<std::uint8_t>>;
+
+    boost::asio::awaitable<bool> connect();
+    boost::asio::awaitable<mesh::run_result> read_answer();
+    boost::asio::awaitable<bool> read_response(response_parser &parser);
+    void write_request();
+    mesh::run_result result_of(response_parser::value_type &&response) const;
+    void keep_connection(const response_parser::value_type &response, bool is_whole);
+    void end(mesh::run_result &&result);
+
+    upstream_client &owner_;
+    mesh::start_run order_;
+    std::string head_;
+    boost::asio::ip::tcp::socket socket_;
+    boost::beast::flat_buffer buf_;
+    std::uint64_t generation_;
+    bool written_ = false;
+    bool ended_ = false;
+    bool reusable_ = false;
+    duration reusable_for_{};
+};
+
+}  // namespace gullstall::edge
+
+#endif
--- /dev/null
+++ b/gullstall/src/mesh/directory.hpp
@@ -0,0 +1,89 @@
+#ifndef GULLSTALL_MESH_DIRECTORY_HPP
+#define GULLSTALL_MESH_DIRECTORY_HPP
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "gullstall/core.hpp"
+#include "gullstall/generated/mesh_generated.h"
+#include "gullstall/settings.hpp"
+
+namespace gullstall::mesh {
+
+/// A node as it announces itself in the platform's store or to its peers.
+struct node_address
+{
+    std::string node;
+    std::string zone;
+    endpoint peers;  ///< where it takes connections of other nodes
+    std::uint64_t incarnation = 0;
+
+    bool operator==(const node_address &) const = default;
+};
+
+/// What this node believes of another node and of the upstream beside it.
+struct node_view
+{
+    node_address address;
+    bool linked = false;  ///< the connection to it works
+    mesh_wire::node_status_message status;
+    time_point status_at{};
+    std::uint32_t sent_since = 0;  ///< calls sent since the status was heard
+    std::uint32_t in_flight = 0;   ///< calls from here that have no reply yet
+    double failures = 0;           ///< moving share of calls that failed, 0 to 1
+    time_point failed_at{};        ///< when the last one failed
+};
+
+/// All nodes that this node has heard of, itself included.
+struct directory
+{
+    std::map<std::string, node_view> nodes;  ///< by name
+};
+
+/// Notes where a node is; a later incarnation takes the place of an earlier one.
+/// \returns whether the directory has changed
+bool note_address(directory &it, const node_address &address);
+
+/// Takes in what a node says of itself.
+/// \returns whether it is news; an earlier status that was overtaken is not
+bool note_status(directory &it, const mesh_wire::node_status_message &status, time_point now);
+
+/// Notes whether the connection to \a node works.
+void note_link(directory &it, const std::string &node, bool linked);
+
+/// Notes a call to \a node.
+void note_sent(directory &it, const std::string &node);
+
+/// How a call to a node ended, as far as the choice among nodes goes.
+enum class call_end
+{
+    good,
+    refused,  ///< the node said that it did not start it
+    failed    ///< lost, broken or timed out
+};
+
+/// Notes the end of a call to \a node.
+void note_call_end(directory &it, const std::string &node, call_end end, time_point now);
+
+/// What a call needs of an upstream.
+struct placement_request
+{
+    std::string service;
+    std::string zone;                ///< of the asking node
+    std::vector<std::string> tried;  ///< nodes that are not to be asked again
+};
+
+/// Chooses the node to send a call to.
+/// \returns the node's name, empty when no upstream is known to take it
+std::string choose_node(const directory &it, const placement_request &wanted, random_source &random,
+                        time_point now);
+
+/// \returns the share of the slots of \a service that are in use or waited for,
+/// over all upstreams that take work; 0 when there are none
+double service_load(const directory &it, const std::string &service);
+
+}  // namespace gullstall::mesh
+
+#endif
--- /dev/null
+++ b/gullstall/src/mesh/entry.cpp
@@ -0,0 +1,392 @@
+#include <algorithm>
+
+#include "gullstall/overload.hpp"
+#include "gullstall/src/mesh/mesh_node.hpp"
+
+namespace gullstall::mesh {
+
+using mesh_wire::outcome;
+using mesh_wire::reason;
+
+namespace {
+
+/// Nodes that are asked for one request before it is refused. Each refusal
+/// brings the state of the node that refused, so that the third choice is a
+/// well informed one; more would hold the caller for nothing.
+constexpr std::uint32_t max_placements = 4;
+
+/// Longest advice on when to come back.
+constexpr duration longest_retry_after = milliseconds(1500);
+
+/// Part of the time left within which a caller is told to come back: later it
+/// would give up instead.
+constexpr double retry_after_part = 0.3;
+
+constexpr std::uint32_t max_class = 15;
+
+/// Good answers for each one that is logged; the line says so.
+constexpr std::uint64_t answers_per_line = 100;
+
+/// \returns when a refused caller should come back: spread evenly, so that
+/// callers refused together don't return together
+duration draw_retry_after(mesh_turn &t, duration left)
+{
+    auto most = std::min<double>(static_cast<double>(longest_retry_after.count()),
+                                 retry_after_part * static_cast<double>(left.count()));
+    constexpr double least_part = 0.25;
+    double part = least_part + (1 - least_part) * draw_fraction(t.n.random);
+    return duration(static_cast<std::int64_t>(std::max(0.0, most * part)));
+}
+
+std::uint16_t status_of(reason why, bool may_have_run)
+{
+    constexpr std::uint16_t not_found = 404;
+    constexpr std::uint16_t bad_gateway = 502;
+    constexpr std::uint16_t unavailable = 503;
+    constexpr std::uint16_t gateway_timeout = 504;
+    if (why == reason::no_route) {
+        return not_found;
+    }
+    if (why == reason::timed_out) {
+        return gateway_timeout;
+    }
+    return may_have_run ? bad_gateway : unavailable;
+}
+
+void forget_call(mesh_turn &t, call_ref id)
+{
+    auto found = t.n.calls.find(id);
+    if (found->second.current) {
+        t.n.sent.erase(found->second.current->correlation);
+    }
+    auto [begin, end] = t.n.call_expiry.equal_range(found->second.expires);
+    auto it = std::find_if(begin, end, [id](const auto &entry) { return entry.second == id; });
+    if (it != end) {
+        t.n.call_expiry.erase(it);
+    }
+    t.n.calls.erase(found);
+}
+
+std::string reason_name(reason why)
+{
+    return mesh_wire::EnumNamereason(why);
+}
+
+void count_answer(mesh_turn &t, const std::string &route, const char *kind, const std::string &why)
+{
+    ++t.n.counters
+          .answers["route=\"" + route + "\",outcome=\"" + kind + "\",reason=\"" + why + "\""];
+}
+
+/// Answers a request that no call was made for.
+void refuse_request(mesh_turn &t, call_ref id, const caller_request &request, reason why)
+{
+    duration left = request.time_left.value_or(longest_retry_after);
+    caller_answer answer;
+    answer.status = status_of(why, false);
+    answer.why = why;
+    if (why != reason::no_route) {
+        answer.retry_after = draw_retry_after(t, left);
+    }
+    count_answer(t, "", "refused", reason_name(why));
+    t.out.emplace_back(
+        write_line{write_line::severity::info,
+                   "entry",
+                   "request-refused",
+                   {{"request", request.request_id},
+                    {"reason", reason_name(why)},
+                    {"host", request.host},
+                    {"target", request.target},
+                    {"policy", std::to_string(t.n.policy ? t.n.policy->version : 0)}}});
+    t.out.emplace_back(answer_caller{id, std::move(answer)});
+}
+
+/// Ends a call with an answer of the node's own.
+void fail_call(mesh_turn &t, call_ref id, reason why)
+{
+    entry_call &call = t.n.calls.at(id);
+    caller_answer answer;
+    answer.why = why;
+    answer.status = status_of(why, call.may_have_run);
+    bool is_refusal = !call.may_have_run && why != reason::timed_out;
+    if (is_refusal) {
+        answer.retry_after = draw_retry_after(t, call.expires - t.now);
+    }
+    count_answer(t, call.route, is_refusal ? "refused" : "failed", reason_name(why));
+    t.out.emplace_back(
+        write_line{write_line::severity::info,
+                   "entry",
+                   is_refusal ? "request-refused" : "request-failed",
+                   {{"request", call.call.request_id},
+                    {"reason", reason_name(why)},
+                    {"status", std::to_string(answer.status)},
+                    {"route", call.route},
+                    {"service", call.call.service},
+                    {"nodes", std::to_string(call.placements)},
+                    {"last_node", call.tried.empty() ? "" : call.tried.back()},
+                    {"handed_over", std::to_string(call.handed_over)},
+                    {"after_ms", std::to_string(to_ms(t.now - call.taken_at))},
+                    {"left_ms", std::to_string(to_ms(call.deadline - t.now))},
+                    {"load", std::to_string(service_load(t.n.nodes, call.call.service))},
+                    {"policy", std::to_string(t.n.policy ? t.n.policy->version : 0)}}});
+    note_latency(t.n.latencies.call, t.now - call.taken_at);
+    t.out.emplace_back(answer_caller{id, std::move(answer)});
+    forget_call(t, id);
+}
+
+void pass_answer(mesh_turn &t, call_ref id, mesh_wire::reply_message &reply)
+{
+    entry_call &call = t.n.calls.at(id);
+    caller_answer answer;
+    answer.from_upstream = true;
+    answer.status = reply.status;
+    answer.status_text = std::move(reply.status_text);
+    answer.header_lines = std::move(reply.header_lines);
+    answer.body = std::move(reply.body);
+    constexpr std::uint16_t first_error = 400;
+    bool is_good = reply.status < first_error;
+    count_answer(t, call.route, is_good ? "answered" : "upstream-error", "none");
+    bool is_sampled = is_good && ++t.n.counters.good_answers % answers_per_line == 0;
+    if (!is_good || is_sampled) {
+        t.out.emplace_back(
+            write_line{write_line::severity::info,
+                       "entry",
+                       is_good ? "request-answered" : "upstream-error",
+                       {{"one_of", std::to_string(is_good ? answers_per_line : 1)},
+                        {"request", call.call.request_id},
+                        {"status", std::to_string(reply.status)},
+                        {"route", call.route},
+                        {"peer", call.tried.empty() ? "" : call.tried.back()},
+                        {"after_ms", std::to_string(to_ms(t.now - call.taken_at))}}});
+    }
+    note_latency(t.n.latencies.call, t.now - call.taken_at);
+    t.out.emplace_back(answer_caller{id, std::move(answer)});
+    forget_call(t, id);
+}
+
+/// Sends the call to a node that was not asked yet, or refuses it.
+void place_call(mesh_turn &t, call_ref id)
+{
+    entry_call &call = t.n.calls.at(id);
+    refresh_own_view(t);
+    placement_request wanted{call.call.service, t.n.settings.node.zone, call.tried};
+    std::string node = call.placements < max_placements
+                           ? choose_node(t.n.nodes, wanted, t.n.random, t.now)
+                           : std::string();
+    if (node.empty()) {
+        fail_call(t, id, call.last_reason);
+        return;
+    }
+    ++call.placements;
+    call.tried.push_back(node);
+    std::uint64_t correlation = ++t.n.last_id;
+    call.current = sent_call{correlation, node, t.now};
+    t.n.sent[correlation] = id;
+    note_sent(t.n.nodes, node);
+    mesh_wire::call_message message = call.call;
+    message.correlation = correlation;
+    message.left_us = static_cast<std::uint64_t>((call.expires - t.now).count());
+    message.sent_us = frame_time_us(t.now);
+    message.repeat = call.call.repeat || call.handed_over > 0;
+    if (node == t.n.settings.node.name) {
+        take_call(t, own_link, std::move(message));
+        return;
+    }
+    t.out.emplace_back(send_to_node{node, mesh_frame(std::move(message))});
+}
+
+/// Sends the call once more after it has reached an upstream.
+/// \returns false when that is not allowed
+bool repeat_call(mesh_turn &t, call_ref id)
+{
+    entry_call &call = t.n.calls.at(id);
+    bool allowed = call.handed_over < call.max_attempts &&
+                   (call.call.idempotent || !call.may_have_run) && t.now < call.expires;
+    if (!allowed) {
+        return false;
+    }
+    if (!spend_repeat(t.n.budgets[call.call.service])) {
+        ++t.n.counters.repeats_denied;
+        return false;
+    }
+    ++t.n.counters.repeats;
+    place_call(t, id);
+    return true;
+}
+
+/// Takes the call back from the node that has it.
+void take_back(mesh_turn &t, const sent_call &sent)
+{
+    if (sent.node == t.n.settings.node.name) {
+        take_cancel(t, own_link, sent.correlation);
+        return;
+    }
+    mesh_wire::cancel_message message;
+    message.correlation = sent.correlation;
+    t.out.emplace_back(send_to_node{sent.node, mesh_frame(std::move(message))});
+}
+
+/// Ends the current send of a call that was not answered: places it again where
+/// that is allowed, or fails it.
+/// \param reached whether it has reached an upstream, or may have
+void end_send(mesh_turn &t, call_ref id, outcome how, reason why, bool reached)
+{
+    entry_call &call = t.n.calls.at(id);
+    t.n.sent.erase(call.current->correlation);
+    call.current.reset();
+    call.last_reason = why;
+    call.handed_over += reached ? 1 : 0;
+    call.may_have_run = call.may_have_run || how == outcome::unknown;
+    if (!reached) {
+        place_call(t, id);
+        return;
+    }
+    if (!repeat_call(t, id)) {
+        fail_call(t, id, why);
+    }
+}
+
+}  // namespace
+
+void take_request(mesh_turn &t, call_ref id, caller_request &&request)
+{
+    if (!t.n.policy) {
+        refuse_request(t, id, request, reason::no_policy);
+        return;
+    }
+    const traffic_route *route = find_route(*t.n.policy, request.host, request.target);
+    if (route == nullptr) {
+        refuse_request(t, id, request, reason::no_route);
+        return;
+    }
+    entry_call call;
+    call.id = id;
+    call.route = route->name;
+    call.max_attempts = std::max(1U, route->max_attempts);
+    call.taken_at = t.now;
+    call.deadline = t.now + request.time_left.value_or(route->timeout);
+    call.expires = std::min(call.deadline, t.now + route->timeout);
+    call.call.request_id = std::move(request.request_id);
+    call.call.service = choose_service(t.n.split, *route);
+    call.call.caller_service = t.n.settings.node.service;
+    call.call.method = std::move(request.method);
+    call.call.target = std::move(request.target);
+    call.call.header_lines = std::move(request.header_lines);
+    call.call.body = std::move(request.body);
+    call.call.idempotent = route->repeats == repeatability::idempotent;
+    call.call.inner = request.inner;
+    call.call.priority =
+        make_priority(static_cast<std::uint8_t>(std::min(route->priority, max_class)),
+                      rank_of(call.call.request_id))
+            .value;
+    earn_repeat(t.n.budgets[call.call.service], t.n.settings.limits.retry_percent);
+    t.n.call_expiry.emplace(call.expires, id);
+    t.n.calls.emplace(id, std::move(call));
+    place_call(t, id);
+}
+
+void abandon_request(mesh_turn &t, call_ref id)
+{
+    auto found = t.n.calls.find(id);
+    if (found == t.n.calls.end()) {
+        return;
+    }
+    std::optional<sent_call> current = found->second.current;
+    count_answer(t, found->second.route, "abandoned", "none");
+    t.out.emplace_back(
+        write_line{write_line::severity::info,
+                   "entry",
+                   "caller-left",
+                   {{"request", found->second.call.request_id},
+                    {"route", found->second.route},
+                    {"after_ms", std::to_string(to_ms(t.now - found->second.taken_at))}}});
+    forget_call(t, id);
+    if (current) {
+        note_call_end(t.n.nodes, current->node, call_end::refused, t.now);
+        take_back(t, *current);
+    }
+}
+
+void take_reply(mesh_turn &t, const std::string &from, mesh_wire::reply_message &reply)
+{
+    if (reply.sender) {
+        take_status(t, *reply.sender);
+    }
+    auto known = t.n.sent.find(reply.correlation);
+    if (known == t.n.sent.end()) {
+        return;  // its request has its answer already
+    }
+    call_ref id = known->second;
+    if (t.n.calls.at(id).current->node != from) {
+        return;  // the number belongs to a call to another node
+    }
+    call_end end = reply.outcome == outcome::answered      ? call_end::good
+                   : reply.outcome == outcome::not_started ? call_end::refused
+                                                           : call_end::failed;
+    note_call_end(t.n.nodes, from, end, t.now);
+    if (reply.outcome == outcome::answered) {
+        pass_answer(t, id, reply);
+        return;
+    }
+    end_send(t, id, reply.outcome, reply.reason, reply.handed_over);
+}
+
+void expire_calls(mesh_turn &t)
+{
+    while (!t.n.call_expiry.empty() && t.n.call_expiry.begin()->first <= t.now) {
+        call_ref id = t.n.call_expiry.begin()->second;
+        entry_call &call = t.n.calls.at(id);
+        std::optional<sent_call> current = call.current;
+        call.may_have_run = call.may_have_run || current.has_value();
+        fail_call(t, id, reason::timed_out);
+        if (current) {
+            note_call_end(t.n.nodes, current->node, call_end::failed, t.now);
+            take_back(t, *current);
+        }
+    }
+}
+
+void lose_node(mesh_turn &t, const std::string &node, const std::vector<std::uint64_t> &unsent)
+{
+    note_link(t.n.nodes, node, false);
+    std::vector<std::uint64_t> lost;
+    for (const auto &[correlation, id] : t.n.sent) {
+        if (t.n.calls.at(id).current->node == node) {
+            lost.push_back(correlation);
+        }
+    }
+    std::sort(lost.begin(), lost.end());
+    for (std::uint64_t correlation : lost) {
+        auto known = t.n.sent.find(correlation);
+        if (known == t.n.sent.end()) {
+            continue;
+        }
+        bool left = std::find(unsent.begin(), unsent.end(), correlation) == unsent.end();
+        note_call_end(t.n.nodes, node, call_end::failed, t.now);
+        end_send(t, known->second, left ? outcome::unknown : outcome::not_started,
+                 left ? reason::connection_lost : reason::unreachable, left);
+    }
+}
+
+void apply_timeouts(mesh_turn &t)
+{
+    for (auto &[id, call] : t.n.calls) {
+        const traffic_route *route = route_named(*t.n.policy, call.route);
+        time_point expires = call.expires;
+        if (route != nullptr) {
+            expires = std::min(expires, call.taken_at + route->timeout);
+        }
+        if (expires == call.expires) {
+            continue;
+        }
+        auto [begin, end] = t.n.call_expiry.equal_range(call.expires);
+        auto it = std::find_if(begin, end, [&](const auto &entry) { return entry.second == id; });
+        if (it != end) {
+            t.n.call_expiry.erase(it);
+        }
+        call.expires = expires;
+        t.n.call_expiry.emplace(expires, id);
+    }
+}
+
+}  // namespace gullstall::mesh
--- /dev/null
+++ b/gullstall/src/mesh/members.cpp
@@ -0,0 +1,247 @@
+#include <algorithm>
+
+#include "gullstall/src/mesh/mesh_node.hpp"
+
+namespace gullstall::mesh {
+
+namespace {
+
+/// Time between two statuses to a node that hears nothing else from here. A
+/// connection counts as silent after three of them.
+constexpr duration status_interval = milliseconds(500);
+
+/// How long the platform's store has the first word on a newer policy. It
+/// tells all nodes at the same moment; asking a peer at once would send the
+/// same bytes between zones once more for each node.
+constexpr duration policy_patience = milliseconds(300);
+
+/// How long a node that has started waits for others before it counts itself as
+/// alone and ready.
+constexpr duration lonely_time = seconds(3);
+
+}  // namespace
+
+std::uint64_t frame_time_us(time_point now)
+{
+    return static_cast<std::uint64_t>(now.time_since_epoch().count());
+}
+
+mesh_node make_mesh_node(const mesh_settings &settings, std::uint64_t incarnation,
+                         std::uint64_t seed, time_point now)
+{
+    mesh_node out;
+    out.settings = settings;
+    out.incarnation = incarnation;
+    out.random.seed(seed);
+    out.started_at = now;
+    result<endpoint> peers = parse_endpoint(settings.listen.peers);
+    node_address self{settings.node.name, settings.node.zone,
+                      succeeded(peers) ? value_of(peers) : endpoint{}, incarnation};
+    note_address(out.nodes, self);
+    note_link(out.nodes, settings.node.name, true);
+    // Correlations of an earlier process must not be taken for this one's.
+    out.last_id = out.random() >> 16U;
+    return out;
+}
+
+mesh_wire::node_status_message own_status(mesh_turn &t)
+{
+    mesh_wire::node_status_message out;
+    out.node = t.n.settings.node.name;
+    out.zone = t.n.settings.node.zone;
+    out.incarnation = t.n.incarnation;
+    out.sequence = ++t.n.status_sequence;
+    out.policy_version = t.n.policy ? t.n.policy->version : 0;
+    out.stopping = t.n.stopping;
+    if (t.n.upstream.latest) {
+        out.service = t.n.upstream.latest->service;
+        out.upstream = t.n.upstream.latest->upstream;
+        out.state = t.n.upstream.latest->state;
+    }
+    if (!serves(t.n, t.now) && out.state == mesh_wire::upstream_state::ready) {
+        out.state = mesh_wire::upstream_state::absent;
+    }
+    out.slots = t.n.gate.slots;
+    out.running = t.n.gate.running;
+    out.waiting = static_cast<std::uint32_t>(t.n.gate.waiting.size());
+    out.run_time_us = static_cast<std::uint32_t>(t.n.gate.run_us);
+    out.wait_us =
+        static_cast<std::uint32_t>(expected_wait(t.n.gate, t.n.gate.waiting.size()).count());
+    return out;
+}
+
+mesh_wire::hello_message own_hello(const mesh_node &n, time_point now)
+{
+    const node_address &self = n.nodes.nodes.at(n.settings.node.name).address;
+    mesh_wire::hello_message out;
+    out.node = self.node;
+    out.zone = self.zone;
+    out.address = self.peers.address;
+    out.port = self.peers.port;
+    out.incarnation = n.incarnation;
+    out.sent_us = frame_time_us(now);
+    return out;
+}
+
+void refresh_own_view(mesh_turn &t)
+{
+    note_status(t.n.nodes, own_status(t), t.now);
+}
+
+void spread_status(mesh_turn &t)
+{
+    t.n.status_spread_at = t.now;
+    for (const auto &[link, clock] : t.n.links) {
+        t.out.emplace_back(send_to_link{link, mesh_frame(own_status(t))});
+    }
+}
+
+void take_address(mesh_turn &t, const node_address &address)
+{
+    if (address.node == t.n.settings.node.name || !note_address(t.n.nodes, address)) {
+        return;
+    }
+    t.out.emplace_back(write_line{write_line::severity::info,
+                                  "members",
+                                  "node-known",
+                                  {{"peer", address.node},
+                                   {"zone", address.zone},
+                                   {"peers", print_endpoint(address.peers)},
+                                   {"incarnation", std::to_string(address.incarnation)}}});
+    t.out.emplace_back(connect_node{address});
+}
+
+void take_hello(mesh_turn &t, link_ref link, const mesh_wire::hello_message &hello)
+{
+    link_clock &clock = t.n.links[link];
+    clock.node = hello.node;
+    clock.known = true;
+    clock.least_offset_us =
+        static_cast<std::int64_t>(frame_time_us(t.now)) - static_cast<std::int64_t>(hello.sent_us);
+    take_address(t, node_address{hello.node, hello.zone, endpoint{hello.address, hello.port},
+                                 hello.incarnation});
+    t.out.emplace_back(send_to_link{link, mesh_frame(own_status(t))});
+}
+
+void take_status(mesh_turn &t, const mesh_wire::node_status_message &status)
+{
+    auto before = t.n.nodes.nodes.find(status.node);
+    bool was_known = before != t.n.nodes.nodes.end();
+    mesh_wire::upstream_state state =
+        was_known ? before->second.status.state : mesh_wire::upstream_state::absent;
+    if (!note_status(t.n.nodes, status, t.now)) {
+        return;
+    }
+    if (status.state != state) {
+        t.out.emplace_back(write_line{write_line::severity::info,
+                                      "members",
+                                      "peer-upstream-state",
+                                      {{"peer", status.node},
+                                       {"service", status.service},
+                                       {"upstream", status.upstream},
+                                       {"state", mesh_wire::EnumNameupstream_state(status.state)},
+                                       {"sequence", std::to_string(status.sequence)}}});
+    }
+    std::uint64_t own = t.n.policy ? t.n.policy->version : 0;
+    bool is_newer = status.policy_version > own &&
+                    (!t.n.newer_policy || status.policy_version > t.n.newer_policy->version);
+    if (is_newer) {
+        t.n.newer_policy = mesh_node::policy_news{status.policy_version, status.node, t.now};
+    }
+}
+
+void link_node(mesh_turn &t, const std::string &node)
+{
+    note_link(t.n.nodes, node, true);
+    t.out.emplace_back(
+        write_line{write_line::severity::info, "members", "node-connected", {{"peer", node}}});
+}
+
+bool take_policy(mesh_turn &t, traffic_policy policy, std::string text, const char *source)
+{
+    std::uint64_t before = t.n.policy ? t.n.policy->version : 0;
+    bool is_newer = !t.n.policy || policy.version > before;
+    t.out.emplace_back(write_line{write_line::severity::info,
+                                  "policy",
+                                  is_newer ? "policy-in-force" : "policy-not-newer",
+                                  {{"version", std::to_string(policy.version)},
+                                   {"before", std::to_string(before)},
+                                   {"source", source},
+                                   {"routes", std::to_string(policy.routes.size())}}});
+    if (!is_newer) {
+        return false;
+    }
+    t.n.policy = std::move(policy);
+    t.n.policy_text = std::move(text);
+    t.n.policy_at = t.now;
+    if (t.n.newer_policy && t.n.newer_policy->version <= t.n.policy->version) {
+        t.n.newer_policy.reset();
+    }
+    apply_timeouts(t);
+    return true;
+}
+
+void take_policy_fetch(mesh_turn &t, link_ref link)
+{
+    if (!t.n.policy) {
+        return;
+    }
+    mesh_wire::policy_content_message message;
+    message.version = t.n.policy->version;
+    message.content.assign(t.n.policy_text.begin(), t.n.policy_text.end());
+    t.out.emplace_back(send_to_link{link, mesh_frame(std::move(message))});
+}
+
+void take_ping(mesh_turn &t, link_ref link)
+{
+    t.out.emplace_back(send_to_link{link, mesh_frame(own_status(t))});
+}
+
+void stop_node(mesh_turn &t)
+{
+    t.n.stopping = true;
+    t.out.emplace_back(write_line{
+        write_line::severity::info,
+        "node",
+        "stopping",
+        {{"calls", std::to_string(t.n.calls.size())}, {"runs", std::to_string(t.n.runs.size())}}});
+    spread_status(t);
+}
+
+void members_tick(mesh_turn &t)
+{
+    if (t.now - t.n.status_spread_at >= status_interval) {
+        spread_status(t);
+    }
+    if (t.n.newer_policy && t.now - t.n.newer_policy->heard_at >= policy_patience) {
+        mesh_wire::policy_fetch_message message;
+        message.version = t.n.newer_policy->version;
+        t.out.emplace_back(send_to_node{t.n.newer_policy->node, mesh_frame(std::move(message))});
+        t.n.newer_policy.reset();
+    }
+}
+
+bool is_ready(const mesh_node &n, time_point now)
+{
+    if (n.stopping || !n.policy) {
+        return false;
+    }
+    bool has_peer = std::any_of(n.nodes.nodes.begin(), n.nodes.nodes.end(), [&](const auto &entry) {
+        return entry.second.linked && entry.first != n.settings.node.name;
+    });
+    return has_peer || now - n.started_at >= lonely_time;
+}
+
+std::optional<time_point> next_expiry(const mesh_node &n)
+{
+    std::optional<time_point> out;
+    if (!n.call_expiry.empty()) {
+        out = n.call_expiry.begin()->first;
+    }
+    if (!n.run_expiry.empty()) {
+        out = std::min(out.value_or(time_point::max()), n.run_expiry.begin()->first);
+    }
+    return out;
+}
+
+}  // namespace gullstall::mesh
--- /dev/null
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -0,0 +1,349 @@
+#ifndef GULLSTALL_MESH_MESH_NODE_HPP
+#define GULLSTALL_MESH_MESH_NODE_HPP
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "gullstall/core.hpp"
+#include "gullstall/generated/mesh_generated.h"
+#include "gullstall/metrics.hpp"
+#include "gullstall/policy.hpp"
+#include "gullstall/src/mesh/directory.hpp"
+#include "gullstall/src/mesh/mesh_settings.hpp"
+#include "gullstall/src/mesh/own_upstream.hpp"
+#include "gullstall/src/mesh/repeat_budget.hpp"
+#include "gullstall/src/mesh/run_gate.hpp"
+#include "gullstall/src/mesh/traffic_split.hpp"
+
+namespace gullstall::mesh {
+
+/// Connection that another node has opened to this one.
+enum class link_ref : std::uint64_t
+{
+};
+
+/// The link of calls that a node sends to the upstream beside itself.
+constexpr link_ref own_link{0};
+
+/// Bytes of a body.
+using body_bytes = std::vector<std::uint8_t>;
+
+/// A request as a caller, or the upstream beside this node, sent it.
+struct caller_request
+{
+    std::string request_id;
+    std::string host;
+    std::string method;
+    std::string target;        ///< path and query
+    std::string header_lines;  ///< end-to-end fields, each with its line end
+    body_bytes body;
+    std::optional<duration> time_left;  ///< none: the caller set no deadline
+    bool inner = false;                 ///< made by a run on the upstream beside this node
+};
+
+/// Final answer to a caller.
+struct caller_answer
+{
+    bool from_upstream = false;  ///< status, header lines and body are the upstream's
+    std::uint16_t status = 0;
+    std::string status_text;
+    std::string header_lines;
+    body_bytes body;
+    mesh_wire::reason why = mesh_wire::reason::none;  ///< of an answer of the node's own
+    std::optional<duration> retry_after;
+};
+
+/// How a run on the own upstream ended.
+enum class run_end
+{
+    answered,      ///< the whole answer to this request came
+    not_executed,  ///< the upstream said that it did not run it
+    not_sent,      ///< no byte of the request reached the upstream
+    lost,          ///< bytes reached it, and the connection broke
+    bad_answer     ///< what came is no whole answer to this request
+};
+
+/// Outcome of a run.
+struct run_result
+{
+    run_end end = run_end::lost;
+    std::uint16_t status = 0;
+    std::string status_text;
+    std::string header_lines;
+    body_bytes body;
+};
+
+/// Answer the caller, finally.
+struct answer_caller
+{
+    call_ref call;
+    caller_answer answer;
+};
+
+/// Send a frame over this node's own connection to another node.
+struct send_to_node
+{
+    std::string node;
+    mesh_wire::frame_message frame;
+};
+
+/// Send a frame over a connection that another node has opened.
+struct send_to_link
+{
+    link_ref link;
+    mesh_wire::frame_message frame;
+};
+
+/// Hand a request to the own upstream.
+struct start_run
+{
+    run_ref run;
+    mesh_wire::call_message call;
+    std::string upstream;  ///< id of the incarnation that is to run it
+    duration left;         ///< time that the upstream may take
+};
+
+/// Break a run off; the upstream sees its connection close.
+struct cancel_run
+{
+    run_ref run;
+};
+
+/// The upstream beside has a new incarnation: connections to the last one are
+/// of no use.
+struct upstream_replaced
+{
+};
+
+/// Open a connection to a node, when there is none yet.
+struct connect_node
+{
+    node_address address;
+};
+
+/// One field of a log line.
+struct log_field
+{
+    const char *name;
+    std::string value;
+};
+
+/// Write a line to the log.
+struct write_line
+{
+    enum class severity
+    {
+        info,
+        warning
+    };
+    severity level = severity::info;
+    const char *part = "";   ///< entry, serve, members, policy, upstream, node
+    const char *event = "";  ///< what happened, in one word or a few joined by '-'
+    std::vector<log_field> fields;
+};
+
+/// All that a node may ask of its surroundings.
+using mesh_action = std::variant<answer_caller, send_to_node, send_to_link, start_run, cancel_run,
+                                 upstream_replaced, connect_node, write_line>;
+
+/// Actions in the order in which they are to be carried out.
+using mesh_actions = std::vector<mesh_action>;
+
+/// The send of a call that waits for its reply.
+struct sent_call
+{
+    std::uint64_t correlation = 0;
+    std::string node;
+    time_point sent_at{};
+};
+
+/// A request that this node has taken and not yet answered.
+struct entry_call
+{
+    call_ref id{};
+    mesh_wire::call_message call;  ///< correlation, time and repeat are set at each send
+    std::string route;
+    std::uint32_t max_attempts = 1;
+    time_point taken_at{};
+    time_point deadline{};  ///< the caller waits no longer
+    time_point expires{};   ///< the caller's deadline or the route's timeout, the sooner
+    std::optional<sent_call> current;
+    std::vector<std::string> tried;
+    std::uint32_t placements = 0;   ///< nodes asked
+    std::uint32_t handed_over = 0;  ///< upstreams that it has reached, or may have
+    bool may_have_run = false;
+    mesh_wire::reason last_reason = mesh_wire::reason::no_upstream;
+};
+
+/// A call that this node runs, or will run, on its own upstream.
+struct gate_call
+{
+    run_ref id{};
+    link_ref link{};
+    std::string from;  ///< name of the entry node
+    mesh_wire::call_message call;
+    time_point arrived_at{};
+    time_point deadline{};
+    time_point expires{};  ///< the deadline, and once started a grace beyond it
+    std::optional<time_point> started_at;
+    bool abandoned = false;  ///< nobody waits for the reply any more
+};
+
+/// Clock of a connection's other side, as far as frames tell it.
+struct link_clock
+{
+    std::string node;
+    bool known = false;
+    std::int64_t least_offset_us = 0;  ///< least arrival time minus sending time so far
+};
+
+/// Counters that the metrics address shows.
+struct mesh_counters
+{
+    std::map<std::string, std::uint64_t> answers;  ///< labels of the exposition format
+    std::uint64_t good_answers = 0;
+    std::uint64_t repeats = 0;
+    std::uint64_t repeats_denied = 0;
+    std::uint64_t runs_started = 0;
+    std::uint64_t stale_frames = 0;
+};
+
+/// Guards that a test may switch off, to show the failure that each prevents.
+struct mesh_guards
+{
+    bool age_of_frames = true;  ///< off: a call's time left is taken as if it had just been sent
+    bool wait_for_heartbeat = true;  ///< off: a node that knows no heartbeat serves all the same
+};
+
+/// State of one node. It holds no socket, thread or clock.
+struct mesh_node
+{
+    mesh_settings settings;
+    mesh_guards guards;
+    std::uint64_t incarnation = 0;
+    random_source random;
+    time_point started_at{};
+
+    /// A policy that a peer has in force and this node has not.
+    struct policy_news
+    {
+        std::uint64_t version;
+        std::string node;
+        time_point heard_at;
+    };
+
+    std::optional<traffic_policy> policy;
+    std::optional<policy_news> newer_policy;
+    std::string policy_text;  ///< as the operator wrote it, for peers that lack it
+    time_point policy_at{};
+    directory nodes;
+    own_upstream upstream;
+    run_gate gate;
+    traffic_split split;
+    std::map<std::string, repeat_budget> budgets;  ///< by service
+
+    std::unordered_map<call_ref, entry_call> calls;
+    std::unordered_map<std::uint64_t, call_ref> sent;  ///< by correlation
+    std::multimap<time_point, call_ref> call_expiry;
+    std::unordered_map<run_ref, gate_call> runs;
+    std::map<std::pair<link_ref, std::uint64_t>, run_ref> served;  ///< by correlation
+    std::multimap<time_point, run_ref> run_expiry;
+    std::map<link_ref, link_clock> links;  ///< opened by other nodes
+
+    mesh_counters counters;
+    node_latencies latencies;
+    std::uint64_t status_sequence = 0;
+    time_point status_spread_at{};
+    time_point upstream_down_until{};  ///< the upstream took no connection just now
+    bool stopping = false;
+    std::uint64_t last_id = 0;
+};
+
+/// Makes a node.
+/// \param incarnation higher than that of any earlier process of the instance
+/// \param seed of the node's random choices
+mesh_node make_mesh_node(const mesh_settings &settings, std::uint64_t incarnation,
+                         std::uint64_t seed, time_point now);
+
+/// A step of a node: what it is, when it is, and what it asks for.
+struct mesh_turn
+{
+    mesh_node &n;
+    time_point now;
+    mesh_actions &out;
+};
+
+// entry.cpp: requests that this node has taken
+void take_request(mesh_turn &t, call_ref id, caller_request &&request);
+void abandon_request(mesh_turn &t, call_ref id);
+void take_reply(mesh_turn &t, const std::string &from, mesh_wire::reply_message &reply);
+void expire_calls(mesh_turn &t);
+/// The own connection to \a node broke. Calls of \a unsent were certainly not
+/// delivered.
+void lose_node(mesh_turn &t, const std::string &node, const std::vector<std::uint64_t> &unsent);
+/// Shortens what is in flight to the timeouts of the policy now in force.
+void apply_timeouts(mesh_turn &t);
+
+// serve.cpp: calls that this node runs on its upstream
+void take_call(mesh_turn &t, link_ref link, mesh_wire::call_message &&call);
+void take_cancel(mesh_turn &t, link_ref link, std::uint64_t correlation);
+void take_run_result(mesh_turn &t, run_ref run, run_result &&result);
+void expire_runs(mesh_turn &t);
+void lose_link(mesh_turn &t, link_ref link);
+heartbeat_verdict on_heartbeat(mesh_turn &t, const upstream_heartbeat &beat);
+void on_leave(mesh_turn &t, const std::string &upstream, std::uint64_t unix_ms);
+
+// members.cpp: other nodes, their state and the policy
+void take_address(mesh_turn &t, const node_address &address);
+void take_hello(mesh_turn &t, link_ref link, const mesh_wire::hello_message &hello);
+void take_status(mesh_turn &t, const mesh_wire::node_status_message &status);
+void link_node(mesh_turn &t, const std::string &node);
+/// Puts a policy in force when it is newer than the one that is.
+/// \param text as the operator wrote it
+/// \returns whether it is in force now
+bool take_policy(mesh_turn &t, traffic_policy policy, std::string text, const char *source);
+void take_policy_fetch(mesh_turn &t, link_ref link);
+void take_ping(mesh_turn &t, link_ref link);
+void stop_node(mesh_turn &t);
+mesh_wire::node_status_message own_status(mesh_turn &t);
+mesh_wire::hello_message own_hello(const mesh_node &n, time_point now);
+/// To be called about every tick_interval: what is due by time alone.
+void members_tick(mesh_turn &t);
+/// \returns whether the node can serve: it knows a policy and where to send
+bool is_ready(const mesh_node &n, time_point now);
+/// Tells all who have opened a connection to this node of its state.
+void spread_status(mesh_turn &t);
+/// Brings what the directory says of this node itself up to date.
+void refresh_own_view(mesh_turn &t);
+/// \returns the time as it stands in frames
+std::uint64_t frame_time_us(time_point now);
+/// \returns whether requests may be handed to the own upstream now
+bool serves(const mesh_node &n, time_point now);
+
+/// Longest time between two calls of members_tick.
+constexpr duration mesh_tick_interval = milliseconds(100);
+
+/// \returns when the next call or run expires, none when there is none
+std::optional<time_point> next_expiry(const mesh_node &n);
+
+// report.cpp
+/// \returns the node's counters and histograms in the text exposition format
+std::string print_metrics(const mesh_node &n, time_point now);
+
+template <class Message>
+mesh_wire::frame_message mesh_frame(Message message)
+{
+    mesh_wire::frame_message out;
+    out.payload.Set(std::move(message));
+    return out;
+}
+
+}  // namespace gullstall::mesh
+
+#endif
--- /dev/null
+++ b/gullstall/src/mesh/own_upstream.cpp
@@ -0,0 +1,65 @@
+#include "gullstall/src/mesh/own_upstream.hpp"
+
+#include <algorithm>
+
+namespace gullstall::mesh {
+
+namespace {
+
+/// Incarnations that are remembered as gone. A late heartbeat comes within
+/// seconds, and an address is used again after seconds too.
+constexpr std::size_t remembered_gone = 32;
+
+bool has_gone(const own_upstream &it, const upstream_heartbeat &beat)
+{
+    return std::any_of(it.gone.begin(), it.gone.end(), [&](const gone_upstream &gone) {
+        return gone.upstream == beat.upstream && beat.born <= gone.born;
+    });
+}
+
+bool is_outdated(const upstream_heartbeat &latest, const upstream_heartbeat &beat)
+{
+    if (beat.born != latest.born) {
+        return beat.born < latest.born;
+    }
+    return beat.upstream == latest.upstream && beat.sequence <= latest.sequence;
+}
+
+}  // namespace
+
+heartbeat_verdict take_heartbeat(own_upstream &it, const upstream_heartbeat &beat, time_point now)
+{
+    if (has_gone(it, beat)) {
+        return heartbeat_verdict::gone;
+    }
+    if (it.latest && is_outdated(*it.latest, beat)) {
+        return heartbeat_verdict::outdated;
+    }
+    bool drained_before = it.latest && it.latest->state == mesh_wire::upstream_state::draining &&
+                          it.latest->upstream == beat.upstream && it.latest->born == beat.born;
+    if (beat.state == mesh_wire::upstream_state::draining && !drained_before) {
+        it.draining_since = now;
+    }
+    it.latest = beat;
+    it.heard_at = now;
+    return heartbeat_verdict::taken;
+}
+
+void take_leave(own_upstream &it, const std::string &upstream, std::uint64_t unix_ms)
+{
+    bool is_latest = it.latest && it.latest->upstream == upstream;
+    it.gone.push_back(gone_upstream{upstream, is_latest ? it.latest->born : unix_ms});
+    if (it.gone.size() > remembered_gone) {
+        it.gone.pop_front();
+    }
+    if (is_latest) {
+        it.latest.reset();
+    }
+}
+
+bool takes_work(const own_upstream &it)
+{
+    return it.latest && it.latest->state == mesh_wire::upstream_state::ready;
+}
+
+}  // namespace gullstall::mesh
--- /dev/null
+++ b/gullstall/src/mesh/report.cpp
@@ -0,0 +1,54 @@
+#include "gullstall/src/mesh/mesh_node.hpp"
+
+namespace gullstall::mesh {
+
+namespace {
+
+void add(std::string &out, const char *name, const char *type, double value)
+{
+    out += std::string("# TYPE ") + name + " " + type + "\n" + name + " " + std::to_string(value) +
+           "\n";
+}
+
+}  // namespace
+
+std::string print_metrics(const mesh_node &n, time_point now)
+{
+    std::string out = "# TYPE gullstall_requests_total counter\n";
+    for (const auto &[labels, count] : n.counters.answers) {
+        out += "gullstall_requests_total{" + labels + "} " + std::to_string(count) + "\n";
+    }
+    add(out, "gullstall_repeats_total", "counter", static_cast<double>(n.counters.repeats));
+    add(out, "gullstall_repeats_denied_total", "counter",
+        static_cast<double>(n.counters.repeats_denied));
+    add(out, "gullstall_runs_started_total", "counter",
+        static_cast<double>(n.counters.runs_started));
+    add(out, "gullstall_stale_calls_total", "counter",
+        static_cast<double>(n.counters.stale_frames));
+    add(out, "gullstall_calls_in_flight", "gauge", static_cast<double>(n.calls.size()));
+    add(out, "gullstall_slots", "gauge", n.gate.slots);
+    add(out, "gullstall_slots_in_use", "gauge", n.gate.running);
+    add(out, "gullstall_waiting", "gauge", static_cast<double>(n.gate.waiting.size()));
+    add(out, "gullstall_policy_version", "gauge",
+        n.policy ? static_cast<double>(n.policy->version) : 0);
+    add(out, "gullstall_policy_age_seconds", "gauge",
+        n.policy ? std::chrono::duration<double>(now - n.policy_at).count() : 0);
+    std::map<std::string, std::uint32_t> members;
+    for (const auto &[name, view] : n.nodes.nodes) {
+        std::string state = !view.linked ? "unlinked"
+                            : view.status.stopping
+                                ? "stopping"
+                                : mesh_wire::EnumNameupstream_state(view.status.state);
+        ++members[state];
+    }
+    out += "# TYPE gullstall_nodes gauge\n";
+    for (const auto &[state, count] : members) {
+        out += "gullstall_nodes{state=\"" + state + "\"} " + std::to_string(count) + "\n";
+    }
+    out += print_latency("gullstall_request_seconds", n.latencies.call);
+    out += print_latency("gullstall_queue_wait_seconds", n.latencies.queue_wait);
+    out += print_latency("gullstall_run_seconds", n.latencies.run);
+    return out;
+}
+
+}  // namespace gullstall::mesh
--- /dev/null
+++ b/gullstall/src/mesh/run_gate.cpp
@@ -0,0 +1,97 @@
+#include "gullstall/src/mesh/run_gate.hpp"
+
+#include <algorithm>
+
+namespace gullstall::mesh {
+
+namespace {
+
+/// Part of its slots beyond which an upstream counts as very nearly full.
+constexpr double usable_part = 0.95;
+
+/// Part of the time left that a call may wait for a slot. The rest is for its
+/// run and for the calls that the run makes.
+constexpr double wait_part = 0.5;
+
+/// Longest queue, in slots: what is behind waits as long as this many runs.
+constexpr std::size_t waiting_per_slot = 4;
+
+/// Weight of one run in the moving average of run times.
+constexpr double run_weight = 0.05;
+
+/// Rank of a call in the queue: calls of a run that holds a slot elsewhere go
+/// first, since that slot is lost for all others meanwhile.
+std::uint32_t rank_of(const gate_request &it)
+{
+    constexpr std::uint32_t behind_inner = 1U << 16U;
+    return it.priority + (it.inner ? 0 : behind_inner);
+}
+
+}  // namespace
+
+std::uint32_t usable_slots(std::uint32_t slots)
+{
+    auto usable = static_cast<std::uint32_t>(slots * usable_part);
+    return std::max(usable, std::min(slots, 1U));
+}
+
+duration expected_wait(const run_gate &it, std::size_t ahead)
+{
+    if (it.slots == 0) {
+        return duration{};
+    }
+    double free = it.slots > it.running ? it.slots - it.running : 0;
+    double beyond = std::max(0.0, static_cast<double>(ahead) + 1 - free);
+    return duration(static_cast<std::int64_t>(beyond * it.run_us / it.slots));
+}
+
+gate_verdict enter_gate(run_gate &it, const gate_request &request)
+{
+    if (it.running < it.slots && it.waiting.empty()) {
+        ++it.running;
+        return gate_verdict::start;
+    }
+    auto key = std::pair(rank_of(request), it.arrivals++);
+    auto ahead = std::distance(it.waiting.begin(), it.waiting.lower_bound(key));
+    duration wait = expected_wait(it, static_cast<std::size_t>(ahead));
+    bool is_late =
+        static_cast<double>(wait.count()) > wait_part * static_cast<double>(request.left.count());
+    if (is_late || it.waiting.size() >= it.slots * waiting_per_slot) {
+        return gate_verdict::full;
+    }
+    it.waiting.emplace(key, request.run);
+    return gate_verdict::wait;
+}
+
+bool leave_queue(run_gate &it, run_ref run)
+{
+    auto found = std::find_if(it.waiting.begin(), it.waiting.end(),
+                              [&](const auto &entry) { return entry.second == run; });
+    if (found == it.waiting.end()) {
+        return false;
+    }
+    it.waiting.erase(found);
+    return true;
+}
+
+void give_back_slot(run_gate &it, std::optional<duration> held)
+{
+    it.running -= it.running > 0 ? 1 : 0;
+    if (held) {
+        auto us = static_cast<double>(held->count());
+        it.run_us = it.run_us == 0 ? us : it.run_us + run_weight * (us - it.run_us);
+    }
+}
+
+std::optional<run_ref> next_run(run_gate &it)
+{
+    if (it.running >= it.slots || it.waiting.empty()) {
+        return std::nullopt;
+    }
+    run_ref next = it.waiting.begin()->second;
+    it.waiting.erase(it.waiting.begin());
+    ++it.running;
+    return next;
+}
+
+}  // namespace gullstall::mesh
--- /dev/null
+++ b/gullstall/src/mesh/serve.cpp
@@ -0,0 +1,381 @@
+#include <algorithm>
+
+#include "gullstall/src/mesh/mesh_node.hpp"
+
+namespace gullstall::mesh {
+
+using mesh_wire::outcome;
+using mesh_wire::reason;
+
+namespace {
+
+/// Time beyond the deadline in which the upstream may say by itself that it has
+/// stopped. It knows whether the request ran; the node does not.
+constexpr duration answer_grace = milliseconds(100);
+
+/// Shortest time left with which a request is handed over.
+constexpr duration least_left = milliseconds(5);
+
+/// How long an upstream that refused a connection gets nothing.
+constexpr duration down_time = milliseconds(300);
+
+void send_reply(mesh_turn &t, link_ref link, mesh_wire::reply_message &&reply)
+{
+    if (link == own_link) {
+        take_reply(t, t.n.settings.node.name, reply);
+        return;
+    }
+    reply.sender = std::make_unique<mesh_wire::node_status_message>(own_status(t));
+    t.out.emplace_back(send_to_link{link, mesh_frame(std::move(reply))});
+}
+
+void refuse(mesh_turn &t, link_ref link, const mesh_wire::call_message &call, reason why)
+{
+    t.out.emplace_back(write_line{write_line::severity::info,
+                                  "serve",
+                                  "call-refused",
+                                  {{"request", call.request_id},
+                                   {"reason", mesh_wire::EnumNamereason(why)},
+                                   {"priority", std::to_string(call.priority)},
+                                   {"left_ms", std::to_string(call.left_us / 1000)},
+                                   {"running", std::to_string(t.n.gate.running)},
+                                   {"waiting", std::to_string(t.n.gate.waiting.size())},
+                                   {"slots", std::to_string(t.n.gate.slots)}}});
+    mesh_wire::reply_message reply;
+    reply.correlation = call.correlation;
+    reply.outcome = outcome::not_started;
+    reply.reason = why;
+    send_reply(t, link, std::move(reply));
+}
+
+void drop_expiry(mesh_turn &t, const gate_call &run)
+{
+    auto [begin, end] = t.n.run_expiry.equal_range(run.expires);
+    auto it = std::find_if(begin, end, [&](const auto &entry) { return entry.second == run.id; });
+    if (it != end) {
+        t.n.run_expiry.erase(it);
+    }
+}
+
+/// Takes the run out of all tables; its slot is not touched.
+gate_call forget_run(mesh_turn &t, run_ref id)
+{
+    auto found = t.n.runs.find(id);
+    gate_call run = std::move(found->second);
+    t.n.runs.erase(found);
+    t.n.served.erase({run.link, run.call.correlation});
+    drop_expiry(t, run);
+    return run;
+}
+
+void hand_over(mesh_turn &t, run_ref id)
+{
+    gate_call &run = t.n.runs.at(id);
+    run.started_at = t.now;
+    drop_expiry(t, run);
+    run.expires = run.deadline + answer_grace;
+    t.n.run_expiry.emplace(run.expires, id);
+    ++t.n.counters.runs_started;
+    note_latency(t.n.latencies.queue_wait, t.now - run.arrived_at);
+    t.out.emplace_back(
+        start_run{id, std::move(run.call), t.n.upstream.latest->upstream, run.deadline - t.now});
+    // What identifies the call is still needed here.
+    const mesh_wire::call_message &moved = std::get<start_run>(t.out.back()).call;
+    run.call.correlation = moved.correlation;
+    run.call.request_id = moved.request_id;
+    run.call.idempotent = moved.idempotent;
+    run.call.priority = moved.priority;
+}
+
+void start_waiting(mesh_turn &t)
+{
+    while (std::optional<run_ref> next = next_run(t.n.gate)) {
+        if (t.n.runs.at(*next).deadline - t.now >= least_left) {
+            hand_over(t, *next);
+            continue;
+        }
+        give_back_slot(t.n.gate, std::nullopt);
+        gate_call late = forget_run(t, *next);
+        refuse(t, late.link, late.call, reason::too_late);
+    }
+}
+
+void refuse_waiting(mesh_turn &t, reason why)
+{
+    std::vector<run_ref> waiting;
+    for (const auto &[rank, run] : t.n.gate.waiting) {
+        waiting.push_back(run);
+    }
+    t.n.gate.waiting.clear();
+    for (run_ref id : waiting) {
+        gate_call run = forget_run(t, id);
+        refuse(t, run.link, run.call, why);
+    }
+}
+
+/// \returns why the node does not take the call at all
+std::optional<reason> reason_to_refuse(const mesh_turn &t, const mesh_wire::call_message &call)
+{
+    if (t.n.stopping) {
+        return reason::stopping;
+    }
+    if (!t.n.upstream.latest) {
+        return t.n.upstream.gone.empty() ? reason::no_upstream : reason::leaving;
+    }
+    if (t.n.upstream.latest->service != call.service) {
+        return reason::other_service;
+    }
+    if (!takes_work(t.n.upstream)) {
+        return reason::leaving;
+    }
+    if (t.now < t.n.upstream_down_until) {
+        return reason::unreachable;
+    }
+    return std::nullopt;
+}
+
+/// Takes off the time that the frame was under way. A frame can lie in a cut
+/// connection for seconds; the request's caller has given up by then, and the
+/// upstream would work on it with time that is long gone.
+duration time_left(mesh_turn &t, link_ref link, const mesh_wire::call_message &call)
+{
+    auto left = duration(static_cast<std::int64_t>(call.left_us));
+    auto known = t.n.links.find(link);
+    if (known == t.n.links.end() || !known->second.known || !t.n.guards.age_of_frames) {
+        return left;
+    }
+    std::int64_t offset =
+        static_cast<std::int64_t>(frame_time_us(t.now)) - static_cast<std::int64_t>(call.sent_us);
+    known->second.least_offset_us = std::min(known->second.least_offset_us, offset);
+    return left - duration(offset - known->second.least_offset_us);
+}
+
+/// Breaks off what nobody waits for. A non-idempotent run that has started goes
+/// on, so that it ends whole.
+void break_off(mesh_turn &t, run_ref id)
+{
+    gate_call &run = t.n.runs.at(id);
+    if (!run.started_at) {
+        leave_queue(t.n.gate, id);
+        forget_run(t, id);
+        return;
+    }
+    if (!run.call.idempotent) {
+        run.abandoned = true;
+        return;
+    }
+    t.out.emplace_back(cancel_run{id});
+    forget_run(t, id);
+    give_back_slot(t.n.gate, std::nullopt);
+}
+
+mesh_wire::reply_message reply_of(const gate_call &run, run_result &result)
+{
+    mesh_wire::reply_message out;
+    out.correlation = run.call.correlation;
+    out.handed_over = result.end != run_end::not_sent;
+    switch (result.end) {
+        case run_end::answered:
+            out.outcome = outcome::answered;
+            out.status = result.status;
+            out.status_text = std::move(result.status_text);
+            out.header_lines = std::move(result.header_lines);
+            out.body = std::move(result.body);
+            break;
+        case run_end::not_executed:
+            out.outcome = outcome::not_started;
+            out.reason = reason::shed;
+            break;
+        case run_end::not_sent:
+            out.outcome = outcome::not_started;
+            out.reason = reason::unreachable;
+            break;
+        case run_end::lost:
+            out.outcome = outcome::unknown;
+            out.reason = reason::connection_lost;
+            break;
+        case run_end::bad_answer:
+            out.outcome = outcome::unknown;
+            out.reason = reason::bad_answer;
+            break;
+    }
+    return out;
+}
+
+/// Brings the gate in line with what the upstream's heartbeats say.
+void sync_gate(mesh_turn &t)
+{
+    if (takes_work(t.n.upstream)) {
+        t.n.gate.slots = usable_slots(t.n.upstream.latest->slots);
+        start_waiting(t);
+    } else {
+        refuse_waiting(t, reason::leaving);
+    }
+}
+
+}  // namespace
+
+bool serves(const mesh_node &n, time_point now)
+{
+    return !n.stopping && takes_work(n.upstream) && now >= n.upstream_down_until;
+}
+
+void take_call(mesh_turn &t, link_ref link, mesh_wire::call_message &&call)
+{
+    duration left = time_left(t, link, call);
+    if (std::optional<reason> why = reason_to_refuse(t, call)) {
+        refuse(t, link, call, *why);
+        return;
+    }
+    if (left < least_left) {
+        ++t.n.counters.stale_frames;
+        refuse(t, link, call, reason::too_late);
+        return;
+    }
+    run_ref id{++t.n.last_id};
+    gate_request request{id, call.priority, call.inner, left};
+    gate_verdict verdict = enter_gate(t.n.gate, request);
+    if (verdict == gate_verdict::full) {
+        refuse(t, link, call, reason::queue_full);
+        return;
+    }
+    gate_call run;
+    run.id = id;
+    run.link = link;
+    run.arrived_at = t.now;
+    run.deadline = t.now + left;
+    run.expires = run.deadline;
+    run.call = std::move(call);
+    t.n.served[{link, run.call.correlation}] = id;
+    t.n.run_expiry.emplace(run.expires, id);
+    t.n.runs.emplace(id, std::move(run));
+    if (verdict == gate_verdict::start) {
+        hand_over(t, id);
+    }
+}
+
+void take_cancel(mesh_turn &t, link_ref link, std::uint64_t correlation)
+{
+    auto found = t.n.served.find({link, correlation});
+    if (found == t.n.served.end()) {
+        return;
+    }
+    break_off(t, found->second);
+    start_waiting(t);
+}
+
+void take_run_result(mesh_turn &t, run_ref id, run_result &&result)
+{
+    auto found = t.n.runs.find(id);
+    if (found == t.n.runs.end()) {
+        return;  // broken off before
+    }
+    duration held = t.now - found->second.started_at.value_or(t.now);
+    gate_call run = forget_run(t, id);
+    bool answered = result.end == run_end::answered;
+    give_back_slot(t.n.gate, answered ? std::optional(held) : std::nullopt);
+    note_latency(t.n.latencies.run, held);
+    if (result.end == run_end::not_sent) {
+        t.n.upstream_down_until = t.now + down_time;
+    }
+    if (!answered) {
+        t.out.emplace_back(write_line{write_line::severity::info,
+                                      "serve",
+                                      "run-without-answer",
+                                      {{"request", run.call.request_id},
+                                       {"end", result.end == run_end::not_executed ? "not-executed"
+                                               : result.end == run_end::not_sent   ? "not-sent"
+                                               : result.end == run_end::lost ? "connection-lost"
+                                                                             : "bad-answer"},
+                                       {"upstream_status", std::to_string(result.status)},
+                                       {"held_ms", std::to_string(to_ms(held))},
+                                       {"running", std::to_string(t.n.gate.running)},
+                                       {"slots", std::to_string(t.n.gate.slots)}}});
+    }
+    if (!run.abandoned) {
+        send_reply(t, run.link, reply_of(run, result));
+    }
+    start_waiting(t);
+}
+
+void expire_runs(mesh_turn &t)
+{
+    while (!t.n.run_expiry.empty() && t.n.run_expiry.begin()->first <= t.now) {
+        run_ref id = t.n.run_expiry.begin()->second;
+        if (!t.n.runs.at(id).started_at) {
+            leave_queue(t.n.gate, id);
+            gate_call run = forget_run(t, id);
+            refuse(t, run.link, run.call, reason::too_late);
+            continue;
+        }
+        t.out.emplace_back(cancel_run{id});
+        gate_call run = forget_run(t, id);
+        give_back_slot(t.n.gate, std::nullopt);
+        mesh_wire::reply_message reply;
+        reply.correlation = run.call.correlation;
+        reply.outcome = outcome::unknown;
+        reply.reason = reason::timed_out;
+        reply.handed_over = true;
+        if (!run.abandoned) {
+            send_reply(t, run.link, std::move(reply));
+        }
+    }
+    start_waiting(t);
+}
+
+void lose_link(mesh_turn &t, link_ref link)
+{
+    t.n.links.erase(link);
+    std::vector<run_ref> lost;
+    for (auto it = t.n.served.lower_bound({link, 0});
+         it != t.n.served.end() && it->first.first == link; ++it) {
+        lost.push_back(it->second);
+    }
+    for (run_ref id : lost) {
+        t.n.runs.at(id).abandoned = true;
+        break_off(t, id);
+    }
+    start_waiting(t);
+}
+
+heartbeat_verdict on_heartbeat(mesh_turn &t, const upstream_heartbeat &beat)
+{
+    std::optional<upstream_heartbeat> before = t.n.upstream.latest;
+    heartbeat_verdict verdict = take_heartbeat(t.n.upstream, beat, t.now);
+    if (verdict != heartbeat_verdict::taken) {
+        return verdict;
+    }
+    bool is_new = !before || before->upstream != beat.upstream || before->born != beat.born;
+    bool has_turned = is_new || before->state != beat.state;
+    t.n.upstream_down_until = time_point{};
+    if (is_new) {
+        t.n.gate.run_us = 0;
+        t.out.emplace_back(upstream_replaced{});
+    }
+    sync_gate(t);
+    if (has_turned) {
+        t.out.emplace_back(write_line{write_line::severity::info,
+                                      "upstream",
+                                      "upstream-state",
+                                      {{"upstream", beat.upstream},
+                                       {"service", beat.service},
+                                       {"state", mesh_wire::EnumNameupstream_state(beat.state)},
+                                       {"slots", std::to_string(beat.slots)},
+                                       {"born", std::to_string(beat.born)},
+                                       {"sequence", std::to_string(beat.sequence)},
+                                       {"cold_ms", std::to_string(to_ms(beat.cold_for))}}});
+        spread_status(t);
+    }
+    return verdict;
+}
+
+void on_leave(mesh_turn &t, const std::string &upstream, std::uint64_t unix_ms)
+{
+    take_leave(t.n.upstream, upstream, unix_ms);
+    t.out.emplace_back(write_line{
+        write_line::severity::info, "upstream", "upstream-left", {{"upstream", upstream}}});
+    sync_gate(t);
+    spread_status(t);
+}
+
+}  // namespace gullstall::mesh
--- a/gullstall/src/platform/request.hpp
+++ b/gullstall/src/platform/request.hpp
@@ -14,6 +14,7 @@
     std::string key;
     std::uint64_t version;  ///< rises with every write of the row, 0: no such row
     std::string value;
+    bool removed = false;  ///< in a feed: the row is there no more
 
     bool operator==(const table_row &) const = default;
 };
@@ -34,6 +35,17 @@
     bool operator==(const table_scan &) const = default;
 };
 
+/// Waits for changes of rows whose key begins with \a prefix, and reads them in
+/// the order in which they were made.
+struct table_feed
+{
+    std::string prefix;
+    std::uint64_t after;    ///< version of the answer to go on from
+    std::uint32_t wait_ms;  ///< without changes the answer comes after this time
+
+    bool operator==(const table_feed &) const = default;
+};
+
 /// Conditional write of one row.
 struct row_write
 {
@@ -71,16 +83,19 @@
 
 /// All that is asked of the platform. An adapter to another table service or
 /// object store carries out just these.
-using platform_request = std::variant<table_read, table_scan, table_commit, object_get, object_put>;
+using platform_request =
+    std::variant<table_read, table_scan, table_feed, table_commit, object_get, object_put>;
 
 /// What became of a request.
 enum class platform_status
 {
     done,
-    conflict,     ///< a row was not at its expected version; nothing was written
-    missing,      ///< no such object
-    unavailable,  ///< certainly not carried out
-    lost          ///< no answer came: a write may have taken effect
+    conflict,      ///< a row was not at its expected version; nothing was written
+    missing,       ///< no such object
+    unavailable,   ///< certainly not carried out
+    throttled,     ///< certainly not carried out, because too much is asked
+    history_gone,  ///< a feed asks for changes that are not kept any more
+    lost           ///< no answer came: a write may have taken effect
 };
 
 /// Answer to a request. On a conflict \a rows holds the rows as they stand.
@@ -89,6 +104,8 @@
     platform_status status;
     std::vector<table_row> rows;
     std::string content;
+    std::uint64_t version = 0;  ///< of the whole store: where a feed goes on
+    bool has_more = false;      ///< a scan found more rows than one answer holds
 
     bool operator==(const platform_answer &) const = default;
 };
--- a/gullstall/src/runtime/platform_http.cpp
+++ b/gullstall/src/runtime/platform_http.cpp
@@ -51,6 +51,12 @@
     {
         return post("/table/scan", json::object{{"prefix", it.prefix}});
     }
+    http_request operator()(const table_feed &it) const
+    {
+        return post(
+            "/table/feed",
+            json::object{{"prefix", it.prefix}, {"after", it.after}, {"wait_ms", it.wait_ms}});
+    }
     http_request operator()(const table_commit &it) const
     {
         json::array rows;
@@ -90,6 +96,11 @@
     if (target == "/table/scan") {
         return table_scan{body.at("prefix").as_string().c_str()};
     }
+    if (target == "/table/feed") {
+        return table_feed{body.at("prefix").as_string().c_str(),
+                          body.at("after").to_number<std::uint64_t>(),
+                          body.at("wait_ms").to_number<std::uint32_t>()};
+    }
     table_commit out;
     for (const json::value &it : body.at("rows").as_array()) {
         table_row row = read_row(it);
@@ -107,6 +118,10 @@
             return platform_status::missing;
         case 409:
             return platform_status::conflict;
+        case 410:
+            return platform_status::history_gone;
+        case 429:
+            return platform_status::throttled;
         case 503:
             return platform_status::unavailable;
         default:
@@ -123,6 +138,10 @@
             return 404;
         case platform_status::conflict:
             return 409;
+        case platform_status::history_gone:
+            return 410;
+        case platform_status::throttled:
+            return 429;
         case platform_status::unavailable:
             return 503;
         case platform_status::lost:
@@ -169,7 +188,8 @@
         rows.push_back(print_row(row.key, row.version, row.value));
     }
     out.set(http::field::content_type, "application/json");
-    set_body(out.body(), json::serialize(json::object{{"rows", rows}}));
+    set_body(out.body(),
+             json::serialize(json::object{{"rows", rows}, {"version", answer.version}}));
     return out;
 }
 
@@ -192,6 +212,9 @@
         for (const json::value &row : body.at("rows").as_array()) {
             out.rows.push_back(read_row(row));
         }
+        if (const json::value *version = body.as_object().if_contains("version")) {
+            out.version = version->to_number<std::uint64_t>();
+        }
     } catch (const std::exception &) {
         return platform_answer{platform_status::lost, {}, {}};
     }
--- a/gullstall/src/settings/ini.cpp
+++ b/gullstall/src/settings/ini.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/join.hpp>
 #include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
 
@@ -116,4 +117,42 @@
     return document;
 }
 
+namespace {
+
+int line_of(const ini_document &document, std::string_view kind, std::string_view key)
+{
+    for (const ini_section &section : document.sections) {
+        for (const ini_entry &it : section.entries) {
+            if (section.kind == kind && it.key == key) {
+                return it.line;
+            }
+        }
+    }
+    return 0;
+}
+
+}  // namespace
+
+error at_key(const ini_document &document, const std::string &kind, const std::string &key,
+             const error &e)
+{
+    return ini_error(e.code, document.name, line_of(document, kind, key),
+                     "key '" + key + "': " + e.message);
+}
+
+result<done> check_sections(const ini_document &document, std::span<const std::string_view> known)
+{
+    std::vector<std::string> names(known.begin(), known.end());
+    for (const ini_section &it : document.sections) {
+        bool found = std::find(known.begin(), known.end(), it.kind) != known.end();
+        if (!found || !it.words.empty()) {
+            return ini_error(error_code::unknown_name, document.name, it.line,
+                             "found unknown section [" + it.kind +
+                                 (it.words.empty() ? "" : " " + it.words.front()) +
+                                 "], allowed are " + boost::algorithm::join(names, ", "));
+        }
+    }
+    return done{};
+}
+
 }  // namespace gullstall
--- a/gullstall/src/settings/ini.hpp
+++ b/gullstall/src/settings/ini.hpp
@@ -1,6 +1,7 @@
 #ifndef GULLSTALL_SETTINGS_INI_HPP
 #define GULLSTALL_SETTINGS_INI_HPP
 
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -48,6 +49,13 @@
 /// \returns an error at \a line of \a document
 error ini_error(error_code code, const std::string &document, int line, const std::string &what);
 
+/// \returns the error \a e, told of the line of \a key in section \a kind
+error at_key(const ini_document &document, const std::string &kind, const std::string &key,
+             const error &e);
+
+/// \returns an error for a section whose kind is not one of \a known
+result<done> check_sections(const ini_document &document, std::span<const std::string_view> known);
+
 }  // namespace gullstall
 
 #endif
--- a/gullstall/src/settings/node_settings.cpp
+++ b/gullstall/src/settings/node_settings.cpp
@@ -1,13 +1,7 @@
 #include "gullstall/src/settings/node_settings.hpp"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
 #include <array>
-#include <boost/algorithm/string/classification.hpp>
-#include <boost/algorithm/string/split.hpp>
-#include <boost/algorithm/string/trim.hpp>
-#include <boost/lexical_cast/try_lexical_convert.hpp>
 
 #include "gullstall/src/core/hex.hpp"
 #include "gullstall/src/settings/section_reader.hpp"
@@ -25,6 +19,9 @@
 constexpr std::uint64_t frame_headroom = 1U << 20U;
 constexpr std::uint64_t max_body_limit = max_frame_bytes - frame_headroom;
 
+constexpr std::array<std::string_view, 7> sections{"node",       "listen", "worker", "platform",
+                                                   "membership", "trust",  "log"};
+
 constexpr std::array node_rules{field_rule{"instance", true}, field_rule{"zone", true},
                                 field_rule{"region", false}, field_rule{"service", true}};
 constexpr std::array listen_rules{field_rule{"address", true},
@@ -48,105 +45,6 @@
                                  field_rule{"signers_required", false, 1, 8}};
 constexpr std::array log_rules{field_rule{"level", false}};
 
-std::vector<std::string> split_list(std::string_view text)
-{
-    std::vector<std::string> parts;
-    boost::algorithm::split(parts, text, boost::algorithm::is_any_of(","));
-    std::vector<std::string> out;
-    for (std::string &it : parts) {
-        boost::algorithm::trim(it);
-        if (!it.empty()) {
-            out.push_back(it);
-        }
-    }
-    return out;
-}
-
-bool is_address(const std::string &text)
-{
-    in6_addr bytes{};
-    return inet_pton(AF_INET, text.c_str(), &bytes) == 1 ||
-           inet_pton(AF_INET6, text.c_str(), &bytes) == 1;
-}
-
-result<std::vector<endpoint>> parse_endpoints(std::string_view text)
-{
-    std::vector<endpoint> out;
-    for (const std::string &it : split_list(text)) {
-        std::size_t colon = it.rfind(':');
-        std::uint16_t port = 0;
-        bool good = colon != std::string::npos && is_address(it.substr(0, colon)) &&
-                    boost::conversion::try_lexical_convert(it.substr(colon + 1), port) && port != 0;
-        if (!good) {
-            return error{error_code::wrong_type, "found '" + it + "', expected IP number:port"};
-        }
-        out.push_back(endpoint{it.substr(0, colon), port});
-    }
-    return out;
-}
-
-/// Reads the section of kind \a kind into \a values; it may be absent unless
-/// one of its keys is required.
-template <class Table>
-result<done> load(const ini_document &document, const std::string &kind,
-                  std::span<const field_rule> rules, typename Table::NativeTableType &values)
-{
-    for (const ini_section &section : document.sections) {
-        if (section.kind != kind) {
-            continue;
-        }
-        result<typename Table::NativeTableType> read =
-            read_section<Table>(document, section, rules);
-        if (!succeeded(read)) {
-            return error_of(read);
-        }
-        values = value_of(std::move(read));
-        return done{};
-    }
-    for (const field_rule &rule : rules) {
-        if (rule.required) {
-            return error{error_code::missing, document.name + ": lacks the section [" + kind + "]"};
-        }
-    }
-    return done{};
-}
-
-result<done> check_sections(const ini_document &document)
-{
-    constexpr std::array<std::string_view, 7> known{"node",       "listen", "worker", "platform",
-                                                    "membership", "trust",  "log"};
-    for (const ini_section &it : document.sections) {
-        bool found = std::find(known.begin(), known.end(), it.kind) != known.end();
-        if (!found || !it.words.empty()) {
-            return ini_error(error_code::unknown_name, document.name, it.line,
-                             "found unknown section [" + it.kind +
-                                 (it.words.empty() ? "" : " " + it.words.front()) +
-                                 "], allowed are node, listen, worker, platform, membership, "
-                                 "trust, log");
-        }
-    }
-    return done{};
-}
-
-int line_of(const ini_document &document, std::string_view kind, std::string_view key)
-{
-    for (const ini_section &section : document.sections) {
-        for (const ini_entry &it : section.entries) {
-            if (section.kind == kind && it.key == key) {
-                return it.line;
-            }
-        }
-    }
-    return 0;
-}
-
-error at_key(const ini_document &document, const std::string &kind, const std::string &key,
-             const error &e)
-{
-    return ini_error(e.code, document.name, line_of(document, kind, key),
-                     "key '" + key + "': " + e.message);
-}
-
 result<done> check_address(const ini_document &document, const std::string &section,
                            const std::string &address)
 {
@@ -213,15 +111,16 @@
     node_settings out;
     settings::trust_section_values &trust = out.trust;
     const std::array<result<done>, 8> steps{
-        check_sections(document),
-        load<settings::node_section>(document, "node", node_rules, out.node),
-        load<settings::listen_section>(document, "listen", listen_rules, out.listen),
-        load<settings::worker_section>(document, "worker", worker_rules, out.worker),
-        load<settings::platform_section>(document, "platform", platform_rules, out.platform),
-        load<settings::membership_section>(document, "membership", membership_rules,
-                                           out.membership),
-        load<settings::trust_section>(document, "trust", trust_rules, trust),
-        load<settings::log_section>(document, "log", log_rules, out.log)};
+        check_sections(document, sections),
+        load_section<settings::node_section>(document, "node", node_rules, out.node),
+        load_section<settings::listen_section>(document, "listen", listen_rules, out.listen),
+        load_section<settings::worker_section>(document, "worker", worker_rules, out.worker),
+        load_section<settings::platform_section>(document, "platform", platform_rules,
+                                                 out.platform),
+        load_section<settings::membership_section>(document, "membership", membership_rules,
+                                                   out.membership),
+        load_section<settings::trust_section>(document, "trust", trust_rules, trust),
+        load_section<settings::log_section>(document, "log", log_rules, out.log)};
     for (const result<done> &it : steps) {
         if (!succeeded(it)) {
             return error_of(it);
--- a/gullstall/src/settings/node_settings.hpp
+++ b/gullstall/src/settings/node_settings.hpp
@@ -7,18 +7,10 @@
 
 #include "gullstall/generated/settings_generated.h"
 #include "gullstall/src/core/result.hpp"
+#include "gullstall/src/settings/endpoint.hpp"
 
 namespace gullstall {
 
-/// Address of a process: an IP number and a TCP port.
-struct endpoint
-{
-    std::string address;
-    std::uint16_t port;
-
-    bool operator==(const endpoint &) const = default;
-};
-
 /// Name and Ed25519 public key (32 raw bytes) of someone who may sign bundles.
 struct trusted_key
 {
--- a/gullstall/src/settings/section_reader.hpp
+++ b/gullstall/src/settings/section_reader.hpp
@@ -51,6 +51,33 @@
     return values;
 }
 
+/// Reads the section \a kind, when there is one, into \a values.
+/// \returns an error when the section is bad, or lacks and holds a required key
+template <class Table>
+result<done> load_section(const ini_document &document, const std::string &kind,
+                          std::span<const field_rule> rules,
+                          typename Table::NativeTableType &values)
+{
+    for (const ini_section &section : document.sections) {
+        if (section.kind != kind) {
+            continue;
+        }
+        result<typename Table::NativeTableType> read =
+            read_section<Table>(document, section, rules);
+        if (!succeeded(read)) {
+            return error_of(read);
+        }
+        values = value_of(std::move(read));
+        return done{};
+    }
+    for (const field_rule &rule : rules) {
+        if (rule.required) {
+            return error{error_code::missing, document.name + ": lacks the section [" + kind + "]"};
+        }
+    }
+    return done{};
+}
+
 }  // namespace gullstall
 
 #endif
--- a/test/standins/platform_store.hpp
+++ b/test/standins/platform_store.hpp
@@ -17,6 +17,8 @@
     bool lose_answers = false;  ///< writes take effect, their answers do not come
     bool stale_reads = false;   ///< plain reads and scans see stale_rows
     std::map<std::string, table_row> stale_rows;
+    std::uint64_t version = 0;                        ///< rises with each write of a row
+    std::map<std::string, std::uint64_t> changed_at;  ///< version at each row's last write
     std::uint64_t reads = 0;
     std::uint64_t writes = 0;
 
@@ -60,6 +62,18 @@
         return out;
     }
 
+    /// Answers a feed at once, with every row that was written since.
+    platform_answer carry_out(const table_feed &it)
+    {
+        platform_answer out = carry_out(table_scan{it.prefix});
+        std::erase_if(out.rows, [&](const table_row &row) {
+            auto changed = changed_at.find(row.key);
+            return changed == changed_at.end() || changed->second <= it.after;
+        });
+        out.version = version;
+        return out;
+    }
+
     platform_answer carry_out(const table_commit &it)
     {
         ++writes;
@@ -81,6 +95,7 @@
         for (const row_write &write : it.rows) {
             table_row &row = rows[write.key];
             row = table_row{write.key, write.expected_version + 1, write.value};
+            changed_at[write.key] = ++version;
             out.rows.push_back(row);
         }
         return after_write(std::move(out));
