Refuse where requests enter, by the levels of the services that their chain needs

Calls of one run are tied to it by the moment at which both expire. Nodes are drawn by cost, within the zone until busy.

--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -237,6 +237,8 @@
         step([&](mesh_turn &t) { take_reply(t, node, *reply); });
     } else if (const mesh_wire::node_status_message *status = frame.payload.Asnode_status()) {
         step([&](mesh_turn &t) { take_status(t, *status); });
+    } else if (const mesh_wire::chain_news_message *news = frame.payload.Aschain_news()) {
+        step([&](mesh_turn &t) { take_chain_news(t, *news); });
     } else if (const mesh_wire::policy_content_message *it = frame.payload.Aspolicy_content()) {
         policy_text(std::string(it->content.begin(), it->content.end()), "peer");
     }
--- a/gullstall/src/mesh/directory.cpp
+++ b/gullstall/src/mesh/directory.cpp
@@ -1,6 +1,7 @@
 #include "gullstall/src/mesh/directory.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace gullstall::mesh {
 
@@ -21,10 +22,21 @@
 /// Run time that is assumed of an upstream that has not run anything.
 constexpr double assumed_run_us = 30000;
 
-/// By how many times an upstream in another zone must look cheaper. A request
-/// between zones costs two crossings of about 1 ms, and money; a full upstream
-/// costs the whole wait for a slot.
-constexpr double other_zone_cost = 1.6;
+/// Share of its slots from which on an upstream counts as busy: a call that comes
+/// then may wait for a slot. Below it calls stay within the zone, since each
+/// crossing costs about 1 ms and money, and a slower upstream costs less.
+constexpr double busy_share = 0.85;
+
+/// Share of failures from which on calls may leave the zone too.
+constexpr double failing_share = 0.2;
+
+/// By how many times an upstream of another zone must then look cheaper.
+constexpr double other_zone_cost = 1.5;
+
+/// Power of the cost by which calls are drawn: an upstream that looks twice as
+/// dear gets an eighth. The best alone would draw the calls of all nodes until
+/// its next status, and one that was slow once would never be tried again.
+constexpr double cost_power = 3;
 
 bool is_usable(const node_view &it, const placement_request &wanted)
 {
@@ -40,14 +52,21 @@
     return it.failures * std::exp2(-passed / failure_half_life_us);
 }
 
+/// \returns the share of its slots that one more call would find in use or
+/// waited for
+double used_share(const node_view &it)
+{
+    return (it.status.running + it.status.waiting + it.sent_since + 1.0) / it.status.slots;
+}
+
 /// \returns the time until an answer of one more call, microseconds
-double expected_us(const node_view &it, time_point now)
+/// \param usual_us run time that is assumed where none is known
+double expected_us(const node_view &it, double usual_us, time_point now)
 {
-    double run_us = it.status.run_time_us > 0 ? it.status.run_time_us : assumed_run_us;
-    double ahead = it.status.running + it.status.waiting + it.sent_since + 1.0;
+    double run_us = it.status.run_time_us > 0 ? it.status.run_time_us : usual_us;
     // Below full the run time counts; the part in use still matters a little,
     // so that equal upstreams share the calls. Beyond full it is the queue.
-    double used = ahead / it.status.slots;
+    double used = used_share(it);
     double wait = std::max(0.0, used - 1) * run_us;
     return (run_us * (1 + used / 2) + wait) * (1 + failure_cost * recent_failures(it, now));
 }
@@ -58,19 +77,40 @@
     double cost = 0;
 };
 
-/// \returns the cheaper of two drawn at random: the best of all would draw the
-/// calls of every node at once until its next status
-candidate better_of_two(const std::vector<candidate> &all, random_source &random)
+/// Draws one of \a all, the cheaper the likelier.
+candidate draw(const std::vector<candidate> &all, random_source &random)
 {
-    if (all.empty()) {
-        return candidate{};
+    double total = 0;
+    for (const candidate &it : all) {
+        total += std::pow(it.cost, -cost_power);
     }
-    std::size_t first = draw_below(random, all.size());
-    std::size_t second = draw_below(random, all.size());
-    if (first == second) {
-        second = (second + 1) % all.size();
+    double at = draw_fraction(random) * total;
+    for (const candidate &it : all) {
+        at -= std::pow(it.cost, -cost_power);
+        if (at <= 0) {
+            return it;
+        }
     }
-    return all[first].cost <= all[second].cost ? all[first] : all[second];
+    return all.empty() ? candidate{} : all.back();
+}
+
+/// \returns whether calls may go to another zone in place of \a near
+bool may_leave_zone(const candidate &near, time_point now)
+{
+    return near.node == nullptr || used_share(*near.node) >= busy_share ||
+           recent_failures(*near.node, now) >= failing_share;
+}
+
+/// \returns the run time of an upstream that has not told one: the shortest of
+/// its service, so that a new one is tried soon
+double usual_run_us(const std::vector<const node_view *> &all)
+{
+    double out = 0;
+    for (const node_view *it : all) {
+        double run_us = it->status.run_time_us;
+        out = run_us > 0 && (out == 0 || run_us < out) ? run_us : out;
+    }
+    return out > 0 ? out : assumed_run_us;
 }
 
 }  // namespace
@@ -109,6 +149,26 @@
     return true;
 }
 
+void note_load(directory &it, const std::string &node, const mesh_wire::node_load_message &load,
+               time_point now)
+{
+    auto found = it.nodes.find(node);
+    if (found == it.nodes.end() || load.sequence <= found->second.status.sequence) {
+        return;
+    }
+    node_view &known = found->second;
+    known.status.sequence = load.sequence;
+    known.status.slots = load.slots;
+    known.status.running = load.running;
+    known.status.waiting = load.waiting;
+    known.status.run_time_us = load.run_time_us;
+    known.status.wait_us = load.wait_us;
+    known.status.level_milli = load.level_milli;
+    known.status.shed_milli = load.shed_milli;
+    known.status_at = now;
+    known.sent_since = 0;
+}
+
 void note_link(directory &it, const std::string &node, bool linked)
 {
     auto found = it.nodes.find(node);
@@ -140,25 +200,54 @@
     }
 }
 
-std::string choose_node(const directory &it, const placement_request &wanted, random_source &random,
-                        time_point now)
+std::string choose_node(const directory &it, const placement_request &wanted,
+                        random_source &random, time_point now)
 {
+    std::vector<const node_view *> usable;
+    for (const auto &[name, view] : it.nodes) {
+        if (is_usable(view, wanted)) {
+            usable.push_back(&view);
+        }
+    }
+    double usual_us = usual_run_us(usable);
     std::vector<candidate> near;
     std::vector<candidate> far;
+    for (const node_view *view : usable) {
+        bool is_near = view->address.zone == wanted.zone;
+        (is_near ? near : far).push_back(candidate{view, expected_us(*view, usual_us, now)});
+    }
+    candidate best = draw(near, random);
+    if (may_leave_zone(best, now)) {
+        candidate other = draw(far, random);
+        bool is_better = best.node == nullptr || other.cost * other_zone_cost < best.cost;
+        best = other.node != nullptr && is_better ? other : best;
+    }
+    return best.node == nullptr ? std::string() : best.node->address.node;
+}
+
+std::map<std::string, service_state> states_of_services(const directory &it)
+{
+    constexpr double milli = 1000;
+    std::map<std::string, double> slots;
+    std::map<std::string, double> taking;  // slots, less the share that turns calls away
+    std::map<std::string, service_state> out;
     for (const auto &[name, view] : it.nodes) {
-        if (!is_usable(view, wanted)) {
+        if (!is_usable(view, placement_request{view.status.service, "", {}})) {
             continue;
         }
-        bool is_near = view.address.zone == wanted.zone;
-        (is_near ? near : far).push_back(candidate{&view, expected_us(view, now)});
+        double shed = std::min(1.0, view.status.shed_milli / milli);
+        double takes = view.status.slots * (1 - shed);
+        service_state &state = out[view.status.service];
+        slots[view.status.service] += view.status.slots;
+        taking[view.status.service] += takes;
+        state.level += view.status.slots * view.status.level_milli / milli;
+        state.shed += takes * shed;
     }
-    candidate best = better_of_two(near, random);
-    candidate other = better_of_two(far, random);
-    if (best.node == nullptr ||
-        (other.node != nullptr && other.cost * other_zone_cost < best.cost)) {
-        best = other;
+    for (auto &[service, state] : out) {
+        state.level /= slots[service];
+        state.shed = taking[service] > 0 ? state.shed / taking[service] : 1;
     }
-    return best.node == nullptr ? std::string() : best.node->address.node;
+    return out;
 }
 
 double service_load(const directory &it, const std::string &service)
--- a/gullstall/src/mesh/directory.hpp
+++ b/gullstall/src/mesh/directory.hpp
@@ -9,6 +9,7 @@
 #include "gullstall/core.hpp"
 #include "gullstall/generated/mesh_generated.h"
 #include "gullstall/settings.hpp"
+#include "gullstall/src/mesh/service_levels.hpp"
 
 namespace gullstall::mesh {
 
@@ -50,6 +51,10 @@
 /// \returns whether it is news; an earlier status that was overtaken is not
 bool note_status(directory &it, const mesh_wire::node_status_message &status, time_point now);
 
+/// Takes in what a reply of \a node says of its load.
+void note_load(directory &it, const std::string &node, const mesh_wire::node_load_message &load,
+               time_point now);
+
 /// Notes whether the connection to \a node works.
 void note_link(directory &it, const std::string &node, bool linked);
 
@@ -80,6 +85,11 @@
 std::string choose_node(const directory &it, const placement_request &wanted, random_source &random,
                         time_point now);
 
+/// \returns the state of each service over its upstreams that take work: levels
+/// weighed by slots, and shares turned away by the slots that still take calls,
+/// since calls leave an upstream that turns many away
+std::map<std::string, service_state> states_of_services(const directory &it);
+
 /// \returns the share of the slots of \a service that are in use or waited for,
 /// over all upstreams that take work; 0 when there are none
 double service_load(const directory &it, const std::string &service);
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -78,6 +78,20 @@
           .answers["route=\"" + route + "\",outcome=\"" + kind + "\",reason=\"" + why + "\""];
 }
 
+/// \returns the services that don't take all, with level and share turned away
+std::string print_states(const std::map<std::string, service_state> &states)
+{
+    constexpr double noted_shed = 0.01;
+    std::string out;
+    for (const auto &[service, state] : states) {
+        if (state.level < open_level || state.shed > noted_shed) {
+            out += (out.empty() ? "" : " ") + service + "=" + std::to_string(state.level) + "/" +
+                   std::to_string(state.shed);
+        }
+    }
+    return out;
+}
+
 /// Answers a request that no call was made for.
 void refuse_request(mesh_turn &t, call_ref id, const caller_request &request, reason why)
 {
@@ -97,6 +111,8 @@
                     {"reason", reason_name(why)},
                     {"host", request.host},
                     {"target", request.target},
+         {"left_ms", std::to_string(to_ms(left))},
+         {"levels", print_states(t.n.states)},
                     {"policy", std::to_string(t.n.policy ? t.n.policy->version : 0)}}});
     t.out.emplace_back(answer_caller{id, std::move(answer)});
 }
@@ -195,6 +211,24 @@
     t.out.emplace_back(send_to_node{node, mesh_frame(std::move(message))});
 }
 
+/// Pays for a repeat at every service that it reaches: calls of a repeated run
+/// are repeats too.
+bool pay_for_repeat(mesh_turn &t, const entry_call &call)
+{
+    service_runs needs = t.n.plan.needs.count(call.route) > 0
+                             ? t.n.plan.needs.at(call.route)
+                             : service_runs{{call.call.service, 1.0}};
+    for (const auto &[service, runs] : needs) {
+        if (!can_repeat(t.n.budgets[service], runs)) {
+            return false;
+        }
+    }
+    for (const auto &[service, runs] : needs) {
+        spend_repeat(t.n.budgets[service], runs);
+    }
+    return true;
+}
+
 /// Sends the call once more after it has reached an upstream.
 /// \returns false when that is not allowed
 bool repeat_call(mesh_turn &t, call_ref id)
@@ -205,7 +239,7 @@
     if (!allowed) {
         return false;
     }
-    if (!spend_repeat(t.n.budgets[call.call.service])) {
+    if (!pay_for_repeat(t, call)) {
         ++t.n.counters.repeats_denied;
         return false;
     }
@@ -226,6 +260,34 @@
     t.out.emplace_back(send_to_node{sent.node, mesh_frame(std::move(message))});
 }
 
+/// \returns whether the upstream's answer is an error of its own that another
+/// upstream may not make
+bool is_worth_repeating(const entry_call &call, const mesh_wire::reply_message &reply)
+{
+    constexpr std::uint16_t first_server_error = 500;
+    constexpr std::uint16_t out_of_time = 504;
+    return call.call.idempotent && !call.call.inner && reply.status >= first_server_error &&
+           reply.status != out_of_time;
+}
+
+/// Sends a call once more whose answer was an error.
+/// \returns false when that is not allowed; the answer then stands
+bool repeat_after_error(mesh_turn &t, call_ref id)
+{
+    entry_call &call = t.n.calls.at(id);
+    std::optional<sent_call> current = call.current;
+    ++call.handed_over;
+    t.n.sent.erase(current->correlation);
+    call.current.reset();
+    call.may_have_run = true;
+    call.last_reason = reason::connection_lost;
+    if (repeat_call(t, id)) {
+        return true;
+    }
+    call.current = current;
+    return false;
+}
+
 /// Ends the current send of a call that was not answered: places it again where
 /// that is allowed, or fails it.
 /// \param reached whether it has reached an upstream, or may have
@@ -246,6 +308,33 @@
     }
 }
 
+/// Ties the call to the run on the own upstream that makes it, if one does: it
+/// is judged by the request that the run belongs to, and no second time.
+void inherit(mesh_turn &t, mesh_wire::call_message &call, const std::string &route,
+             std::optional<duration> time_left)
+{
+    std::optional<run_ref> parent;
+    if (time_left) {
+        parent = find_parent(t.n.chain, route, t.now + *time_left);
+    }
+    auto run = parent ? t.n.runs.find(*parent) : t.n.runs.end();
+    if (run == t.n.runs.end()) {
+        return;
+    }
+    call.inner = true;
+    call.priority = run->second.call.priority;
+    call.repeat = run->second.call.repeat;
+    note_child(t.n.chain, run->second.call.route, route);
+}
+
+/// \returns the place of a request among all, evenly spread over [0, 1)
+double place_of(const std::string &request_id)
+{
+    constexpr double scale = 1.0 / 9007199254740992.0;  // 2^-53
+    constexpr unsigned unused_bits = 11;
+    return static_cast<double>(hash_text(request_id) >> unused_bits) * scale;
+}
+
 }  // namespace
 
 void take_request(mesh_turn &t, call_ref id, caller_request &&request)
@@ -260,8 +349,14 @@
         return;
     }
     entry_call call;
+    inherit(t, call.call, route->name, request.time_left);
+    if (!call.call.inner && place_of(request.request_id) >= share_let_in(t, route->name)) {
+        refuse_request(t, id, request, reason::overload);
+        return;
+    }
     call.id = id;
     call.route = route->name;
+    call.call.route = route->name;
     call.max_attempts = std::max(1U, route->max_attempts);
     call.taken_at = t.now;
     call.deadline = t.now + request.time_left.value_or(route->timeout);
@@ -274,12 +369,10 @@
     call.call.header_lines = std::move(request.header_lines);
     call.call.body = std::move(request.body);
     call.call.idempotent = route->repeats == repeatability::idempotent;
-    call.call.inner = request.inner;
-    call.call.priority =
-        make_priority(static_cast<std::uint8_t>(std::min(route->priority, max_class)),
-                      rank_of(call.call.request_id))
-            .value;
-    earn_repeat(t.n.budgets[call.call.service], t.n.settings.limits.retry_percent);
+    if (!call.call.inner) {
+        call.call.priority = static_cast<std::uint16_t>(std::min(route->priority, max_class));
+        earn_repeat(t.n.budgets[call.call.service], t.n.settings.limits.retry_percent);
+    }
     t.n.call_expiry.emplace(call.expires, id);
     t.n.calls.emplace(id, std::move(call));
     place_call(t, id);
@@ -309,8 +402,8 @@
 
 void take_reply(mesh_turn &t, const std::string &from, mesh_wire::reply_message &reply)
 {
-    if (reply.sender) {
-        take_status(t, *reply.sender);
+    if (reply.load) {
+        note_load(t.n.nodes, from, *reply.load, t.now);
     }
     auto known = t.n.sent.find(reply.correlation);
     if (known == t.n.sent.end()) {
@@ -325,6 +418,9 @@
                                                            : call_end::failed;
     note_call_end(t.n.nodes, from, end, t.now);
     if (reply.outcome == outcome::answered) {
+        if (is_worth_repeating(t.n.calls.at(id), reply) && repeat_after_error(t, id)) {
+            return;
+        }
         pass_answer(t, id, reply);
         return;
     }
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -50,7 +50,6 @@
     out.node = t.n.settings.node.name;
     out.zone = t.n.settings.node.zone;
     out.incarnation = t.n.incarnation;
-    out.sequence = ++t.n.status_sequence;
     out.policy_version = t.n.policy ? t.n.policy->version : 0;
     out.stopping = t.n.stopping;
     if (t.n.upstream.latest) {
@@ -61,12 +60,30 @@
     if (!serves(t.n, t.now) && out.state == mesh_wire::upstream_state::ready) {
         out.state = mesh_wire::upstream_state::absent;
     }
-    out.slots = t.n.gate.slots;
-    out.running = t.n.gate.running;
-    out.waiting = static_cast<std::uint32_t>(t.n.gate.waiting.size());
-    out.run_time_us = static_cast<std::uint32_t>(t.n.gate.run_us);
-    out.wait_us =
-        static_cast<std::uint32_t>(expected_wait(t.n.gate, t.n.gate.waiting.size()).count());
+    mesh_wire::node_load_message load = own_load(t.n);
+    out.sequence = load.sequence;
+    out.slots = load.slots;
+    out.running = load.running;
+    out.waiting = load.waiting;
+    out.run_time_us = load.run_time_us;
+    out.wait_us = load.wait_us;
+    out.level_milli = load.level_milli;
+    out.shed_milli = load.shed_milli;
+    return out;
+}
+
+mesh_wire::node_load_message own_load(mesh_node &n)
+{
+    constexpr double milli = 1000;
+    mesh_wire::node_load_message out;
+    out.sequence = ++n.status_sequence;
+    out.slots = n.gate.slots;
+    out.running = n.gate.running;
+    out.waiting = static_cast<std::uint32_t>(n.gate.waiting.size());
+    out.run_time_us = static_cast<std::uint32_t>(n.gate.run_us);
+    out.wait_us = static_cast<std::uint32_t>(expected_wait(n.gate, n.gate.waiting.size()).count());
+    out.level_milli = static_cast<std::uint16_t>(n.level.level * milli);
+    out.shed_milli = static_cast<std::uint16_t>(n.gate.shed * milli);
     return out;
 }
 
@@ -121,6 +138,7 @@
     take_address(t, node_address{hello.node, hello.zone, endpoint{hello.address, hello.port},
                                  hello.incarnation});
     t.out.emplace_back(send_to_link{link, mesh_frame(own_status(t))});
+    spread_chain_news(t, true, link);
 }
 
 void take_status(mesh_turn &t, const mesh_wire::node_status_message &status)
@@ -177,6 +195,7 @@
     if (t.n.newer_policy && t.n.newer_policy->version <= t.n.policy->version) {
         t.n.newer_policy.reset();
     }
+    t.n.plan_is_old = true;
     apply_timeouts(t);
     return true;
 }
@@ -212,7 +231,9 @@
 {
     if (t.now - t.n.status_spread_at >= status_interval) {
         spread_status(t);
+        spread_chain_news(t, false, std::nullopt);
     }
+    admission_tick(t);
     if (t.n.newer_policy && t.now - t.n.newer_policy->heard_at >= policy_patience) {
         mesh_wire::policy_fetch_message message;
         message.version = t.n.newer_policy->version;
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -14,11 +14,14 @@
 #include "gullstall/generated/mesh_generated.h"
 #include "gullstall/metrics.hpp"
 #include "gullstall/policy.hpp"
+#include "gullstall/src/mesh/call_chain.hpp"
 #include "gullstall/src/mesh/directory.hpp"
+#include "gullstall/src/mesh/gate_level.hpp"
 #include "gullstall/src/mesh/mesh_settings.hpp"
 #include "gullstall/src/mesh/own_upstream.hpp"
 #include "gullstall/src/mesh/repeat_budget.hpp"
 #include "gullstall/src/mesh/run_gate.hpp"
+#include "gullstall/src/mesh/service_levels.hpp"
 #include "gullstall/src/mesh/traffic_split.hpp"
 
 namespace gullstall::mesh {
@@ -190,6 +193,7 @@
     mesh_wire::call_message call;
     time_point arrived_at{};
     time_point deadline{};
+    time_point told_deadline{};  ///< as the upstream was told, in whole milliseconds
     time_point expires{};  ///< the deadline, and once started a grace beyond it
     std::optional<time_point> started_at;
     bool abandoned = false;  ///< nobody waits for the reply any more
@@ -245,6 +249,14 @@
     directory nodes;
     own_upstream upstream;
     run_gate gate;
+    gate_level level;
+    double told_level = open_level;  ///< as the other nodes know it
+    call_chain chain;
+    service_levels plan;
+    bool plan_is_old = true;  ///< the policy or what is known of the chains has changed
+    std::map<std::string, calls_per_run> told_calls;  ///< of this node's upstream
+    std::map<std::string, service_state> states;      ///< by service, as of states_at
+    time_point states_at{};
     traffic_split split;
     std::map<std::string, repeat_budget> budgets;  ///< by service
 
@@ -290,6 +302,14 @@
 /// Shortens what is in flight to the timeouts of the policy now in force.
 void apply_timeouts(mesh_turn &t);
 
+// admission.cpp: which requests are let in, by the levels of the services
+/// \returns the share of the requests of \a route that is let in now
+double share_let_in(mesh_turn &t, const std::string &route);
+/// Moves the level of the own gate and tells of it.
+void admission_tick(mesh_turn &t);
+/// Learns what runs of the own upstream ask for, and tells the others.
+void spread_chain_news(mesh_turn &t, bool to_all, std::optional<link_ref> link);
+
 // serve.cpp: calls that this node runs on its upstream
 void take_call(mesh_turn &t, link_ref link, mesh_wire::call_message &&call);
 void take_cancel(mesh_turn &t, link_ref link, std::uint64_t correlation);
@@ -310,6 +330,8 @@
 bool take_policy(mesh_turn &t, traffic_policy policy, std::string text, const char *source);
 void take_policy_fetch(mesh_turn &t, link_ref link);
 void take_ping(mesh_turn &t, link_ref link);
+void take_chain_news(mesh_turn &t, const mesh_wire::chain_news_message &news);
+mesh_wire::node_load_message own_load(mesh_node &n);
 void stop_node(mesh_turn &t);
 mesh_wire::node_status_message own_status(mesh_turn &t);
 mesh_wire::hello_message own_hello(const mesh_node &n, time_point now);
--- a/gullstall/src/mesh/run_gate.cpp
+++ b/gullstall/src/mesh/run_gate.cpp
@@ -10,8 +10,10 @@
 constexpr double usable_part = 0.95;
 
 /// Part of the time left that a call may wait for a slot. The rest is for its
-/// run and for the calls that the run makes.
-constexpr double wait_part = 0.5;
+/// run and for the calls that the run makes. Turning a call of a run away loses
+/// the whole request and the work spent on it, so these wait longer.
+constexpr double wait_part = 0.4;
+constexpr double inner_wait_part = 0.8;
 
 /// Longest queue, in slots: what is behind waits as long as this many runs.
 constexpr std::size_t waiting_per_slot = 4;
@@ -19,12 +21,15 @@
 /// Weight of one run in the moving average of run times.
 constexpr double run_weight = 0.05;
 
-/// Rank of a call in the queue: calls of a run that holds a slot elsewhere go
-/// first, since that slot is lost for all others meanwhile.
+/// Weight of one call in the moving share of those turned away: about the last
+/// fifty count, a tenth of a second of a busy upstream.
+constexpr double shed_weight = 0.02;
+
+/// Rank of a call in the queue: by class, and in a class the calls of runs
+/// first, since the slot of such a run is lost for all others meanwhile.
 std::uint32_t rank_of(const gate_request &it)
 {
-    constexpr std::uint32_t behind_inner = 1U << 16U;
-    return it.priority + (it.inner ? 0 : behind_inner);
+    return 2U * it.priority + (it.inner ? 0 : 1);
 }
 
 }  // namespace
@@ -54,8 +59,9 @@
     auto key = std::pair(rank_of(request), it.arrivals++);
     auto ahead = std::distance(it.waiting.begin(), it.waiting.lower_bound(key));
     duration wait = expected_wait(it, static_cast<std::size_t>(ahead));
+    double part = request.inner ? inner_wait_part : wait_part;
     bool is_late =
-        static_cast<double>(wait.count()) > wait_part * static_cast<double>(request.left.count());
+        static_cast<double>(wait.count()) > part * static_cast<double>(request.left.count());
     if (is_late || it.waiting.size() >= it.slots * waiting_per_slot) {
         return gate_verdict::full;
     }
@@ -83,6 +89,11 @@
     }
 }
 
+void note_shed(run_gate &it, bool was_shed)
+{
+    it.shed += shed_weight * ((was_shed ? 1 : 0) - it.shed);
+}
+
 std::optional<run_ref> next_run(run_gate &it)
 {
     if (it.running >= it.slots || it.waiting.empty()) {
--- a/gullstall/src/mesh/run_gate.hpp
+++ b/gullstall/src/mesh/run_gate.hpp
@@ -32,6 +32,7 @@
     double run_us = 0;  ///< moving average of the time a run holds a slot, 0: not known
     std::map<std::pair<std::uint32_t, std::uint64_t>, run_ref> waiting;  ///< by rank, arrival
     std::uint64_t arrivals = 0;
+    double shed = 0;  ///< moving share of calls that the upstream turned away
 };
 
 /// Verdict on a call that asks for a slot.
@@ -59,6 +60,9 @@
 /// upstream's speed
 void give_back_slot(run_gate &it, std::optional<duration> held);
 
+/// Notes whether the upstream turned a call away that it was handed.
+void note_shed(run_gate &it, bool was_shed);
+
 /// \returns the next call to start, none when no slot is free or none waits;
 /// the slot is then in use
 std::optional<run_ref> next_run(run_gate &it);
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -25,7 +25,7 @@
         take_reply(t, t.n.settings.node.name, reply);
         return;
     }
-    reply.sender = std::make_unique<mesh_wire::node_status_message>(own_status(t));
+    reply.load = std::make_unique<mesh_wire::node_load_message>(own_load(t.n));
     t.out.emplace_back(send_to_link{link, mesh_frame(std::move(reply))});
 }
 
@@ -35,6 +35,7 @@
                                   "serve",
                                   "call-refused",
                                   {{"request", call.request_id},
+                                   {"route", call.route},
                                    {"reason", mesh_wire::EnumNamereason(why)},
                                    {"priority", std::to_string(call.priority)},
                                    {"left_ms", std::to_string(call.left_us / 1000)},
@@ -65,6 +66,9 @@
     t.n.runs.erase(found);
     t.n.served.erase({run.link, run.call.correlation});
     drop_expiry(t, run);
+    if (run.started_at) {
+        note_run_end(t.n.chain, id, run.told_deadline);
+    }
     return run;
 }
 
@@ -75,6 +79,9 @@
     drop_expiry(t, run);
     run.expires = run.deadline + answer_grace;
     t.n.run_expiry.emplace(run.expires, id);
+    run.told_deadline = t.now + std::chrono::floor<milliseconds>(run.deadline - t.now);
+    note_run(t.n.chain, id, run.call.route, run.told_deadline);
+    note_gate_wait(t.n.level, t.now - run.arrived_at);
     ++t.n.counters.runs_started;
     note_latency(t.n.latencies.queue_wait, t.now - run.arrived_at);
     t.out.emplace_back(
@@ -85,6 +92,8 @@
     run.call.request_id = moved.request_id;
     run.call.idempotent = moved.idempotent;
     run.call.priority = moved.priority;
+    run.call.repeat = moved.repeat;
+    run.call.route = moved.route;
 }
 
 void start_waiting(mesh_turn &t)
@@ -236,6 +245,7 @@
     gate_request request{id, call.priority, call.inner, left};
     gate_verdict verdict = enter_gate(t.n.gate, request);
     if (verdict == gate_verdict::full) {
+        note_gate_refusal(t.n.level);
         refuse(t, link, call, reason::queue_full);
         return;
     }
@@ -275,6 +285,7 @@
     bool answered = result.end == run_end::answered;
     give_back_slot(t.n.gate, answered ? std::optional(held) : std::nullopt);
     note_latency(t.n.latencies.run, held);
+    note_shed(t.n.gate, result.end == run_end::not_executed);
     if (result.end == run_end::not_sent) {
         t.n.upstream_down_until = t.now + down_time;
     }
--- /dev/null
+++ b/gullstall/src/mesh/service_levels.hpp
@@ -0,0 +1,51 @@
+#ifndef GULLSTALL_MESH_SERVICE_LEVELS_HPP
+#define GULLSTALL_MESH_SERVICE_LEVELS_HPP
+
+#include <map>
+#include <string>
+
+#include "gullstall/policy.hpp"
+#include "gullstall/src/mesh/call_chain.hpp"
+
+namespace gullstall::mesh {
+
+/// Runs that one request of a route needs, by service, its own service's
+/// included and all calls below counted.
+using service_runs = std::map<std::string, double>;
+
+/// What the nodes of a service say of it.
+struct service_state
+{
+    double level = 0;  ///< how much its gates let in, see gate_level
+    double shed = 0;   ///< share of the calls that its upstreams turn away
+
+    bool operator==(const service_state &) const = default;
+};
+
+/// What each route asks of the services, and how far its requests are let in
+/// when one of these is short of room.
+struct service_levels
+{
+    std::map<std::string, calls_per_run> calls;  ///< by route, as learned
+    std::map<std::string, service_runs> needs;   ///< by route
+    /// By service, then by route: the share of the route's requests that is let
+    /// in at level 1.
+    std::map<std::string, std::map<std::string, double>> weights;
+};
+
+/// Share of a class that is let in beside all of the next more urgent class, as
+/// long as room is short. A strict order would serve nothing of the least urgent
+/// class for as long as an overload lasts.
+constexpr double class_step = 0.45;
+
+/// Works out needs and weights from the policy and the learned calls.
+void plan_levels(service_levels &it, const traffic_policy &policy);
+
+/// \param states by service; a service that is not named is open
+/// \returns the share of the requests of \a route that is let in
+double admitted_share(const service_levels &it, const std::string &route,
+                      const std::map<std::string, service_state> &states);
+
+}  // namespace gullstall::mesh
+
+#endif
--- a/gullstall/src/policy/traffic_policy.cpp
+++ b/gullstall/src/policy/traffic_policy.cpp
@@ -1,6 +1,5 @@
 #include "gullstall/src/policy/traffic_policy.hpp"
 
-#include <algorithm>
 #include <boost/algorithm/string/case_conv.hpp>
 
 namespace gullstall {
@@ -25,7 +24,7 @@
                                    std::map<std::string, service_policy> services,
                                    const caller_limits &limits)
 {
-    traffic_policy out{version, std::move(routes), std::move(services), limits, {}};
+    traffic_policy out{version, std::move(routes), std::move(services), limits, {}, {}};
     for (std::size_t i = 0; i < out.routes.size(); ++i) {
         const traffic_route &route = out.routes[i];
         if (!is_prefix(route.prefix)) {
@@ -36,6 +35,7 @@
         if (route.services.empty()) {
             return error{error_code::out_of_range, "route '" + route.name + "' has no service"};
         }
+        out.by_name[route.name] = i;
         if (!out.by_place.emplace(place_of(route.host, route.prefix), i).second) {
             return error{error_code::duplicate, "route '" + route.name +
                                                     "': another route has the host and prefix " +
@@ -69,9 +69,8 @@
 
 const traffic_route *route_named(const traffic_policy &it, std::string_view name)
 {
-    auto found = std::find_if(it.routes.begin(), it.routes.end(),
-                              [&](const traffic_route &route) { return route.name == name; });
-    return found == it.routes.end() ? nullptr : &*found;
+    auto found = it.by_name.find(std::string(name));
+    return found == it.by_name.end() ? nullptr : &it.routes[found->second];
 }
 
 }  // namespace gullstall
--- a/gullstall/src/policy/traffic_policy.hpp
+++ b/gullstall/src/policy/traffic_policy.hpp
@@ -73,6 +73,7 @@
     std::map<std::string, service_policy> services;  ///< by name
     caller_limits limits;
     std::unordered_map<std::string, std::size_t> by_place;  ///< host and prefix to index in routes
+    std::unordered_map<std::string, std::size_t> by_name;   ///< index in routes
 
     bool operator==(const traffic_policy &) const = default;
 };
