Tie calls to their run by id where ids show it; leave a zone only when it is full

Ruled out: a tie by expiry with a wider window (the calls' times left are spread over 15 in 100 of their own limit). Learning by regression of counts was weighed and left: it needs seconds, and can't tell which request a call belongs to.

--- a/gullstall/src/mesh/call_chain.cpp
+++ b/gullstall/src/mesh/call_chain.cpp
@@ -1,7 +1,7 @@
 #include "gullstall/src/mesh/call_chain.hpp"
 
 #include <algorithm>
-#include <cmath>
+#include <cctype>
 
 namespace gullstall::mesh {
 
@@ -27,9 +27,11 @@
 
 }  // namespace
 
-void note_run(call_chain &it, run_ref run, const std::string &route, time_point expires)
+void note_run(call_chain &it, run_ref run, const std::string &request_id, const std::string &route,
+              time_point expires)
 {
     it.open.emplace(expires, run);
+    it.open_ids[request_id] = run;
     call_chain::observed &seen = it.below[route];
     seen.runs += 1;
     if (seen.runs > most_runs) {
@@ -40,8 +42,12 @@
     }
 }
 
-void note_run_end(call_chain &it, run_ref run, time_point expires)
+void note_run_end(call_chain &it, run_ref run, const std::string &request_id, time_point expires)
 {
+    auto known = it.open_ids.find(request_id);
+    if (known != it.open_ids.end() && known->second == run) {
+        it.open_ids.erase(known);
+    }
     auto [begin, end] = it.open.equal_range(expires);
     auto found = std::find_if(begin, end, [run](const auto &entry) { return entry.second == run; });
     if (found != end) {
@@ -49,8 +55,30 @@
     }
 }
 
-std::optional<run_ref> find_parent(call_chain &it, const std::string &route, time_point expires)
+namespace {
+
+/// \returns the run whose id is the part of \a request_id before its last
+/// separator
+std::optional<run_ref> parent_by_id(const call_chain &it, const std::string &request_id)
 {
+    auto is_separator = [](unsigned char c) { return std::isalnum(c) == 0; };
+    auto last = std::find_if(request_id.rbegin(), request_id.rend(), is_separator);
+    if (last == request_id.rend()) {
+        return std::nullopt;
+    }
+    auto length = static_cast<std::size_t>(std::distance(last, request_id.rend())) - 1;
+    auto found = it.open_ids.find(request_id.substr(0, length));
+    return found == it.open_ids.end() ? std::nullopt : std::optional(found->second);
+}
+
+}  // namespace
+
+std::optional<run_ref> find_parent(call_chain &it, const std::string &request_id,
+                                   const std::string &route, time_point expires)
+{
+    if (std::optional<run_ref> named = parent_by_id(it, request_id)) {
+        return named;
+    }
     std::optional<run_ref> best;
     duration least = later_match;
     for (auto each = it.open.lower_bound(expires - later_match);
--- a/gullstall/src/mesh/directory.cpp
+++ b/gullstall/src/mesh/directory.cpp
@@ -25,13 +25,13 @@
 /// Share of its slots from which on an upstream counts as busy: a call that comes
 /// then may wait for a slot. Below it calls stay within the zone, since each
 /// crossing costs about 1 ms and money, and a slower upstream costs less.
-constexpr double busy_share = 0.85;
+constexpr double busy_share = 0.95;
 
 /// Share of failures from which on calls may leave the zone too.
 constexpr double failing_share = 0.2;
 
 /// By how many times an upstream of another zone must then look cheaper.
-constexpr double other_zone_cost = 1.5;
+constexpr double other_zone_cost = 2;
 
 /// Power of the cost by which calls are drawn: an upstream that looks twice as
 /// dear gets an eighth. The best alone would draw the calls of all nodes until
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -310,12 +310,12 @@
 
 /// Ties the call to the run on the own upstream that makes it, if one does: it
 /// is judged by the request that the run belongs to, and no second time.
-void inherit(mesh_turn &t, mesh_wire::call_message &call, const std::string &route,
-             std::optional<duration> time_left)
+void inherit(mesh_turn &t, mesh_wire::call_message &call, const caller_request &request,
+             const std::string &route)
 {
     std::optional<run_ref> parent;
-    if (time_left) {
-        parent = find_parent(t.n.chain, route, t.now + *time_left);
+    if (request.time_left) {
+        parent = find_parent(t.n.chain, request.request_id, route, t.now + *request.time_left);
     }
     auto run = parent ? t.n.runs.find(*parent) : t.n.runs.end();
     if (run == t.n.runs.end()) {
@@ -349,7 +349,7 @@
         return;
     }
     entry_call call;
-    inherit(t, call.call, route->name, request.time_left);
+    inherit(t, call.call, request, route->name);
     if (!call.call.inner && place_of(request.request_id) >= share_let_in(t, route->name)) {
         refuse_request(t, id, request, reason::overload);
         return;
