Tie calls to their run by id alone; tests of path and levels in virtual time

Cause: a test that plays twice the capacity over two services showed callers' requests taken for calls of runs: a request that enters when a run is handed over expires in the same milliseconds where callers have one time limit, and the learned chains were wrong (an order seemed to need 7.9 runs of the deep service in place of 2). Change: the tie by expiry is gone; a call whose id does not show its run is a caller's.

--- a/gullstall/src/mesh/directory.cpp
+++ b/gullstall/src/mesh/directory.cpp
@@ -200,8 +200,8 @@
     }
 }
 
-std::string choose_node(const directory &it, const placement_request &wanted,
-                        random_source &random, time_point now)
+std::string choose_node(const directory &it, const placement_request &wanted, random_source &random,
+                        time_point now)
 {
     std::vector<const node_view *> usable;
     for (const auto &[name, view] : it.nodes) {
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -111,8 +111,8 @@
                     {"reason", reason_name(why)},
                     {"host", request.host},
                     {"target", request.target},
-         {"left_ms", std::to_string(to_ms(left))},
-         {"levels", print_states(t.n.states)},
+                    {"left_ms", std::to_string(to_ms(left))},
+                    {"levels", print_states(t.n.states)},
                     {"policy", std::to_string(t.n.policy ? t.n.policy->version : 0)}}});
     t.out.emplace_back(answer_caller{id, std::move(answer)});
 }
@@ -313,10 +313,7 @@
 void inherit(mesh_turn &t, mesh_wire::call_message &call, const caller_request &request,
              const std::string &route)
 {
-    std::optional<run_ref> parent;
-    if (request.time_left) {
-        parent = find_parent(t.n.chain, request.request_id, route, t.now + *request.time_left);
-    }
+    std::optional<run_ref> parent = find_parent(t.n.chain, request.request_id);
     auto run = parent ? t.n.runs.find(*parent) : t.n.runs.end();
     if (run == t.n.runs.end()) {
         return;
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -193,7 +193,6 @@
     mesh_wire::call_message call;
     time_point arrived_at{};
     time_point deadline{};
-    time_point told_deadline{};  ///< as the upstream was told, in whole milliseconds
     time_point expires{};  ///< the deadline, and once started a grace beyond it
     std::optional<time_point> started_at;
     bool abandoned = false;  ///< nobody waits for the reply any more
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -67,7 +67,7 @@
     t.n.served.erase({run.link, run.call.correlation});
     drop_expiry(t, run);
     if (run.started_at) {
-        note_run_end(t.n.chain, id, run.call.request_id, run.told_deadline);
+        note_run_end(t.n.chain, id, run.call.request_id);
     }
     return run;
 }
@@ -79,8 +79,7 @@
     drop_expiry(t, run);
     run.expires = run.deadline + answer_grace;
     t.n.run_expiry.emplace(run.expires, id);
-    run.told_deadline = t.now + std::chrono::floor<milliseconds>(run.deadline - t.now);
-    note_run(t.n.chain, id, run.call.request_id, run.call.route, run.told_deadline);
+    note_run(t.n.chain, id, run.call.request_id, run.call.route);
     note_gate_wait(t.n.level, t.now - run.arrived_at);
     ++t.n.counters.runs_started;
     note_latency(t.n.latencies.queue_wait, t.now - run.arrived_at);
--- /dev/null
+++ b/test/support/mesh_world.hpp
@@ -0,0 +1,453 @@
+#ifndef GULLSTALL_TEST_SUPPORT_MESH_WORLD_HPP
+#define GULLSTALL_TEST_SUPPORT_MESH_WORLD_HPP
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gullstall/mesh.hpp"
+
+namespace gullstall::test {
+
+/// Calls that a run makes one after the other before it answers.
+struct inner_calls
+{
+    std::string host;
+    std::string path;
+    int times = 0;
+};
+
+/// How an upstream behaves.
+struct upstream_model
+{
+    std::string service;
+    std::uint32_t slots = 10;
+    duration run_time = milliseconds(10);
+    double shed = 0;  ///< share of the calls that it turns away
+    std::map<std::string, inner_calls> calls{};  ///< by the path of the run
+};
+
+/// What a caller got.
+struct caller_result
+{
+    std::uint16_t status = 0;
+    mesh_wire::reason why = mesh_wire::reason::none;
+    std::optional<duration> retry_after;
+    time_point asked_at{};
+    time_point answered_at{};
+};
+
+/// A run as the upstream has seen it.
+struct upstream_run
+{
+    std::string node;
+    std::string request_id;
+    std::string upstream;
+    duration left{};
+    time_point at{};
+};
+
+/// Nodes in virtual time, with links that can be cut, upstreams that run what
+/// they are handed, and callers.
+class mesh_world
+{
+public:
+    explicit mesh_world(std::uint64_t seed) : random(seed) {}
+
+    time_point now{seconds(1000)};
+    random_source random;
+    duration link_delay = microseconds(500);
+    std::map<std::string, mesh::mesh_node> nodes;
+    std::map<std::string, upstream_model> upstreams;  ///< by node
+    std::map<std::string, caller_result> results;     ///< by request id
+    std::vector<upstream_run> runs;
+    std::vector<mesh::write_line> lines;
+    /// Frames between these two wait until the cut is healed.
+    std::set<std::pair<std::string, std::string>> cuts;
+    std::set<std::string> frozen;  ///< nodes that do nothing for now
+    traffic_policy policy;
+
+    void at(time_point when, std::function<void()> what)
+    {
+        queue_.push(entry{when, ++last_, std::move(what)});
+    }
+    void after(duration d, std::function<void()> what)
+    {
+        at(now + d, std::move(what));
+    }
+    void run_for(duration d)
+    {
+        time_point end = now + d;
+        while (!queue_.empty() && queue_.top().when <= end) {
+            entry next = queue_.top();
+            queue_.pop();
+            now = std::max(now, next.when);
+            next.what();
+        }
+        now = end;
+    }
+
+    /// Starts a node whose upstream says at once that it is ready.
+    void add(const std::string &name, const std::string &zone, const upstream_model &model)
+    {
+        upstreams[name] = model;
+        start(name, zone);
+        beat(name);
+    }
+
+    /// Starts, or starts again, the process of a node.
+    void start(const std::string &name, const std::string &zone)
+    {
+        mesh::mesh_settings settings;
+        settings.node.name = name;
+        settings.node.zone = zone;
+        settings.node.service = upstreams[name].service;
+        settings.listen.peers = "10.0.0.1:" + std::to_string(++last_port_);
+        auto incarnation = static_cast<std::uint64_t>(now.time_since_epoch().count());
+        lose_links_of(name);
+        nodes.insert_or_assign(name, make_mesh_node(settings, incarnation, random(), now));
+        step(name, [&](mesh::mesh_turn &t) { take_policy(t, policy, "text", "test"); });
+        for (auto &[other, n] : nodes) {
+            mesh::node_address address = nodes.at(name).nodes.nodes.at(name).address;
+            mesh::node_address its = n.nodes.nodes.at(other).address;
+            step(other, [&](mesh::mesh_turn &t) { take_address(t, address); });
+            step(name, [&](mesh::mesh_turn &t) { take_address(t, its); });
+        }
+        tick(name, incarnation);
+    }
+
+    /// Sends a heartbeat of the node's upstream.
+    mesh::heartbeat_verdict beat(
+        const std::string &name,
+        mesh_wire::upstream_state state = mesh_wire::upstream_state::ready)
+    {
+        mesh::upstream_heartbeat it{"u-" + name, upstreams[name].service, "", 1, ++beats_, state,
+                                    upstreams[name].slots, duration{}};
+        mesh::heartbeat_verdict verdict{};
+        step(name, [&](mesh::mesh_turn &t) { verdict = on_heartbeat(t, it); });
+        return verdict;
+    }
+
+    /// Sends a caller's request to a node.
+    void request(const std::string &node, const std::string &id, const std::string &path,
+                 duration left)
+    {
+        ask(node, id, path, left, [this, id](const mesh::caller_answer &answer) {
+            caller_result &result = results[id];
+            result.status = answer.status;
+            result.why = answer.why;
+            result.retry_after = answer.retry_after;
+            result.answered_at = now;
+        });
+        results[id].asked_at = results[id].asked_at == time_point{} ? now : results[id].asked_at;
+    }
+
+    /// The caller of a request closes its connection.
+    void leave(const std::string &node, const std::string &id)
+    {
+        call_ref call = calls_.at(id);
+        step(node, [&](mesh::mesh_turn &t) { abandon_request(t, call); });
+    }
+
+    /// Breaks the connections between two nodes, one for each direction.
+    void break_links(const std::string &a, const std::string &b)
+    {
+        for (auto [from, to] : {std::pair(a, b), std::pair(b, a)}) {
+            drop_link(from, to);
+        }
+    }
+
+    void step(const std::string &name, const std::function<void(mesh::mesh_turn &)> &what)
+    {
+        if (frozen.count(name) > 0) {
+            after(milliseconds(10), [this, name, what] { step(name, what); });
+            return;
+        }
+        mesh::mesh_actions out;
+        mesh::mesh_turn turn{nodes.at(name), now, out};
+        what(turn);
+        for (mesh::mesh_action &it : out) {
+            std::visit([&](auto &action) { carry_out(name, action); }, it);
+        }
+        if (std::optional<time_point> next = next_expiry(nodes.at(name))) {
+            at(std::max(now, *next), [this, name] {
+                step(name, [](mesh::mesh_turn &t) {
+                    expire_calls(t);
+                    expire_runs(t);
+                });
+            });
+        }
+    }
+
+    /// Ends a run on a node's upstream.
+    void end_run(const std::string &node, run_ref run, mesh::run_end end, std::uint16_t status)
+    {
+        step(node, [&](mesh::mesh_turn &t) {
+            take_run_result(t, run, mesh::run_result{end, status, "", "", {}});
+        });
+    }
+
+    std::size_t runs_of(const std::string &id) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(runs.begin(), runs.end(),
+                          [&](const upstream_run &it) { return it.request_id == id; }));
+    }
+
+private:
+    struct entry
+    {
+        time_point when;
+        std::uint64_t order;
+        std::function<void()> what;
+        bool operator<(const entry &other) const
+        {
+            return std::pair(when, order) > std::pair(other.when, other.order);
+        }
+    };
+    struct link
+    {
+        std::string from;
+        std::string to;
+    };
+
+    using answer_function = std::function<void(const mesh::caller_answer &)>;
+
+    void ask(const std::string &node, const std::string &id, const std::string &path, duration left,
+             answer_function answered)
+    {
+        call_ref call{++last_};
+        calls_[id] = call;
+        waiting_[call] = std::move(answered);
+        mesh::caller_request it;
+        it.request_id = id;
+        it.host = "h";
+        it.method = "GET";
+        it.target = path;
+        it.time_left = left;
+        step(node, [&](mesh::mesh_turn &t) { take_request(t, call, std::move(it)); });
+    }
+
+    void tick(const std::string &name, std::uint64_t incarnation)
+    {
+        if (nodes.at(name).incarnation != incarnation) {
+            return;  // an earlier process
+        }
+        step(name, [](mesh::mesh_turn &t) { members_tick(t); });
+        after(mesh::mesh_tick_interval, [this, name, incarnation] { tick(name, incarnation); });
+    }
+
+    void deliver(const std::string &from, const std::string &to, std::function<void()> what)
+    {
+        after(link_delay, [this, from, to, what] {
+            if (cuts.count({from, to}) > 0) {
+                after(milliseconds(10), [this, from, to, what] { deliver(from, to, what); });
+                return;
+            }
+            what();
+        });
+    }
+
+    void carry_out(const std::string &name, mesh::connect_node &it)
+    {
+        const std::string &to = it.address.node;
+        drop_link(name, to);
+        mesh::link_ref ref{++last_};
+        links_[ref] = link{name, to};
+        deliver(name, to, [this, ref, name, to] {
+            if (links_.count(ref) == 0) {
+                return;
+            }
+            mesh_wire::hello_message hello = own_hello(nodes.at(name), now - link_delay);
+            step(to, [&](mesh::mesh_turn &t) { take_hello(t, ref, hello); });
+        });
+    }
+
+    void carry_out(const std::string &name, mesh::send_to_node &it)
+    {
+        for (const auto &[ref, each] : links_) {
+            if (each.from == name && each.to == it.node) {
+                send(name, it.node, ref, std::move(it.frame), true);
+                return;
+            }
+        }
+    }
+
+    void carry_out(const std::string &name, mesh::send_to_link &it)
+    {
+        auto found = links_.find(it.link);
+        if (found != links_.end()) {
+            send(name, found->second.from, it.link, std::move(it.frame), false);
+        }
+    }
+
+    void send(const std::string &from, const std::string &to, mesh::link_ref ref,
+              mesh_wire::frame_message &&frame, bool to_server)
+    {
+        auto held = std::make_shared<mesh_wire::frame_message>(std::move(frame));
+        deliver(from, to, [this, from, to, ref, held, to_server] {
+            if (links_.count(ref) > 0) {
+                to_server ? take_at_server(to, ref, *held) : take_at_dialer(from, to, *held);
+            }
+        });
+    }
+
+    void take_at_server(const std::string &node, mesh::link_ref ref,
+                        mesh_wire::frame_message &frame)
+    {
+        step(node, [&](mesh::mesh_turn &t) {
+            if (mesh_wire::call_message *call = frame.payload.Ascall()) {
+                take_call(t, ref, std::move(*call));
+            } else if (const mesh_wire::cancel_message *it = frame.payload.Ascancel()) {
+                take_cancel(t, ref, it->correlation);
+            } else if (frame.payload.Aspolicy_fetch() != nullptr) {
+                take_policy_fetch(t, ref);
+            }
+        });
+    }
+
+    void take_at_dialer(const std::string &from, const std::string &node,
+                        mesh_wire::frame_message &frame)
+    {
+        step(node, [&](mesh::mesh_turn &t) {
+            if (mesh_wire::reply_message *reply = frame.payload.Asreply()) {
+                take_reply(t, from, *reply);
+            } else if (const mesh_wire::node_status_message *it = frame.payload.Asnode_status()) {
+                take_status(t, *it);
+                if (!t.n.nodes.nodes.at(from).linked) {
+                    link_node(t, from);
+                }
+            } else if (const mesh_wire::chain_news_message *news =
+                           frame.payload.Aschain_news()) {
+                take_chain_news(t, *news);
+            }
+        });
+    }
+
+    void drop_link(const std::string &from, const std::string &to)
+    {
+        for (auto it = links_.begin(); it != links_.end(); ++it) {
+            if (it->second.from == from && it->second.to == to) {
+                mesh::link_ref ref = it->first;
+                links_.erase(it);
+                step(from, [&](mesh::mesh_turn &t) { lose_node(t, to, {}); });
+                step(to, [&](mesh::mesh_turn &t) { lose_link(t, ref); });
+                return;
+            }
+        }
+    }
+
+    void lose_links_of(const std::string &name)
+    {
+        if (nodes.count(name) == 0) {
+            return;
+        }
+        for (const auto &[other, n] : nodes) {
+            break_links(name, other);
+        }
+    }
+
+    void carry_out(const std::string &name, mesh::start_run &it)
+    {
+        runs.push_back(upstream_run{name, it.call.request_id, it.upstream, it.left, now});
+        const upstream_model &model = upstreams.at(name);
+        if (draw_fraction(random) < model.shed) {
+            after(milliseconds(1), [this, name, run = it.run] {
+                end_run(name, run, mesh::run_end::not_executed, 503);
+            });
+            return;
+        }
+        open_runs_.insert({name, it.run});
+        auto calls = model.calls.find(it.call.target);
+        inner_calls inner = calls == model.calls.end() ? inner_calls{} : calls->second;
+        time_point expires = now + it.left;
+        after(model.run_time, [this, name, run = it.run, id = it.call.request_id, inner, expires] {
+            make_calls(name, run, id, inner, expires);
+        });
+    }
+
+    /// Makes the calls of a run, one after the other; the run fails with the
+    /// first that fails.
+    void make_calls(const std::string &name, run_ref run, const std::string &id, inner_calls rest,
+                    time_point expires)
+    {
+        if (open_runs_.count({name, run}) == 0) {
+            return;  // broken off
+        }
+        if (rest.times == 0) {
+            open_runs_.erase({name, run});
+            end_run(name, run, mesh::run_end::answered, 200);
+            return;
+        }
+        --rest.times;
+        std::string child = id + "." + std::to_string(++last_);
+        ask(name, child, rest.path, expires - now,
+            [this, name, run, id, rest, expires](const mesh::caller_answer &answer) {
+                if (answer.status == 200) {
+                    make_calls(name, run, id, rest, expires);
+                    return;
+                }
+                open_runs_.erase({name, run});
+                after(duration(0), [this, name, run] {
+                    end_run(name, run, mesh::run_end::answered, 500);
+                });
+            });
+    }
+
+    void carry_out(const std::string &name, mesh::cancel_run &it)
+    {
+        open_runs_.erase({name, it.run});
+    }
+
+    void carry_out(const std::string &, mesh::answer_caller &it)
+    {
+        auto found = waiting_.find(it.call);
+        if (found == waiting_.end()) {
+            return;
+        }
+        answer_function answered = std::move(found->second);
+        waiting_.erase(found);
+        auto held = std::make_shared<mesh::caller_answer>(std::move(it.answer));
+        after(duration(0), [answered, held] { answered(*held); });
+    }
+
+    void carry_out(const std::string &, mesh::write_line &it)
+    {
+        lines.push_back(it);
+    }
+
+    void carry_out(const std::string &, mesh::upstream_replaced &) {}
+
+    std::priority_queue<entry> queue_;
+    std::uint64_t last_ = 0;
+    std::uint64_t beats_ = 0;
+    std::uint16_t last_port_ = 1000;
+    std::map<mesh::link_ref, link> links_;
+    std::map<std::string, call_ref> calls_;
+    std::map<call_ref, answer_function> waiting_;
+    std::set<std::pair<std::string, run_ref>> open_runs_;
+};
+
+/// \returns a route of host "h"
+inline traffic_route route_of(const std::string &name, const std::string &prefix,
+                              const std::string &service, repeatability repeats,
+                              std::uint32_t priority = 0)
+{
+    return traffic_route{name,         "h", prefix, repeats, seconds(5), seconds(1), priority, 2,
+                         {{service, 1}}};
+}
+
+/// \returns a policy with these routes
+inline traffic_policy policy_of(std::uint64_t version, std::vector<traffic_route> routes)
+{
+    return value_of(make_policy(version, std::move(routes), {}, caller_limits{}));
+}
+
+}  // namespace gullstall::test
+
+#endif
