Refuse callers late in a stop; know soon when the store is back

An attempt has 1 s, and after a failure all rows are read.

Tests: late request in a stop (mesh_path), watch after a lost answer, connection that is not taken (store_watch).

--- a/gullstall/src/edge/edge_connection.cpp
+++ b/gullstall/src/edge/edge_connection.cpp
@@ -9,7 +9,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include "gullstall/src/edge/clock.hpp"
-#include "gullstall/src/edge/tcp_options.hpp"
+#include "gullstall/src/runtime/tcp_options.hpp"
 
 namespace gullstall::edge {
 
@@ -82,7 +82,7 @@
 asio::awaitable<void> edge_connection::run()
 {
     auto self = shared_from_this();
-    set_tcp_options(socket_);
+    runtime::set_tcp_options(socket_);
     bool more = true;
     while (more && reading_ && !lost_) {
         more = co_await read_request();
--- a/gullstall/src/edge/edge_connection.hpp
+++ b/gullstall/src/edge/edge_connection.hpp
@@ -25,6 +25,12 @@
     void sweep(time_point now);
     void close_gently();
 
+    /// \returns whether a request has no answer yet, or an answer is not written
+    bool has_work() const
+    {
+        return !pipeline_.empty();
+    }
+
 private:
     using request_parser =
         boost::beast::http::request_parser<boost::beast::http::vector_body<std::uint8_t>>;
--- a/gullstall/src/edge/http_edge.cpp
+++ b/gullstall/src/edge/http_edge.cpp
@@ -107,6 +107,12 @@
     }
 }
 
+bool http_edge::has_work() const
+{
+    return std::any_of(connections_.begin(), connections_.end(),
+                       [](const auto &entry) { return entry.second->has_work(); });
+}
+
 void http_edge::close_gently()
 {
     closing_ = true;
--- a/gullstall/src/edge/http_edge.hpp
+++ b/gullstall/src/edge/http_edge.hpp
@@ -81,11 +81,8 @@
     /// without a request are closed.
     void close_gently();
 
-    /// \returns how many connections are open
-    std::size_t open_connections() const
-    {
-        return connections_.size();
-    }
+    /// \returns whether a request has no answer yet, or an answer is not written
+    bool has_work() const;
 
 private:
     friend class edge_connection;
--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -6,7 +6,7 @@
 #include <cstdio>
 
 #include "gullstall/src/edge/clock.hpp"
-#include "gullstall/src/edge/tcp_options.hpp"
+#include "gullstall/src/runtime/tcp_options.hpp"
 
 namespace gullstall::edge {
 
@@ -19,11 +19,6 @@
 /// Time between two looks at connections that are idle or too slow.
 constexpr duration sweep_interval = milliseconds(250);
 
-/// Time between the order to stop and the close of idle connections. The
-/// platform asks once a second whether the node is ready and takes it out after
-/// two misses; until then clients send over the connections that they have.
-constexpr duration stop_notice = milliseconds(2300);
-
 /// Time before the end of the stop's time at which the process ends in any case.
 constexpr duration stop_margin = milliseconds(300);
 
@@ -35,7 +30,7 @@
 
 asio::ip::tcp::endpoint listen_at(const std::string &text)
 {
-    return tcp_endpoint(endpoint_from(text));
+    return runtime::tcp_endpoint(endpoint_from(text));
 }
 
 /// Address of the own upstream; a node without one never uses it.
@@ -358,7 +353,7 @@
         metrics_.sweep(at);
         upstream_.sweep(at);
     }
-    if (stop_asked_at_ && !closing_ && at - *stop_asked_at_ >= stop_notice) {
+    if (node_.entry_closes_at && !closing_ && at >= *node_.entry_closes_at) {
         closing_ = true;
         callers_.close_gently();
     }
@@ -375,7 +370,7 @@
         return false;
     }
     duration passed = now - *stop_asked_at_;
-    bool is_empty = closing_ && callers_.open_connections() == 0 && node_.runs.empty();
+    bool is_empty = closing_ && !callers_.has_work() && node_.calls.empty() && node_.runs.empty();
     return is_empty || passed >= milliseconds(settings_.limits.stop_ms) - stop_margin;
 }
 
--- a/gullstall/src/edge/peer_connection.cpp
+++ b/gullstall/src/edge/peer_connection.cpp
@@ -5,7 +5,7 @@
 #include <boost/asio/write.hpp>
 
 #include "gullstall/src/edge/clock.hpp"
-#include "gullstall/src/edge/tcp_options.hpp"
+#include "gullstall/src/runtime/tcp_options.hpp"
 #include "gullstall/src/wire/frame_codec.hpp"
 
 namespace gullstall::edge {
@@ -32,7 +32,7 @@
 peer_connection::peer_connection(asio::ip::tcp::socket &&socket, handlers handlers)
     : socket_(std::move(socket)), handlers_(std::move(handlers)), heard_at_(now())
 {
-    set_tcp_options(socket_);
+    runtime::set_tcp_options(socket_);
 }
 
 asio::awaitable<void> peer_connection::run()
--- a/gullstall/src/edge/peer_links.cpp
+++ b/gullstall/src/edge/peer_links.cpp
@@ -7,7 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "gullstall/src/edge/clock.hpp"
-#include "gullstall/src/edge/tcp_options.hpp"
+#include "gullstall/src/runtime/tcp_options.hpp"
 
 namespace gullstall::edge {
 
@@ -91,7 +91,7 @@
         }
     });
     error_code ec;
-    co_await socket->async_connect(tcp_endpoint(dialed_[node].address.peers),
+    co_await socket->async_connect(runtime::tcp_endpoint(dialed_[node].address.peers),
                                    asio::redirect_error(asio::use_awaitable, ec));
     limit.cancel();
     dialed_node &it = dialed_[node];
--- a/gullstall/src/edge/store_watch.cpp
+++ b/gullstall/src/edge/store_watch.cpp
@@ -67,9 +67,9 @@
             }
             continue;
         }
-        if (answer.status == platform_status::history_gone) {
-            has_read = false;
-        }
+        // After a failure all is read anew: a short call shows at once whether the
+        // store is back, and a feed shows it only with the next change.
+        has_read = false;
         if (++failures == 1) {
             tell_state(it, false, answer);
         }
--- a/gullstall/src/edge/upstream_exchange.cpp
+++ b/gullstall/src/edge/upstream_exchange.cpp
@@ -10,7 +10,7 @@
 
 #include "gullstall/src/edge/clock.hpp"
 #include "gullstall/src/edge/http_edge.hpp"
-#include "gullstall/src/edge/tcp_options.hpp"
+#include "gullstall/src/runtime/tcp_options.hpp"
 
 namespace gullstall::edge {
 
@@ -98,7 +98,7 @@
     error_code ec;
     co_await socket_.async_connect(owner_.to_, asio::redirect_error(asio::use_awaitable, ec));
     limit.cancel();
-    co_return !ec && set_tcp_options(socket_);
+    co_return !ec && runtime::set_tcp_options(socket_);
 }
 
 void upstream_exchange::write_request()
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -352,6 +352,10 @@
     }
     entry_call call;
     inherit(t, call.call, request, route->name);
+    if (!call.call.inner && t.n.entry_closes_at && t.now >= *t.n.entry_closes_at) {
+        refuse_request(t, id, request, reason::stopping);
+        return;
+    }
     if (!call.call.inner && place_of(request.request_id) >= share_let_in(t, route->name)) {
         refuse_request(t, id, request, reason::overload);
         return;
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -24,6 +24,11 @@
 /// upstream would stand idle for as long as the stop takes.
 constexpr duration gate_notice = milliseconds(2000);
 
+/// How long callers' requests are taken after the order to stop. The platform
+/// asks once a second whether the node is ready and takes it out after two
+/// misses; until then callers send over the connections that they have.
+constexpr duration entry_notice = milliseconds(2300);
+
 }  // namespace
 
 std::uint64_t frame_time_us(time_point now)
@@ -225,6 +230,7 @@
 {
     t.n.stopping = true;
     t.n.gate_closes_at = t.now + gate_notice;
+    t.n.entry_closes_at = t.now + entry_notice;
     t.out.emplace_back(write_line{
         write_line::severity::info,
         "node",
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -276,6 +276,9 @@
     /// When the gate closes for the stop; the upstream may live on beside.
     std::optional<time_point> gate_closes_at;
     bool gate_closed = false;
+    /// When callers' requests are no longer taken for the stop: one that is taken
+    /// later could not end before the process does.
+    std::optional<time_point> entry_closes_at;
     std::uint64_t last_id = 0;
 };
 
--- a/gullstall/src/runtime/http_client.cpp
+++ b/gullstall/src/runtime/http_client.cpp
@@ -1,5 +1,7 @@
 #include "gullstall/src/runtime/http_client.hpp"
 
+#include "gullstall/src/runtime/tcp_options.hpp"
+
 #include <sys/socket.h>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -17,6 +19,10 @@
 
 namespace {
 
+/// Time for a connection to be made. A server that is cut off answers nothing,
+/// and a long request, such as a feed, must not wait its whole time for that.
+constexpr duration connect_timeout = seconds(1);
+
 /// \returns whether an idle connection can carry a request: readable means
 /// that the server closed it or sent what nobody asked for
 bool is_fresh(asio::ip::tcp::socket &socket)
@@ -69,13 +75,14 @@
     if (handle) {
         handle->stream = stream.get();
     }
-    stream->expires_after(timeout);
     if (!connected) {
+        stream->expires_after(std::min(timeout, connect_timeout));
         co_await stream->async_connect(to_, asio::redirect_error(asio::use_awaitable, ec));
         if (!ec) {
-            stream->socket().set_option(asio::ip::tcp::no_delay(true), ec);
+            set_tcp_options(stream->socket());
         }
     }
+    stream->expires_after(timeout);
     bool cancelled = handle && handle->cancelled;
     bool reusable = false;
     if (!ec && !cancelled) {
--- a/gullstall/src/edge/tcp_options.cpp
+++ b/gullstall/src/runtime/tcp_options.cpp
@@ -1,4 +1,4 @@
-#include "gullstall/src/edge/tcp_options.hpp"
+#include "gullstall/src/runtime/tcp_options.hpp"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -6,7 +6,7 @@
 
 #include <boost/asio/ip/address.hpp>
 
-namespace gullstall::edge {
+namespace gullstall::runtime {
 
 namespace {
 
@@ -42,4 +42,4 @@
     return {asio::ip::make_address(it.address), it.port};
 }
 
-}  // namespace gullstall::edge
+}  // namespace gullstall::runtime
--- a/gullstall/src/edge/tcp_options.hpp
+++ b/gullstall/src/runtime/tcp_options.hpp
@@ -1,11 +1,11 @@
-#ifndef GULLSTALL_EDGE_TCP_OPTIONS_HPP
-#define GULLSTALL_EDGE_TCP_OPTIONS_HPP
+#ifndef GULLSTALL_RUNTIME_TCP_OPTIONS_HPP
+#define GULLSTALL_RUNTIME_TCP_OPTIONS_HPP
 
 #include <boost/asio/ip/tcp.hpp>
 
 #include "gullstall/settings.hpp"
 
-namespace gullstall::edge {
+namespace gullstall::runtime {
 
 /// Sets what all connections share: no delay of small writes, and keep-alive
 /// probes with a bound on unacknowledged bytes. A connection can fall silent
@@ -16,6 +16,6 @@
 /// \returns \a it as Asio takes it; its address was checked by the settings
 boost::asio::ip::tcp::endpoint tcp_endpoint(const endpoint &it);
 
-}  // namespace gullstall::edge
+}  // namespace gullstall::runtime
 
 #endif
--- /dev/null
+++ b/test/runtime/store_watch.cpp
@@ -0,0 +1,127 @@
+#include <doctest/doctest.h>
+
+#include <sys/socket.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <deque>
+
+#include "gullstall/src/edge/store_watch.hpp"
+#include "gullstall/src/runtime/http_client.hpp"
+
+using namespace gullstall;
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// A watch over a store whose answers the test gives.
+struct watch_fixture
+{
+    asio::io_context io;
+    std::deque<platform_answer> answers;
+    std::vector<platform_request> asked;
+    std::vector<std::string> seen;
+
+    /// Runs the watch until all answers are used up.
+    void run()
+    {
+        edge::store_watch it{"t/",
+                             1000,
+                             [this](platform_request what) { return answer(std::move(what)); },
+                             {[this](const table_row &row) { seen.push_back(row.value); },
+                              [](const mesh::write_line &) {}},
+                             random_source(1)};
+        asio::co_spawn(io, edge::run_watch(io, std::move(it)), asio::detached);
+        io.run();
+    }
+
+    asio::awaitable<platform_answer> answer(platform_request what)
+    {
+        asked.push_back(std::move(what));
+        platform_answer out{platform_status::lost, {}, {}};
+        if (answers.empty()) {
+            io.stop();
+            co_return out;
+        }
+        out = answers.front();
+        answers.pop_front();
+        co_return out;
+    }
+
+    static platform_answer rows(std::uint64_t version, const std::string &value)
+    {
+        platform_answer out{platform_status::done, {table_row{"t/k", version, value}}, {}};
+        out.version = version;
+        return out;
+    }
+};
+
+}  // namespace
+
+TEST_CASE_FIXTURE(watch_fixture, "watch, rows and then changes, are told in order")
+{
+    answers = {rows(4, "a"), rows(6, "b")};
+    run();
+    CHECK(seen == std::vector<std::string>{"a", "b"});
+    REQUIRE(asked.size() == 3);
+    CHECK(asked[0] == platform_request(table_scan{"t/"}));
+    CHECK(asked[1] == platform_request(table_feed{"t/", 4, 1000}));
+    CHECK(asked[2] == platform_request(table_feed{"t/", 6, 1000}));
+}
+
+// Story: the store falls silent and comes back. A node that goes on with its feed
+// learns a change of the meantime only when the feed ends or the next change is
+// made, and serves by the old policy for all that time.
+TEST_CASE_FIXTURE(watch_fixture, "watch after a lost answer, reads all rows anew")
+{
+    answers = {rows(4, "a"), platform_answer{platform_status::lost, {}, {}}, rows(9, "c")};
+    run();
+    CHECK(seen == std::vector<std::string>{"a", "c"});
+    REQUIRE(asked.size() == 4);
+    CHECK(asked[2] == platform_request(table_scan{"t/"}));
+    CHECK(asked[3] == platform_request(table_feed{"t/", 9, 1000}));
+}
+
+TEST_CASE_FIXTURE(watch_fixture, "watch whose history is gone, reads all rows anew")
+{
+    answers = {rows(4, "a"), platform_answer{platform_status::history_gone, {}, {}}, rows(9, "c")};
+    run();
+    REQUIRE(asked.size() == 4);
+    CHECK(asked[2] == platform_request(table_scan{"t/"}));
+}
+
+// Story: the store is cut off and answers no connection attempt. A feed that may
+// wait for ten seconds must not wait as long for its connection: the node would
+// try again only after the store has long been back.
+TEST_CASE("request with a long timeout, server takes no connection, ends in about a second")
+{
+    asio::io_context io;
+    // A listening socket with a full queue of new connections drops what comes.
+    asio::ip::tcp::acceptor full(io);
+    full.open(asio::ip::tcp::v4());
+    full.bind({asio::ip::make_address("127.0.0.1"), 0});
+    ::listen(full.native_handle(), 0);
+    std::vector<asio::ip::tcp::socket> fillers;
+    for (int i = 0; i < 4; ++i) {
+        fillers.emplace_back(io);
+        fillers.back().open(asio::ip::tcp::v4());
+        fillers.back().non_blocking(true);
+        boost::system::error_code ec;
+        fillers.back().connect(full.local_endpoint(), ec);
+    }
+    runtime::http_client client(io, full.local_endpoint(), 1000);
+    auto started = std::chrono::steady_clock::now();
+    runtime::exchange_end end = runtime::exchange_end::answered;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            runtime::http_request request{boost::beast::http::verb::get, "/", 11};
+            runtime::exchange it = co_await client.send(request, seconds(30), nullptr);
+            end = it.end;
+        },
+        asio::detached);
+    io.run();
+    CHECK(end == runtime::exchange_end::not_sent);
+    CHECK(std::chrono::steady_clock::now() - started < std::chrono::seconds(15));
+}
--- a/test/unit/mesh_path.cpp
+++ b/test/unit/mesh_path.cpp
@@ -218,3 +218,17 @@
     }
     CHECK_FALSE(is_ready(w.nodes.at("a1"), w.now));
 }
+
+// Story: callers go on sending to a node that stops, since too few others of its
+// zone are ready. A request that it takes in its last second is cut off when the
+// process ends. It is refused, and has not run.
+TEST_CASE_FIXTURE(mesh_path_fixture, "request long after the order to stop, is refused")
+{
+    w.step("p1", [](mesh::mesh_turn &t) { stop_node(t); });
+    CHECK(ask("p1", "r1", "/read/x", milliseconds(500)).status == 200);
+    w.run_for(seconds(2));
+    const test::caller_result &result = ask("p1", "r2", "/read/x", milliseconds(500));
+    CHECK(result.status == 503);
+    CHECK(result.why == reason::stopping);
+    CHECK(w.runs_of("r2") == 0);
+}
