--- a/gullstall/src/mesh/admission.cpp
+++ b/gullstall/src/mesh/admission.cpp
@@ -91,7 +91,7 @@
         t.out.emplace_back(write_line{write_line::severity::info,
                                       "serve",
                                       "level-moved",
-                                      {{"level", std::to_string(t.n.level.level)},
+                                      {{"gate_level", std::to_string(t.n.level.level)},
                                        {"oldest_wait_ms", std::to_string(to_ms(oldest))},
                                        {"running", std::to_string(t.n.gate.running)},
                                        {"waiting", std::to_string(t.n.gate.waiting.size())},
