--- a/gullstall/src/edge/upstream_client.cpp
+++ b/gullstall/src/edge/upstream_client.cpp
@@ -1,31 +1,16 @@
 #include "gullstall/src/edge/upstream_client.hpp"
 
-#include <sys/socket.h>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <cerrno>
 
 #include "gullstall/src/edge/clock.hpp"
 #include "gullstall/src/edge/upstream_exchange.hpp"
+#include "gullstall/src/runtime/tcp_options.hpp"
 
 namespace gullstall::edge {
 
 namespace asio = boost::asio;
 
-namespace {
-
-/// \returns whether an idle connection can carry a request: readable means
-/// that the upstream closed it or sent what nobody asked for
-bool is_fresh(asio::ip::tcp::socket &socket)
-{
-    char byte = 0;
-    ssize_t n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
-}  // namespace
-
 upstream_client::upstream_client(asio::io_context &io, asio::ip::tcp::endpoint to,
                                  field_names names, ended_handler ended)
     : io_(io), to_(std::move(to)), names_(std::move(names)), ended_(std::move(ended))
@@ -38,7 +23,7 @@
     while (!idle_.empty()) {
         idle_connection last = std::move(idle_.back());
         idle_.pop_back();
-        if (at - last.idle_since < last.reusable_for && is_fresh(last.socket)) {
+        if (at - last.idle_since < last.reusable_for && runtime::is_fresh(last.socket)) {
             return std::move(last.socket);
         }
     }
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -221,7 +221,6 @@
 struct mesh_guards
 {
     bool age_of_frames = true;  ///< off: a call's time left is taken as if it had just been sent
-    bool wait_for_heartbeat = true;  ///< off: a node that knows no heartbeat serves all the same
 };
 
 /// State of one node. It holds no socket, thread or clock.
--- a/gullstall/src/runtime/http_client.cpp
+++ b/gullstall/src/runtime/http_client.cpp
@@ -2,7 +2,6 @@
 
 #include "gullstall/src/runtime/tcp_options.hpp"
 
-#include <sys/socket.h>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -23,15 +22,6 @@
 /// and a long request, such as a feed, must not wait its whole time for that.
 constexpr duration connect_timeout = seconds(1);
 
-/// \returns whether an idle connection can carry a request: readable means
-/// that the server closed it or sent what nobody asked for
-bool is_fresh(asio::ip::tcp::socket &socket)
-{
-    char byte = 0;
-    ssize_t n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 using response_parser = http::response_parser<http::vector_body<std::uint8_t>>;
 
 /// \returns whether the response says where it ends. One that ends with its
--- a/gullstall/src/runtime/tcp_options.cpp
+++ b/gullstall/src/runtime/tcp_options.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <boost/asio/ip/address.hpp>
+#include <cerrno>
 
 namespace gullstall::runtime {
 
@@ -42,4 +43,11 @@
     return {asio::ip::make_address(it.address), it.port};
 }
 
+bool is_fresh(asio::ip::tcp::socket &socket)
+{
+    char byte = 0;
+    ssize_t n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 }  // namespace gullstall::runtime
--- a/gullstall/src/runtime/tcp_options.hpp
+++ b/gullstall/src/runtime/tcp_options.hpp
@@ -13,6 +13,10 @@
 /// \returns false when the connection is gone already
 bool set_tcp_options(boost::asio::ip::tcp::socket &socket);
 
+/// \returns whether an idle connection can carry a request: readable means that
+/// the other side closed it or sent what nobody asked for
+bool is_fresh(boost::asio::ip::tcp::socket &socket);
+
 /// \returns \a it as Asio takes it; its address was checked by the settings
 boost::asio::ip::tcp::endpoint tcp_endpoint(const endpoint &it);
 
