Cross zones above a missing service, ask silent nodes, refuse chains that lack a service

Ruled out: to end a silent connection sooner than 1.6 s, which loses the answers in flight on a node that is only slow. Change: a node with calls from here that is not heard for 150 ms is asked, and gets no more calls when it does not answer in 250 ms; a request is refused where it enters when each of its kind needs a service that has no upstream; the zone for a call is chosen by the crossings of the calls below.

--- a/gullstall/src/mesh/admission.cpp
+++ b/gullstall/src/mesh/admission.cpp
@@ -62,7 +62,8 @@
 
 }  // namespace
 
-double share_let_in(mesh_turn &t, const std::string &route)
+std::optional<mesh_wire::reason> refusal_at_entry(mesh_turn &t, const std::string &route,
+                                                  double place)
 {
     if (t.n.plan_is_old) {
         plan_levels(t.n.plan, *t.n.policy);
@@ -70,10 +71,16 @@
     }
     if (t.now - t.n.states_at >= states_memory) {
         refresh_own_view(t);
-        t.n.states = states_of_services(t.n.nodes);
+        t.n.states = states_of_services(t.n.nodes, t.now);
         t.n.states_at = t.now;
     }
-    return admitted_share(t.n.plan, route, t.n.states);
+    if (t.n.guards.chains_need_all && lacks_service(t.n.plan, route, t.n.states)) {
+        return mesh_wire::reason::no_upstream;
+    }
+    if (place >= admitted_share(t.n.plan, route, t.n.states)) {
+        return mesh_wire::reason::overload;
+    }
+    return std::nullopt;
 }
 
 void admission_tick(mesh_turn &t)
--- a/gullstall/src/mesh/directory.cpp
+++ b/gullstall/src/mesh/directory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace gullstall::mesh {
 
@@ -38,9 +39,28 @@
 /// its next status, and one that was slow once would never be tried again.
 constexpr double cost_power = 3;
 
-bool is_usable(const node_view &it, const placement_request &wanted)
+/// Time without a sign after which a node with calls from here is asked for one:
+/// more than the time of most runs, so that under load nothing is asked.
+constexpr duration quiet_time = milliseconds(150);
+
+/// Time in which a node that was asked must answer to be given more calls. A cut
+/// or a frozen node shows so within half a second; the connection itself is given
+/// up much later, since the answers to what is in flight are lost with it. A node
+/// at work on a full core answers within 100 ms.
+constexpr duration answer_time = milliseconds(250);
+
+/// Crossings between zones that must be saved for a call to leave its zone.
+constexpr double least_saving = 0.5;
+
+bool is_silent(const node_view &it, time_point now)
+{
+    return it.asked_at && now - *it.asked_at >= answer_time;
+}
+
+bool is_usable(const node_view &it, const placement_request &wanted, time_point now)
 {
-    return it.linked && !it.status.stopping && it.status.service == wanted.service &&
+    return it.linked && !is_silent(it, now) && !it.status.stopping &&
+           it.status.service == wanted.service &&
            it.status.state == mesh_wire::upstream_state::ready && it.status.slots > 0 &&
            std::find(wanted.tried.begin(), wanted.tried.end(), it.address.node) ==
                wanted.tried.end();
@@ -94,6 +114,26 @@
     return all.empty() ? candidate{} : all.back();
 }
 
+/// \returns how often a call crosses between zones when it goes to \a node, and
+/// the calls of its run after it. A little is added for each other zone, so that
+/// the own one is taken where it is as good.
+double crossings_at(const node_view &node, const zone_plan &plan, const placement_request &wanted)
+{
+    constexpr double other_zone = 1 + least_saving;
+    bool is_own = node.address.zone == wanted.zone;
+    return (is_own ? 0 : other_zone) + crossings_below(plan, wanted.route, node.address.zone);
+}
+
+double fewest_crossings(const std::vector<const node_view *> &all, const zone_plan &plan,
+                        const placement_request &wanted)
+{
+    double out = std::numeric_limits<double>::max();
+    for (const node_view *it : all) {
+        out = std::min(out, crossings_at(*it, plan, wanted));
+    }
+    return out;
+}
+
 /// \returns whether calls may go to another zone in place of \a near
 bool may_leave_zone(const candidate &near, time_point now)
 {
@@ -137,6 +177,7 @@
         return false;
     }
     node_view &known = found->second;
+    known.asked_at.reset();
     bool is_older = status.incarnation < known.status.incarnation ||
                     (status.incarnation == known.status.incarnation &&
                      status.sequence <= known.status.sequence);
@@ -153,10 +194,14 @@
                time_point now)
 {
     auto found = it.nodes.find(node);
-    if (found == it.nodes.end() || load.sequence <= found->second.status.sequence) {
+    if (found == it.nodes.end()) {
         return;
     }
     node_view &known = found->second;
+    known.asked_at.reset();
+    if (load.sequence <= known.status.sequence) {
+        return;
+    }
     known.status.sequence = load.sequence;
     known.status.slots = load.slots;
     known.status.running = load.running;
@@ -176,6 +221,7 @@
         return;
     }
     found->second.linked = linked;
+    found->second.asked_at.reset();
     found->second.in_flight = linked ? found->second.in_flight : 0;
 }
 
@@ -200,20 +246,21 @@
     }
 }
 
-std::string choose_node(const directory &it, const placement_request &wanted, random_source &random,
-                        time_point now)
+std::string choose_node(const directory &it, const zone_plan &plan, const placement_request &wanted,
+                        random_source &random, time_point now)
 {
     std::vector<const node_view *> usable;
     for (const auto &[name, view] : it.nodes) {
-        if (is_usable(view, wanted)) {
+        if (is_usable(view, wanted, now)) {
             usable.push_back(&view);
         }
     }
     double usual_us = usual_run_us(usable);
+    double fewest = fewest_crossings(usable, plan, wanted);
     std::vector<candidate> near;
     std::vector<candidate> far;
     for (const node_view *view : usable) {
-        bool is_near = view->address.zone == wanted.zone;
+        bool is_near = crossings_at(*view, plan, wanted) < fewest + least_saving;
         (is_near ? near : far).push_back(candidate{view, expected_us(*view, usual_us, now)});
     }
     candidate best = draw(near, random);
@@ -225,14 +272,38 @@
     return best.node == nullptr ? std::string() : best.node->address.node;
 }
 
-std::map<std::string, service_state> states_of_services(const directory &it)
+std::vector<std::string> nodes_to_ask(directory &it, const std::string &own, time_point now)
+{
+    std::vector<std::string> out;
+    for (auto &[name, view] : it.nodes) {
+        bool is_quiet = view.in_flight > 0 && now - view.status_at >= quiet_time;
+        if (name != own && view.linked && is_quiet && !view.asked_at) {
+            view.asked_at = now;
+            out.push_back(name);
+        }
+    }
+    return out;
+}
+
+service_zones zones_of_services(const directory &it, time_point now)
+{
+    service_zones out;
+    for (const auto &[name, view] : it.nodes) {
+        if (is_usable(view, placement_request{view.status.service, "", {}, ""}, now)) {
+            out[view.status.service].insert(view.address.zone);
+        }
+    }
+    return out;
+}
+
+std::map<std::string, service_state> states_of_services(const directory &it, time_point now)
 {
     constexpr double milli = 1000;
     std::map<std::string, double> slots;
     std::map<std::string, double> taking;  // slots, less the share that turns calls away
     std::map<std::string, service_state> out;
     for (const auto &[name, view] : it.nodes) {
-        if (!is_usable(view, placement_request{view.status.service, "", {}})) {
+        if (!is_usable(view, placement_request{view.status.service, "", {}, ""}, now)) {
             continue;
         }
         double shed = std::min(1.0, view.status.shed_milli / milli);
@@ -250,12 +321,12 @@
     return out;
 }
 
-double service_load(const directory &it, const std::string &service)
+double service_load(const directory &it, const std::string &service, time_point now)
 {
     double used = 0;
     double slots = 0;
     for (const auto &[name, view] : it.nodes) {
-        if (is_usable(view, placement_request{service, "", {}})) {
+        if (is_usable(view, placement_request{service, "", {}, ""}, now)) {
             used += view.status.running + view.status.waiting;
             slots += view.status.slots;
         }
--- a/gullstall/src/mesh/directory.hpp
+++ b/gullstall/src/mesh/directory.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -10,6 +11,7 @@
 #include "gullstall/generated/mesh_generated.h"
 #include "gullstall/settings.hpp"
 #include "gullstall/src/mesh/service_levels.hpp"
+#include "gullstall/src/mesh/zone_plan.hpp"
 
 namespace gullstall::mesh {
 
@@ -30,7 +32,9 @@
     node_address address;
     bool linked = false;  ///< the connection to it works
     mesh_wire::node_status_message status;
-    time_point status_at{};
+    time_point status_at{};  ///< when the node was last heard
+    /// Since when it owes a sign of life; none: it was heard after it was asked.
+    std::optional<time_point> asked_at;
     std::uint32_t sent_since = 0;  ///< calls sent since the status was heard
     std::uint32_t in_flight = 0;   ///< calls from here that have no reply yet
     double failures = 0;           ///< moving share of calls that failed, 0 to 1
@@ -78,21 +82,30 @@
     std::string service;
     std::string zone;                ///< of the asking node
     std::vector<std::string> tried;  ///< nodes that are not to be asked again
+    std::string route;               ///< by which the call goes
 };
 
 /// Chooses the node to send a call to.
 /// \returns the node's name, empty when no upstream is known to take it
-std::string choose_node(const directory &it, const placement_request &wanted, random_source &random,
-                        time_point now);
+std::string choose_node(const directory &it, const zone_plan &plan, const placement_request &wanted,
+                        random_source &random, time_point now);
+
+/// \param own name of the asking node
+/// \returns the nodes that have calls from here and were not heard for a while;
+/// they count as asked for a sign from now on
+std::vector<std::string> nodes_to_ask(directory &it, const std::string &own, time_point now);
+
+/// \returns the zones that have an upstream that takes work, by service
+service_zones zones_of_services(const directory &it, time_point now);
 
 /// \returns the state of each service over its upstreams that take work: levels
 /// weighed by slots, and shares turned away by the slots that still take calls,
 /// since calls leave an upstream that turns many away
-std::map<std::string, service_state> states_of_services(const directory &it);
+std::map<std::string, service_state> states_of_services(const directory &it, time_point now);
 
 /// \returns the share of the slots of \a service that are in use or waited for,
 /// over all upstreams that take work; 0 when there are none
-double service_load(const directory &it, const std::string &service);
+double service_load(const directory &it, const std::string &service, time_point now);
 
 }  // namespace gullstall::mesh
 
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -143,7 +143,7 @@
                     {"handed_over", std::to_string(call.handed_over)},
                     {"after_ms", std::to_string(to_ms(t.now - call.taken_at))},
                     {"left_ms", std::to_string(to_ms(call.deadline - t.now))},
-                    {"load", std::to_string(service_load(t.n.nodes, call.call.service))},
+                    {"load", std::to_string(service_load(t.n.nodes, call.call.service, t.now))},
                     {"policy", std::to_string(t.n.policy ? t.n.policy->version : 0)}}});
     note_latency(t.n.latencies.call, t.now - call.taken_at);
     t.out.emplace_back(answer_caller{id, std::move(answer)});
@@ -185,9 +185,9 @@
 {
     entry_call &call = t.n.calls.at(id);
     refresh_own_view(t);
-    placement_request wanted{call.call.service, t.n.settings.node.zone, call.tried};
+    placement_request wanted{call.call.service, t.n.settings.node.zone, call.tried, call.route};
     std::string node = call.placements < max_placements
-                           ? choose_node(t.n.nodes, wanted, t.n.random, t.now)
+                           ? choose_node(t.n.nodes, t.n.zones, wanted, t.n.random, t.now)
                            : std::string();
     if (node.empty()) {
         fail_call(t, id, call.last_reason);
@@ -356,8 +356,12 @@
         refuse_request(t, id, request, reason::stopping);
         return;
     }
-    if (!call.call.inner && place_of(request.request_id) >= share_let_in(t, route->name)) {
-        refuse_request(t, id, request, reason::overload);
+    std::optional<reason> why;
+    if (!call.call.inner) {
+        why = refusal_at_entry(t, route->name, place_of(request.request_id));
+    }
+    if (why) {
+        refuse_request(t, id, request, *why);
         return;
     }
     call.id = id;
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -238,8 +238,28 @@
         {{"calls", std::to_string(t.n.calls.size())}, {"runs", std::to_string(t.n.runs.size())}}});
 }
 
+namespace {
+
+void ask_quiet_nodes(mesh_turn &t)
+{
+    if (!t.n.guards.ask_quiet_nodes) {
+        return;
+    }
+    for (const std::string &node : nodes_to_ask(t.n.nodes, t.n.settings.node.name, t.now)) {
+        mesh_wire::ping_message ping;
+        ping.sent_us = frame_time_us(t.now);
+        t.out.emplace_back(send_to_node{node, mesh_frame(ping)});
+    }
+}
+
+}  // namespace
+
 void members_tick(mesh_turn &t)
 {
+    ask_quiet_nodes(t);
+    if (t.n.policy) {
+        t.n.zones = plan_zones(*t.n.policy, t.n.plan.calls, zones_of_services(t.n.nodes, t.now));
+    }
     if (t.now - t.n.status_spread_at >= status_interval) {
         spread_status(t);
         spread_chain_news(t, false, std::nullopt);
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -23,6 +23,7 @@
 #include "gullstall/src/mesh/run_gate.hpp"
 #include "gullstall/src/mesh/service_levels.hpp"
 #include "gullstall/src/mesh/traffic_split.hpp"
+#include "gullstall/src/mesh/zone_plan.hpp"
 
 namespace gullstall::mesh {
 
@@ -220,7 +221,9 @@
 /// Guards that a test may switch off, to show the failure that each prevents.
 struct mesh_guards
 {
-    bool age_of_frames = true;  ///< off: a call's time left is taken as if it had just been sent
+    bool age_of_frames = true;    ///< off: a call's time left is taken as if it had just been sent
+    bool ask_quiet_nodes = true;  ///< off: a node that fell silent gets calls until it is lost
+    bool chains_need_all = true;  ///< off: only the first service of a chain must be there
 };
 
 /// State of one node. It holds no socket, thread or clock.
@@ -255,6 +258,7 @@
     std::map<std::string, calls_per_run> told_calls;  ///< of this node's upstream
     std::map<std::string, service_state> states;      ///< by service, as of states_at
     time_point states_at{};
+    zone_plan zones;
     traffic_split split;
     std::map<std::string, repeat_budget> budgets;  ///< by service
 
@@ -307,8 +311,10 @@
 void apply_timeouts(mesh_turn &t);
 
 // admission.cpp: which requests are let in, by the levels of the services
-/// \returns the share of the requests of \a route that is let in now
-double share_let_in(mesh_turn &t, const std::string &route);
+/// \returns why the request is refused where it enters, none when it is let in
+/// \param place of the request among all, evenly spread over [0, 1)
+std::optional<mesh_wire::reason> refusal_at_entry(mesh_turn &t, const std::string &route,
+                                                  double place);
 /// Moves the level of the own gate and tells of it.
 void admission_tick(mesh_turn &t);
 /// Learns what runs of the own upstream ask for, and tells the others.
--- a/gullstall/src/mesh/service_levels.cpp
+++ b/gullstall/src/mesh/service_levels.cpp
@@ -14,6 +14,10 @@
 /// Runs per request from which on a service counts as needed.
 constexpr double least_need = 0.1;
 
+/// Runs per request from which on each request needs the service. What is below
+/// stands for a part of a split, or a call that only some runs make.
+constexpr double each_request = 0.95;
+
 void add_needs(const service_levels &it, const traffic_policy &policy, const std::string &route,
                double times, int depth, service_runs &out)
 {
@@ -118,6 +122,18 @@
     }
 }
 
+bool lacks_service(const service_levels &it, const std::string &route,
+                   const std::map<std::string, service_state> &states)
+{
+    auto needs = it.needs.find(route);
+    if (needs == it.needs.end()) {
+        return false;
+    }
+    return std::any_of(needs->second.begin(), needs->second.end(), [&](const auto &entry) {
+        return entry.second >= each_request && states.count(entry.first) == 0;
+    });
+}
+
 double admitted_share(const service_levels &it, const std::string &route,
                       const std::map<std::string, service_state> &states)
 {
--- a/gullstall/src/mesh/service_levels.hpp
+++ b/gullstall/src/mesh/service_levels.hpp
@@ -41,6 +41,13 @@
 /// Works out needs and weights from the policy and the learned calls.
 void plan_levels(service_levels &it, const traffic_policy &policy);
 
+/// \param states of the services that have an upstream
+/// \returns whether each request of \a route needs a service that has none. Let
+/// in, it would fail at its last call, after all work above was done; refused, it
+/// can come back.
+bool lacks_service(const service_levels &it, const std::string &route,
+                   const std::map<std::string, service_state> &states);
+
 /// \param states by service; a service that is not named is open
 /// \returns the share of the requests of \a route that is let in
 double admitted_share(const service_levels &it, const std::string &route,
--- /dev/null
+++ b/gullstall/src/mesh/zone_plan.cpp
@@ -0,0 +1,91 @@
+#include "gullstall/src/mesh/zone_plan.hpp"
+
+#include <algorithm>
+
+namespace gullstall::mesh {
+
+namespace {
+
+/// Calls below calls that are followed; a call graph with a cycle ends here.
+constexpr int max_depth = 24;
+
+struct planning
+{
+    const traffic_policy &policy;
+    const std::map<std::string, calls_per_run> &calls;
+    const service_zones &present;
+    zone_plan &out;
+};
+
+double cost_below(planning &p, const std::string &route, const std::string &zone, int depth);
+
+/// \returns the crossings of one call of \a route from \a zone and of all below
+/// it, where each call goes to the zone that is best for it
+double cost_of_call(planning &p, const std::string &route, const std::string &zone, int depth)
+{
+    const traffic_route *known = route_named(p.policy, route);
+    if (known == nullptr || known->services.empty()) {
+        return 0;
+    }
+    // The parts of a split stand in the same zones nearly always: the first decides.
+    auto zones = p.present.find(known->services.front().service);
+    if (zones == p.present.end()) {
+        return 0;
+    }
+    double best = -1;
+    for (const std::string &each : zones->second) {
+        double cost = (each == zone ? 0 : 1) + cost_below(p, route, each, depth);
+        best = best < 0 ? cost : std::min(best, cost);
+    }
+    return std::max(best, 0.0);
+}
+
+double cost_below(planning &p, const std::string &route, const std::string &zone, int depth)
+{
+    auto calls = p.calls.find(route);
+    if (calls == p.calls.end() || depth > max_depth) {
+        return 0;
+    }
+    auto &known = p.out.crossings[route];
+    if (auto found = known.find(zone); found != known.end()) {
+        return found->second;
+    }
+    double cost = 0;
+    for (const auto &[child, n] : calls->second) {
+        cost += n * cost_of_call(p, child, zone, depth + 1);
+    }
+    p.out.crossings[route][zone] = cost;
+    return cost;
+}
+
+}  // namespace
+
+zone_plan plan_zones(const traffic_policy &policy,
+                     const std::map<std::string, calls_per_run> &calls,
+                     const service_zones &present)
+{
+    std::set<std::string> zones;
+    for (const auto &[service, its] : present) {
+        zones.insert(its.begin(), its.end());
+    }
+    zone_plan out;
+    planning p{policy, calls, present, out};
+    for (const auto &[route, below] : calls) {
+        for (const std::string &zone : zones) {
+            cost_below(p, route, zone, 0);
+        }
+    }
+    return out;
+}
+
+double crossings_below(const zone_plan &it, const std::string &route, const std::string &zone)
+{
+    auto known = it.crossings.find(route);
+    if (known == it.crossings.end()) {
+        return 0;
+    }
+    auto found = known->second.find(zone);
+    return found == known->second.end() ? 0 : found->second;
+}
+
+}  // namespace gullstall::mesh
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -303,6 +303,8 @@
                 take_call(t, ref, std::move(*call));
             } else if (const mesh_wire::cancel_message *it = frame.payload.Ascancel()) {
                 take_cancel(t, ref, it->correlation);
+            } else if (frame.payload.Asping() != nullptr) {
+                take_ping(t, ref);
             } else if (frame.payload.Aspolicy_fetch() != nullptr) {
                 take_policy_fetch(t, ref);
             }
--- a/test/unit/mesh_decisions.cpp
+++ b/test/unit/mesh_decisions.cpp
@@ -27,7 +27,7 @@
     random_source random(1);
     std::map<std::string, int> out;
     for (int i = 0; i < 1000; ++i) {
-        ++out[choose_node(nodes, {"s", "a", {}}, random, time_point(seconds(10)))];
+        ++out[choose_node(nodes, {}, {"s", "a", {}, ""}, random, time_point(seconds(10)))];
     }
     return out;
 }
@@ -194,3 +194,63 @@
     REQUIRE(succeeded(again));
     CHECK(value_of(again) == value_of(good));
 }
+
+namespace {
+
+/// Front, middle and deep services in zones a and b; zone a has no deep one. A
+/// front run makes one middle call, a middle run four deep calls.
+struct zone_plan_fixture
+{
+    traffic_policy policy =
+        test::policy_of(1, {test::route_of("f", "/f/", "front", repeatability::idempotent),
+                            test::route_of("m", "/m/", "middle", repeatability::idempotent),
+                            test::route_of("d", "/d/", "deep", repeatability::idempotent)});
+    std::map<std::string, mesh::calls_per_run> calls{{"f", {{"m", 1}}}, {"m", {{"d", 4}}}};
+    mesh::service_zones present{{"front", {"a", "b"}}, {"middle", {"a", "b"}}, {"deep", {"b"}}};
+
+    /// \returns the share of calls of \a route from zone a that stay there
+    double stay(const std::string &route) const
+    {
+        mesh::zone_plan plan = mesh::plan_zones(policy, calls, present);
+        mesh::directory nodes;
+        nodes.nodes["near"] = view_of("near", "a", 20, 5, 10000);
+        nodes.nodes["far"] = view_of("far", "b", 20, 5, 10000);
+        random_source random(1);
+        int n = 0;
+        for (int i = 0; i < 200; ++i) {
+            n += choose_node(nodes, plan, {"s", "a", {}, route}, random, time_point(seconds(10))) ==
+                 "near";
+        }
+        return n / 200.0;
+    }
+};
+
+}  // namespace
+
+// Story: a zone has lost its only upstream of a deep service. Each middle run that
+// stays in the zone makes four calls over the link between zones, and bytes there
+// are paid for; sent across itself, it makes one. The front run stays: it
+// would cross once as well.
+TEST_CASE_FIXTURE(zone_plan_fixture, "zone without the deep service, its callers, cross above it")
+{
+    CHECK(stay("m") == 0);
+    CHECK(stay("f") == 1);
+    CHECK(stay("d") == 1);
+    mesh::zone_plan plan = mesh::plan_zones(policy, calls, present);
+    CHECK(crossings_below(plan, "m", "a") == 4);
+    CHECK(crossings_below(plan, "f", "a") == 1);
+    CHECK(crossings_below(plan, "f", "b") == 0);
+}
+
+TEST_CASE_FIXTURE(zone_plan_fixture, "zones with all services, all calls, stay in the zone")
+{
+    present["deep"] = {"a", "b"};
+    CHECK(stay("m") == 1);
+    CHECK(stay("f") == 1);
+}
+
+TEST_CASE_FIXTURE(zone_plan_fixture, "calls in a circle, plan, ends")
+{
+    calls["d"] = {{"f", 1}};
+    CHECK(stay("f") == 1);
+}
--- a/test/unit/mesh_levels.cpp
+++ b/test/unit/mesh_levels.cpp
@@ -170,3 +170,42 @@
     CHECK(mesh::admitted_share(plan, "list", {{"deep", {1.0, 0}}}) < 0.25);
     CHECK(mesh::admitted_share(plan, "order", {{"deep", {1.0, 0}}}) == 1);
 }
+
+namespace {
+
+/// The fixture's services with all upstreams of the deep one gone.
+struct deep_gone_fixture : mesh_levels_fixture
+{
+    kind_outcome play_without_deep(bool chains_need_all)
+    {
+        play(seconds(2), 100, 100, 10);  // the chains are learned
+        for (auto &[name, n] : w.nodes) {
+            n.guards.chains_need_all = chains_need_all;
+        }
+        w.beat("d1", mesh_wire::upstream_state::draining);
+        w.beat("d2", mesh_wire::upstream_state::draining);
+        w.run_for(milliseconds(200));
+        time_point gone = w.now;
+        play(seconds(2), 100, 100, 10);
+        w.run_for(seconds(2));
+        return outcome("order", gone);
+    }
+};
+
+}  // namespace
+
+// Story: a zone that is cut off has no upstream of a deep service. An order runs
+// at the front, fails at its first call, and its caller is told 500: it may have
+// run, and must not be sent again. Refused where it enters it may come back, and
+// finds the service when the cut is over.
+TEST_CASE_FIXTURE(deep_gone_fixture, "deep service gone, orders, are refused where they enter")
+{
+    kind_outcome order = play_without_deep(true);
+    CHECK(order.refused > 0.99);
+}
+
+TEST_CASE_FIXTURE(deep_gone_fixture, "deep service gone, first service checked alone, orders fail")
+{
+    kind_outcome order = play_without_deep(false);
+    CHECK(order.failed > 0.99);
+}
--- a/test/unit/mesh_path.cpp
+++ b/test/unit/mesh_path.cpp
@@ -232,3 +232,68 @@
     CHECK(result.why == reason::stopping);
     CHECK(w.runs_of("r2") == 0);
 }
+
+namespace {
+
+/// Calls that cross to zone b are asked for evenly while the link to it is cut
+/// off in silence, and its connection still looks open.
+struct silent_cut_fixture
+{
+    test::mesh_world w{11};
+
+    silent_cut_fixture()
+    {
+        w.policy = test::policy_of(
+            1, {test::route_of("read", "/read/", "books", repeatability::idempotent)});
+        w.add("a1", "a", test::upstream_model{"other"});
+        w.add("b1", "b", test::upstream_model{"books", 1000});
+        w.add("c1", "c", test::upstream_model{"books", 1000});
+        w.run_for(seconds(1));
+    }
+
+    /// \returns calls that were sent into the cut
+    std::size_t play(bool ask)
+    {
+        w.nodes.at("a1").guards.ask_quiet_nodes = ask;
+        w.cuts = {{"a1", "b1"}, {"b1", "a1"}};
+        for (int i = 0; i < 300; ++i) {
+            w.at(w.now + milliseconds(5 * i),
+                 [this, i] { w.request("a1", "r" + std::to_string(i), "/read/x", plenty); });
+        }
+        w.run_for(milliseconds(1550));
+        return w.nodes.at("a1").nodes.nodes.at("b1").in_flight;
+    }
+};
+
+}  // namespace
+
+// Story: a zone is cut off without a reset. Until the connections into it count
+// as lost, 1.6 s later, half of all calls go there, and end without an answer
+// that anybody could trust. The node asks one that it does not hear, and sends it
+// nothing until it is heard again.
+TEST_CASE_FIXTURE(silent_cut_fixture, "node cut off in silence, asked in vain, gets no more calls")
+{
+    std::size_t into_cut = play(true);
+    MESSAGE("calls sent into the cut: " << into_cut);
+    CHECK(into_cut < 55);
+}
+
+TEST_CASE_FIXTURE(silent_cut_fixture, "node cut off in silence, not asked, gets half of all calls")
+{
+    CHECK(play(false) > 120);
+}
+
+TEST_CASE_FIXTURE(silent_cut_fixture, "node cut off in silence, heard again, gets calls again")
+{
+    play(true);
+    w.cuts.clear();
+    w.run_for(milliseconds(100));
+    std::size_t before = w.runs.size();
+    for (int i = 0; i < 100; ++i) {
+        w.request("a1", "s" + std::to_string(i), "/read/x", plenty);
+        w.run_for(milliseconds(20));
+    }
+    auto at_b = std::count_if(w.runs.begin() + static_cast<std::ptrdiff_t>(before), w.runs.end(),
+                              [](const test::upstream_run &it) { return it.node == "b1"; });
+    CHECK(at_b > 20);
+}
