Let in by the demand that gates measure, not by levels that answer queues

Levels ran between 0.1 and 6, gates between 200 waiting and a third of their slots in use, and a fifth of the callers was refused at nine tenths of what the deep service can run. Ruled out: a slower level (2 s to answer a burst); full steps with a pause (three or four of them, as the demand does not follow the level in proportion). Change: a request carries the route where it entered and the share of its kind that was let in; a gate adds up calls divided by their share, which is what all callers ask, tells that and its capacity, and each node solves for the level at which both are equal. It does not move with the level.

--- a/gullstall/src/mesh/admission.cpp
+++ b/gullstall/src/mesh/admission.cpp
@@ -10,9 +10,12 @@
 /// How long the averages over the nodes serve.
 constexpr duration states_memory = milliseconds(20);
 
-/// Change of the own level, as a share, that is told at once. Smaller ones go
-/// with the next status.
-constexpr double told_change = 0.05;
+/// Change of demand or capacity, as a share of the capacity, that is told at once.
+/// Smaller ones go with the next status.
+constexpr double told_change = 0.1;
+
+/// Part of the capacity below which changes can wait: nothing is refused there.
+constexpr double calm_part = 0.7;
 
 /// Change of what runs ask for, in calls a run, that is told.
 constexpr double told_calls_change = 0.2;
@@ -43,6 +46,28 @@
     return out;
 }
 
+void renew_plan(mesh_turn &t)
+{
+    if (t.n.plan_is_old) {
+        plan_levels(t.n.plan, *t.n.policy);
+        t.n.plan_is_old = false;
+    }
+}
+
+double total_demand(const std::vector<mesh_wire::demand_part> &parts)
+{
+    double out = 0;
+    for (const mesh_wire::demand_part &it : parts) {
+        out += it.runs_per_s();
+    }
+    return out;
+}
+
+std::uint64_t to_count(double n)
+{
+    return static_cast<std::uint64_t>(n);
+}
+
 /// Takes what has changed of the own runs into what is told.
 /// \returns whether there was something
 bool note_own_calls(mesh_turn &t)
@@ -62,49 +87,52 @@
 
 }  // namespace
 
-std::optional<mesh_wire::reason> refusal_at_entry(mesh_turn &t, const std::string &route,
-                                                  double place)
+entry_verdict judge_at_entry(mesh_turn &t, const std::string &route, double place)
 {
-    if (t.n.plan_is_old) {
-        plan_levels(t.n.plan, *t.n.policy);
-        t.n.plan_is_old = false;
-    }
+    renew_plan(t);
     if (t.now - t.n.states_at >= states_memory) {
         refresh_own_view(t);
         t.n.states = states_of_services(t.n.nodes, t.now);
         t.n.states_at = t.now;
     }
     if (t.n.guards.chains_need_all && lacks_service(t.n.plan, route, t.n.states)) {
-        return mesh_wire::reason::no_upstream;
+        return entry_verdict{mesh_wire::reason::no_upstream, 0};
     }
-    if (place >= admitted_share(t.n.plan, route, t.n.states)) {
-        return mesh_wire::reason::overload;
+    double share = admitted_share(t.n.plan, route, t.n.states);
+    if (place >= share) {
+        return entry_verdict{mesh_wire::reason::overload, share};
     }
-    return std::nullopt;
+    return entry_verdict{std::nullopt, share};
 }
 
 void admission_tick(mesh_turn &t)
 {
-    duration oldest{};
-    if (!t.n.gate.waiting.empty()) {
-        oldest = t.now - t.n.runs.at(t.n.gate.waiting.begin()->second).arrived_at;
-    }
-    double used = t.n.gate.slots > 0 ? static_cast<double>(t.n.gate.running) / t.n.gate.slots : 0;
-    if (!update_gate_level(t.n.level, oldest, used, t.now)) {
+    if (!t.n.policy || !t.n.upstream.latest || !update_gate_demand(t.n.demand, t.now)) {
         return;
     }
-    if (std::abs(t.n.level.level - t.n.told_level) > told_change * t.n.told_level) {
-        t.n.told_level = t.n.level.level;
-        t.out.emplace_back(write_line{write_line::severity::info,
-                                      "serve",
-                                      "level-moved",
-                                      {{"gate_level", std::to_string(t.n.level.level)},
-                                       {"oldest_wait_ms", std::to_string(to_ms(oldest))},
-                                       {"running", std::to_string(t.n.gate.running)},
-                                       {"waiting", std::to_string(t.n.gate.waiting.size())},
-                                       {"slots", std::to_string(t.n.gate.slots)}}});
-        spread_status(t);
+    renew_plan(t);
+    t.n.capacity = capacity_of(t.n.gate);
+    t.n.demand_parts = demand_by_weight(t.n.demand, t.n.plan.weights[t.n.upstream.latest->service]);
+    double demand = total_demand(t.n.demand_parts);
+    double least_change = told_change * t.n.capacity;
+    bool has_moved = std::abs(demand - t.n.told_demand) > least_change ||
+                     std::abs(t.n.capacity - t.n.told_capacity) > least_change;
+    bool was_calm = t.n.told_demand < calm_part * t.n.told_capacity;
+    bool is_calm = demand < calm_part * t.n.capacity;
+    if (!has_moved || (was_calm && is_calm)) {
+        return;
     }
+    t.n.told_demand = demand;
+    t.n.told_capacity = t.n.capacity;
+    t.out.emplace_back(write_line{write_line::severity::info,
+                                  "serve",
+                                  "demand-moved",
+                                  {{"demand_per_s", std::to_string(to_count(demand))},
+                                   {"capacity_per_s", std::to_string(to_count(t.n.capacity))},
+                                   {"running", std::to_string(t.n.gate.running)},
+                                   {"waiting", std::to_string(t.n.gate.waiting.size())},
+                                   {"slots", std::to_string(t.n.gate.slots)}}});
+    spread_status(t);
 }
 
 void spread_chain_news(mesh_turn &t, bool to_all, std::optional<link_ref> link)
--- a/gullstall/src/mesh/directory.cpp
+++ b/gullstall/src/mesh/directory.cpp
@@ -114,6 +114,30 @@
     return all.empty() ? candidate{} : all.back();
 }
 
+/// Sums over the upstreams of a service.
+struct service_sums
+{
+    double taking = 0;  ///< slots, less the share that turns calls away
+    double shed = 0;    ///< share turned away, weighed by these slots
+    double capacity = 0;
+    bool is_known = true;  ///< all upstreams have told their capacity
+    weighted_demand demand;
+};
+
+void add_node(service_sums &it, const mesh_wire::node_status_message &status)
+{
+    constexpr double milli = 1000;
+    double shed = std::min(1.0, status.shed_milli / milli);
+    double takes = status.slots * (1 - shed);
+    it.taking += takes;
+    it.shed += takes * shed;
+    it.capacity += status.capacity_per_s;
+    it.is_known = it.is_known && status.capacity_per_s > 0;
+    for (const mesh_wire::demand_part &part : status.demand) {
+        it.demand[part.weight_milli() / milli] += part.runs_per_s();
+    }
+}
+
 /// \returns how often a call crosses between zones when it goes to \a node, and
 /// the calls of its run after it. A little is added for each other zone, so that
 /// the own one is taken where it is as good.
@@ -208,7 +232,6 @@
     known.status.waiting = load.waiting;
     known.status.run_time_us = load.run_time_us;
     known.status.wait_us = load.wait_us;
-    known.status.level_milli = load.level_milli;
     known.status.shed_milli = load.shed_milli;
     known.status_at = now;
     known.sent_since = 0;
@@ -298,25 +321,17 @@
 
 std::map<std::string, service_state> states_of_services(const directory &it, time_point now)
 {
-    constexpr double milli = 1000;
-    std::map<std::string, double> slots;
-    std::map<std::string, double> taking;  // slots, less the share that turns calls away
-    std::map<std::string, service_state> out;
+    std::map<std::string, service_sums> sums;
     for (const auto &[name, view] : it.nodes) {
-        if (!is_usable(view, placement_request{view.status.service, "", {}, ""}, now)) {
-            continue;
+        if (is_usable(view, placement_request{view.status.service, "", {}, ""}, now)) {
+            add_node(sums[view.status.service], view.status);
         }
-        double shed = std::min(1.0, view.status.shed_milli / milli);
-        double takes = view.status.slots * (1 - shed);
-        service_state &state = out[view.status.service];
-        slots[view.status.service] += view.status.slots;
-        taking[view.status.service] += takes;
-        state.level += view.status.slots * view.status.level_milli / milli;
-        state.shed += takes * shed;
     }
-    for (auto &[service, state] : out) {
-        state.level /= slots[service];
-        state.shed = taking[service] > 0 ? state.shed / taking[service] : 1;
+    std::map<std::string, service_state> out;
+    for (const auto &[service, sum] : sums) {
+        service_state &state = out[service];
+        state.level = sum.is_known ? level_for(sum.demand, sum.capacity) : open_level;
+        state.shed = sum.taking > 0 ? sum.shed / sum.taking : 1;
     }
     return out;
 }
--- a/gullstall/src/mesh/directory.hpp
+++ b/gullstall/src/mesh/directory.hpp
@@ -98,9 +98,10 @@
 /// \returns the zones that have an upstream that takes work, by service
 service_zones zones_of_services(const directory &it, time_point now);
 
-/// \returns the state of each service over its upstreams that take work: levels
-/// weighed by slots, and shares turned away by the slots that still take calls,
-/// since calls leave an upstream that turns many away
+/// \returns the state of each service over its upstreams that take work: the level
+/// at which all demand together takes all capacity, and the share turned away,
+/// weighed by the slots that still take calls, since calls leave an upstream that
+/// turns many away
 std::map<std::string, service_state> states_of_services(const directory &it, time_point now);
 
 /// \returns the share of the slots of \a service that are in use or waited for,
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -24,6 +24,9 @@
 
 constexpr std::uint32_t max_class = 15;
 
+/// Shares stand in frames in thousandths.
+constexpr double share_scale = 1000;
+
 /// Good answers for each one that is logged; the line says so.
 constexpr std::uint64_t answers_per_line = 100;
 
@@ -326,6 +329,8 @@
     call.inner = true;
     call.priority = run->second.call.priority;
     call.repeat = run->second.call.repeat;
+    call.root = run->second.call.root;
+    call.share_milli = run->second.call.share_milli;
     note_child(t.n.chain, run->second.call.route, route);
 }
 
@@ -356,13 +361,14 @@
         refuse_request(t, id, request, reason::stopping);
         return;
     }
-    std::optional<reason> why;
     if (!call.call.inner) {
-        why = refusal_at_entry(t, route->name, place_of(request.request_id));
-    }
-    if (why) {
-        refuse_request(t, id, request, *why);
-        return;
+        entry_verdict verdict = judge_at_entry(t, route->name, place_of(request.request_id));
+        if (verdict.refused) {
+            refuse_request(t, id, request, *verdict.refused);
+            return;
+        }
+        call.call.root = route->name;
+        call.call.share_milli = static_cast<std::uint16_t>(verdict.share * share_scale);
     }
     call.id = id;
     call.route = route->name;
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -77,8 +77,9 @@
     out.waiting = load.waiting;
     out.run_time_us = load.run_time_us;
     out.wait_us = load.wait_us;
-    out.level_milli = load.level_milli;
     out.shed_milli = load.shed_milli;
+    out.capacity_per_s = static_cast<std::uint32_t>(t.n.capacity);
+    out.demand = t.n.demand_parts;
     return out;
 }
 
@@ -92,7 +93,6 @@
     out.waiting = static_cast<std::uint32_t>(n.gate.waiting.size());
     out.run_time_us = static_cast<std::uint32_t>(n.gate.run_us);
     out.wait_us = static_cast<std::uint32_t>(expected_wait(n.gate, n.gate.waiting.size()).count());
-    out.level_milli = static_cast<std::uint16_t>(n.level.level * milli);
     out.shed_milli = static_cast<std::uint16_t>(n.gate.shed * milli);
     return out;
 }
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -16,7 +16,7 @@
 #include "gullstall/policy.hpp"
 #include "gullstall/src/mesh/call_chain.hpp"
 #include "gullstall/src/mesh/directory.hpp"
-#include "gullstall/src/mesh/gate_level.hpp"
+#include "gullstall/src/mesh/gate_demand.hpp"
 #include "gullstall/src/mesh/mesh_settings.hpp"
 #include "gullstall/src/mesh/own_upstream.hpp"
 #include "gullstall/src/mesh/repeat_budget.hpp"
@@ -250,8 +250,11 @@
     directory nodes;
     own_upstream upstream;
     run_gate gate;
-    gate_level level;
-    double told_level = open_level;  ///< as the other nodes know it
+    gate_demand demand;
+    double capacity = 0;  ///< of the own upstream, runs a second, as of the last window
+    std::vector<mesh_wire::demand_part> demand_parts;  ///< as of the last window
+    double told_capacity = 0;                          ///< as the other nodes know it
+    double told_demand = 0;
     call_chain chain;
     service_levels plan;
     bool plan_is_old = true;  ///< the policy or what is known of the chains has changed
@@ -311,11 +314,15 @@
 void apply_timeouts(mesh_turn &t);
 
 // admission.cpp: which requests are let in, by the levels of the services
-/// \returns why the request is refused where it enters, none when it is let in
+/// What becomes of a request where it enters.
+struct entry_verdict
+{
+    std::optional<mesh_wire::reason> refused;  ///< none: it is let in
+    double share = 1;                          ///< of its route's requests that is let in
+};
 /// \param place of the request among all, evenly spread over [0, 1)
-std::optional<mesh_wire::reason> refusal_at_entry(mesh_turn &t, const std::string &route,
-                                                  double place);
-/// Moves the level of the own gate and tells of it.
+entry_verdict judge_at_entry(mesh_turn &t, const std::string &route, double place);
+/// Measures what is asked of the own upstream and tells of it.
 void admission_tick(mesh_turn &t);
 /// Learns what runs of the own upstream ask for, and tells the others.
 void spread_chain_news(mesh_turn &t, bool to_all, std::optional<link_ref> link);
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -80,7 +80,6 @@
     run.expires = run.deadline + answer_grace;
     t.n.run_expiry.emplace(run.expires, id);
     note_run(t.n.chain, id, run.call.request_id, run.call.route);
-    note_gate_wait(t.n.level, t.now - run.arrived_at);
     ++t.n.counters.runs_started;
     note_latency(t.n.latencies.queue_wait, t.now - run.arrived_at);
     t.out.emplace_back(
@@ -93,6 +92,8 @@
     run.call.priority = moved.priority;
     run.call.repeat = moved.repeat;
     run.call.route = moved.route;
+    run.call.root = moved.root;
+    run.call.share_milli = moved.share_milli;
 }
 
 void start_waiting(mesh_turn &t)
@@ -240,11 +241,12 @@
         refuse(t, link, call, reason::too_late);
         return;
     }
+    constexpr double share_scale = 1000;
+    note_arrival(t.n.demand, call.root, call.share_milli / share_scale);
     run_ref id{++t.n.last_id};
     gate_request request{id, call.priority, call.inner, left};
     gate_verdict verdict = enter_gate(t.n.gate, request);
     if (verdict == gate_verdict::full) {
-        note_gate_refusal(t.n.level);
         refuse(t, link, call, reason::queue_full);
         return;
     }
--- a/gullstall/src/mesh/service_levels.cpp
+++ b/gullstall/src/mesh/service_levels.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <set>
 
+#include "gullstall/src/mesh/gate_demand.hpp"
+
 namespace gullstall::mesh {
 
 namespace {
@@ -122,6 +124,28 @@
     }
 }
 
+double level_for(const weighted_demand &demand, double capacity)
+{
+    auto taken_at = [&](double level) {
+        double out = 0;
+        for (const auto &[weight, per_s] : demand) {
+            out += per_s * std::min(1.0, level * weight);
+        }
+        return out;
+    };
+    if (taken_at(open_level) <= capacity) {
+        return open_level;
+    }
+    constexpr int halvings = 20;  // to a hundred-thousandth of the open level
+    double least = 0;
+    double most = open_level;
+    for (int i = 0; i < halvings; ++i) {
+        double middle = (least + most) / 2;
+        (taken_at(middle) > capacity ? most : least) = middle;
+    }
+    return least;
+}
+
 bool lacks_service(const service_levels &it, const std::string &route,
                    const std::map<std::string, service_state> &states)
 {
@@ -155,6 +179,7 @@
             share = std::min(share, state->second.level * weight->second);
         }
     }
+    share = std::clamp(share, least_share, 1.0);
     return std::min(share, std::clamp(chance / hopeful_chance, tried_share, 1.0));
 }
 
--- a/gullstall/src/mesh/service_levels.hpp
+++ b/gullstall/src/mesh/service_levels.hpp
@@ -13,11 +13,17 @@
 /// included and all calls below counted.
 using service_runs = std::map<std::string, double>;
 
+/// Level at which nothing is refused. It is beyond the share that the least
+/// urgent of three classes needs (see class_step).
+constexpr double open_level = 6;
+
 /// What the nodes of a service say of it.
 struct service_state
 {
-    double level = 0;  ///< how much its gates let in, see gate_level
-    double shed = 0;   ///< share of the calls that its upstreams turn away
+    /// How much is let in: at level 1 all of the most urgent class and the shares
+    /// of the others that go with it.
+    double level = open_level;
+    double shed = 0;  ///< share of the calls that its upstreams turn away
 
     bool operator==(const service_state &) const = default;
 };
@@ -38,6 +44,13 @@
 /// class for as long as an overload lasts.
 constexpr double class_step = 0.45;
 
+/// Runs a second that requests ask of a service, by the weight of their routes.
+using weighted_demand = std::map<double, double>;
+
+/// \param capacity of the service, runs a second
+/// \returns the level at which the requests that are let in take just that
+double level_for(const weighted_demand &demand, double capacity);
+
 /// Works out needs and weights from the policy and the learned calls.
 void plan_levels(service_levels &it, const traffic_policy &policy);
 
