--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -295,6 +295,15 @@
     log_.write(line);
 }
 
+void mesh_daemon::apply_limits(const mesh::mesh_settings &settings)
+{
+    for (mesh::mesh_settings *it : {&settings_, &node_.settings}) {
+        it->limits = settings.limits;
+        it->stop_time = settings.stop_time;
+        it->retry_ratio = settings.retry_ratio;
+    }
+}
+
 void mesh_daemon::stop()
 {
     if (!stop_asked_at_) {
@@ -371,7 +380,7 @@
     }
     duration passed = now - *stop_asked_at_;
     bool is_empty = closing_ && !callers_.has_work() && node_.calls.empty() && node_.runs.empty();
-    return is_empty || passed >= milliseconds(settings_.limits.stop_ms) - stop_margin;
+    return is_empty || passed >= settings_.stop_time - stop_margin;
 }
 
 }  // namespace gullstall::edge
--- a/gullstall/src/edge/mesh_daemon.hpp
+++ b/gullstall/src/edge/mesh_daemon.hpp
@@ -43,6 +43,10 @@
 
     void log(const mesh::write_line &line);
 
+    /// Applies what can change while the process runs: the limits. Names and
+    /// addresses take a new process.
+    void apply_limits(const mesh::mesh_settings &settings);
+
     /// The process is asked to stop: it ends when its work is done, or when the
     /// time for it is over.
     void stop();
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -387,7 +387,7 @@
     call.call.idempotent = route->repeats == repeatability::idempotent;
     if (!call.call.inner) {
         call.call.priority = static_cast<std::uint16_t>(std::min(route->priority, max_class));
-        earn_repeat(t.n.budgets[call.call.service], t.n.settings.limits.retry_percent);
+        earn_repeat(t.n.budgets[call.call.service], t.n.settings.retry_ratio);
     }
     t.n.call_expiry.emplace(call.expires, id);
     t.n.calls.emplace(id, std::move(call));
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -24,6 +24,10 @@
 /// upstream would stand idle for as long as the stop takes.
 constexpr duration gate_notice = milliseconds(2000);
 
+/// Part of the time for a stop that both notices take at most: the rest is for
+/// what is in flight.
+constexpr int notice_part = 2;
+
 /// How long callers' requests are taken after the order to stop. The platform
 /// asks once a second whether the node is ready and takes it out after two
 /// misses; until then callers send over the connections that they have.
@@ -229,8 +233,9 @@
 void stop_node(mesh_turn &t)
 {
     t.n.stopping = true;
-    t.n.gate_closes_at = t.now + gate_notice;
-    t.n.entry_closes_at = t.now + entry_notice;
+    duration most = t.n.settings.stop_time / notice_part;
+    t.n.gate_closes_at = t.now + std::min<duration>(gate_notice, most);
+    t.n.entry_closes_at = t.now + std::min<duration>(entry_notice, most);
     t.out.emplace_back(write_line{
         write_line::severity::info,
         "node",
--- a/gullstall/src/mesh/mesh_settings.cpp
+++ b/gullstall/src/mesh/mesh_settings.cpp
@@ -1,6 +1,8 @@
 #include "gullstall/src/mesh/mesh_settings.hpp"
 
 #include <array>
+#include <boost/lexical_cast/try_lexical_convert.hpp>
+#include <cmath>
 
 namespace gullstall::mesh {
 
@@ -18,10 +20,8 @@
 constexpr std::array store_rules{field_rule{"endpoint", true},
                                  field_rule{"feed_wait_ms", false, 100, 30000},
                                  field_rule{"timeout_ms", false, 10, 60000}};
-constexpr std::array limits_rules{
-    field_rule{"drain_ms", false, 1, 600000}, field_rule{"stop_ms", false, 1, 600000},
-    field_rule{"retry_percent", false, 0, 100}, field_rule{"retry_slack", false, 0, 1000000},
-    field_rule{"retry_window_s", false, 1, 3600}};
+constexpr std::array limits_rules{field_rule{"retry_slack", false, 0, 1000000},
+                                  field_rule{"retry_window_s", false, 1, 3600}};
 constexpr std::array log_rules{field_rule{"lines_per_second", false, 1, 100000}};
 
 /// Reads a key that holds an endpoint, for its error alone.
@@ -38,6 +38,53 @@
     return done{};
 }
 
+/// A number that may have a fraction, and what it may be.
+struct decimal_rule
+{
+    std::string key;  ///< in section limits
+    double least;
+    double most;
+};
+
+/// Reads a decimal number; a key that is not there keeps its default.
+/// \param text as the file has it; then the number that is in force
+result<done> read_decimal(const ini_document &document, const decimal_rule &rule, std::string &text,
+                          double &out)
+{
+    if (text.empty()) {
+        text = std::to_string(out);
+        return done{};
+    }
+    double n = 0;
+    bool is_number = boost::conversion::try_lexical_convert(text, n) && std::isfinite(n);
+    if (!is_number) {
+        return at_key(document, "limits", rule.key,
+                      error{error_code::wrong_type, "found '" + text + "', expected a number"});
+    }
+    if (n < rule.least || n > rule.most) {
+        return at_key(document, "limits", rule.key,
+                      error{error_code::out_of_range, "found " + text + ", allowed " +
+                                                          std::to_string(rule.least) + " to " +
+                                                          std::to_string(rule.most)});
+    }
+    out = n;
+    text = std::to_string(out);
+    return done{};
+}
+
+result<done> read_decimals(const ini_document &document, mesh_settings &it)
+{
+    double stop_s = std::chrono::duration<double>(it.stop_time).count();
+    result<done> stop =
+        read_decimal(document, decimal_rule{"stop_s", 0.5, 600}, it.limits.stop_s, stop_s);
+    if (!succeeded(stop)) {
+        return stop;
+    }
+    it.stop_time = std::chrono::duration_cast<duration>(std::chrono::duration<double>(stop_s));
+    return read_decimal(document, decimal_rule{"retry_ratio", 0, 1}, it.limits.retry_ratio,
+                        it.retry_ratio);
+}
+
 result<done> check_values(const ini_document &document, const mesh_settings &it)
 {
     for (const result<done> &checked :
@@ -79,9 +126,10 @@
             return error_of(it);
         }
     }
-    result<done> checked = check_values(document, out);
-    if (!succeeded(checked)) {
-        return error_of(checked);
+    for (const result<done> &it : {check_values(document, out), read_decimals(document, out)}) {
+        if (!succeeded(it)) {
+            return error_of(it);
+        }
     }
     return out;
 }
@@ -99,9 +147,8 @@
            "\n\n[store]\nendpoint = " + it.store.endpoint +
            "\nfeed_wait_ms = " + number(it.store.feed_wait_ms) +
            "\ntimeout_ms = " + number(it.store.timeout_ms) +
-           "\n\n[limits]\ndrain_ms = " + number(it.limits.drain_ms) +
-           "\nstop_ms = " + number(it.limits.stop_ms) +
-           "\nretry_percent = " + number(it.limits.retry_percent) +
+           "\n\n[limits]\nstop_s = " + number(std::chrono::duration<double>(it.stop_time).count()) +
+           "\nretry_ratio = " + number(it.retry_ratio) +
            "\nretry_slack = " + number(it.limits.retry_slack) +
            "\nretry_window_s = " + number(it.limits.retry_window_s) +
            "\n\n[log]\nlevel = " + it.log.level +
--- a/gullstall/src/mesh/mesh_settings.hpp
+++ b/gullstall/src/mesh/mesh_settings.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "gullstall/core.hpp"
 #include "gullstall/generated/mesh_config_generated.h"
 #include "gullstall/settings.hpp"
 
@@ -18,6 +19,8 @@
     gullstall::mesh_config::store_section_values store;
     gullstall::mesh_config::limits_section_values limits;
     gullstall::mesh_config::log_section_values log;
+    duration stop_time = seconds(6);  ///< limits.stop_s
+    double retry_ratio = 0.2;         ///< limits.retry_ratio
 
     bool operator==(const mesh_settings &) const = default;
 };
--- a/gullstall/src/mesh/repeat_budget.cpp
+++ b/gullstall/src/mesh/repeat_budget.cpp
@@ -13,13 +13,11 @@
 /// Repeats that can be saved up. All nodes may spend theirs at once.
 constexpr double most_saved = 4;
 
-constexpr double percent_scale = 100;
-
 }  // namespace
 
-void earn_repeat(repeat_budget &it, std::uint32_t percent)
+void earn_repeat(repeat_budget &it, double ratio)
 {
-    it.tokens = std::min(most_saved, it.tokens + own_part * percent / percent_scale);
+    it.tokens = std::min(most_saved, it.tokens + own_part * ratio);
 }
 
 void accrue_slack(repeat_budget &it, const repeat_slack &slack, time_point now)
--- a/gullstall/src/mesh/repeat_budget.hpp
+++ b/gullstall/src/mesh/repeat_budget.hpp
@@ -17,8 +17,8 @@
 };
 
 /// Notes a caller's request to the service, which earns a part of a repeat.
-/// \param percent repeats that are allowed for a hundred requests
-void earn_repeat(repeat_budget &it, std::uint32_t percent);
+/// \param ratio repeats that are allowed for a request
+void earn_repeat(repeat_budget &it, double ratio);
 
 /// What the bound allows beyond a share of the requests.
 struct repeat_slack
--- a/test/unit/mesh_decisions.cpp
+++ b/test/unit/mesh_decisions.cpp
@@ -132,7 +132,7 @@
     mesh::repeat_budget budget;
     int repeats = 0;
     for (int i = 0; i < 1000; ++i) {
-        mesh::earn_repeat(budget, 20);
+        mesh::earn_repeat(budget, 0.2);
         if (can_repeat(budget, 1)) {
             spend_repeat(budget, 1);
             ++repeats;
