Answers of entry calls in a file of their own, one way out of the queues of expiries

Change: entry_answers holds what callers are told; expiry.hpp the queue; share_scale stands once. No behaviour changes.

--- /dev/null
+++ b/gullstall/src/mesh/entry_answers.cpp
@@ -0,0 +1,172 @@
+#include "gullstall/src/mesh/entry_answers.hpp"
+
+#include <algorithm>
+
+#include "gullstall/overload.hpp"
+
+namespace gullstall::mesh {
+
+using mesh_wire::reason;
+
+namespace {
+
+/// Longest advice on when to come back.
+constexpr duration longest_retry_after = milliseconds(1500);
+
+/// Part of the time left within which a caller is told to come back: later it
+/// would give up instead.
+constexpr double retry_after_part = 0.3;
+
+/// Good answers for each one that is logged; the line says so.
+constexpr std::uint64_t answers_per_line = 100;
+
+/// \returns when a refused caller should come back: spread evenly, so that
+/// callers refused together don't return together
+duration draw_retry_after(mesh_turn &t, duration left)
+{
+    auto most = std::min<double>(static_cast<double>(longest_retry_after.count()),
+                                 retry_after_part * static_cast<double>(left.count()));
+    constexpr double least_part = 0.25;
+    double part = least_part + (1 - least_part) * draw_fraction(t.n.random);
+    return duration(static_cast<std::int64_t>(std::max(0.0, most * part)));
+}
+
+std::uint16_t status_of(reason why, bool may_have_run)
+{
+    constexpr std::uint16_t not_found = 404;
+    constexpr std::uint16_t bad_gateway = 502;
+    constexpr std::uint16_t unavailable = 503;
+    constexpr std::uint16_t gateway_timeout = 504;
+    if (why == reason::no_route) {
+        return not_found;
+    }
+    if (why == reason::timed_out) {
+        return gateway_timeout;
+    }
+    return may_have_run ? bad_gateway : unavailable;
+}
+
+std::string reason_name(reason why)
+{
+    return mesh_wire::EnumNamereason(why);
+}
+
+/// \returns the services that don't take all, with level and share turned away
+std::string print_states(const std::map<std::string, service_state> &states)
+{
+    constexpr double noted_shed = 0.01;
+    std::string out;
+    for (const auto &[service, state] : states) {
+        if (state.level < open_level || state.shed > noted_shed) {
+            out += (out.empty() ? "" : " ") + service + "=" + std::to_string(state.level) + "/" +
+                   std::to_string(state.shed);
+        }
+    }
+    return out;
+}
+
+}  // namespace
+
+void forget_call(mesh_turn &t, call_ref id)
+{
+    auto found = t.n.calls.find(id);
+    if (found->second.current) {
+        t.n.sent.erase(found->second.current->correlation);
+    }
+    erase_expiry(t.n.call_expiry, found->second.expires, id);
+    t.n.calls.erase(found);
+}
+
+void count_answer(mesh_turn &t, const std::string &route, const char *kind, const std::string &why)
+{
+    ++t.n.counters
+          .answers["route=\"" + route + "\",outcome=\"" + kind + "\",reason=\"" + why + "\""];
+}
+
+void refuse_request(mesh_turn &t, call_ref id, const caller_request &request, reason why)
+{
+    duration left = request.time_left.value_or(longest_retry_after);
+    caller_answer answer;
+    answer.status = status_of(why, false);
+    answer.why = why;
+    if (why != reason::no_route) {
+        answer.retry_after = draw_retry_after(t, left);
+    }
+    count_answer(t, "", "refused", reason_name(why));
+    t.out.emplace_back(
+        write_line{write_line::severity::info,
+                   "entry",
+                   "request-refused",
+                   {{"request", request.request_id},
+                    {"reason", reason_name(why)},
+                    {"host", request.host},
+                    {"target", request.target},
+                    {"left_ms", std::to_string(to_ms(left))},
+                    {"levels", print_states(t.n.states)},
+                    {"policy", std::to_string(t.n.policy ? t.n.policy->version : 0)}}});
+    t.out.emplace_back(answer_caller{id, std::move(answer)});
+}
+
+void fail_call(mesh_turn &t, call_ref id, reason why)
+{
+    entry_call &call = t.n.calls.at(id);
+    caller_answer answer;
+    answer.why = why;
+    answer.status = status_of(why, call.may_have_run);
+    bool is_refusal = !call.may_have_run && why != reason::timed_out;
+    if (is_refusal) {
+        answer.retry_after = draw_retry_after(t, call.expires - t.now);
+    }
+    count_answer(t, call.route, is_refusal ? "refused" : "failed", reason_name(why));
+    t.out.emplace_back(
+        write_line{write_line::severity::info,
+                   "entry",
+                   is_refusal ? "request-refused" : "request-failed",
+                   {{"request", call.call.request_id},
+                    {"reason", reason_name(why)},
+                    {"status", std::to_string(answer.status)},
+                    {"route", call.route},
+                    {"service", call.call.service},
+                    {"nodes", std::to_string(call.placements)},
+                    {"last_node", call.tried.empty() ? "" : call.tried.back()},
+                    {"handed_over", std::to_string(call.handed_over)},
+                    {"after_ms", std::to_string(to_ms(t.now - call.taken_at))},
+                    {"left_ms", std::to_string(to_ms(call.deadline - t.now))},
+                    {"load", std::to_string(service_load(t.n.nodes, call.call.service, t.now))},
+                    {"policy", std::to_string(t.n.policy ? t.n.policy->version : 0)}}});
+    note_latency(t.n.latencies.call, t.now - call.taken_at);
+    t.out.emplace_back(answer_caller{id, std::move(answer)});
+    forget_call(t, id);
+}
+
+void pass_answer(mesh_turn &t, call_ref id, mesh_wire::reply_message &reply)
+{
+    entry_call &call = t.n.calls.at(id);
+    caller_answer answer;
+    answer.from_upstream = true;
+    answer.status = reply.status;
+    answer.status_text = std::move(reply.status_text);
+    answer.header_lines = std::move(reply.header_lines);
+    answer.body = std::move(reply.body);
+    constexpr std::uint16_t first_error = 400;
+    bool is_good = reply.status < first_error;
+    count_answer(t, call.route, is_good ? "answered" : "upstream-error", "none");
+    bool is_sampled = is_good && ++t.n.counters.good_answers % answers_per_line == 0;
+    if (!is_good || is_sampled) {
+        t.out.emplace_back(
+            write_line{write_line::severity::info,
+                       "entry",
+                       is_good ? "request-answered" : "upstream-error",
+                       {{"one_of", std::to_string(is_good ? answers_per_line : 1)},
+                        {"request", call.call.request_id},
+                        {"status", std::to_string(reply.status)},
+                        {"route", call.route},
+                        {"peer", call.tried.empty() ? "" : call.tried.back()},
+                        {"after_ms", std::to_string(to_ms(t.now - call.taken_at))}}});
+    }
+    note_latency(t.n.latencies.call, t.now - call.taken_at);
+    t.out.emplace_back(answer_caller{id, std::move(answer)});
+    forget_call(t, id);
+}
+
+}  // namespace gullstall::mesh
--- /dev/null
+++ b/gullstall/src/mesh/expiry.hpp
@@ -0,0 +1,28 @@
+#ifndef GULLSTALL_MESH_EXPIRY_HPP
+#define GULLSTALL_MESH_EXPIRY_HPP
+
+#include <algorithm>
+#include <map>
+
+#include "gullstall/core.hpp"
+
+namespace gullstall::mesh {
+
+/// What expires when, the soonest first.
+template <class Ref>
+using expiry_queue = std::multimap<time_point, Ref>;
+
+/// Takes the entry of \a id, which expires at \a when, out of the queue.
+template <class Ref>
+void erase_expiry(expiry_queue<Ref> &it, time_point when, Ref id)
+{
+    auto [begin, end] = it.equal_range(when);
+    auto found = std::find_if(begin, end, [id](const auto &entry) { return entry.second == id; });
+    if (found != end) {
+        it.erase(found);
+    }
+}
+
+}  // namespace gullstall::mesh
+
+#endif
--- a/gullstall/src/mesh/gate_demand.cpp
+++ b/gullstall/src/mesh/gate_demand.cpp
@@ -67,6 +67,7 @@
         sums[weight_milli(weights, root)] += demand.per_s;
     }
     std::vector<mesh_wire::demand_part> out;
+    out.reserve(sums.size());
     for (const auto &[weight, per_s] : sums) {
         out.emplace_back(weight, static_cast<std::uint32_t>(per_s));
     }
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -16,6 +16,7 @@
 #include "gullstall/policy.hpp"
 #include "gullstall/src/mesh/call_chain.hpp"
 #include "gullstall/src/mesh/directory.hpp"
+#include "gullstall/src/mesh/expiry.hpp"
 #include "gullstall/src/mesh/gate_demand.hpp"
 #include "gullstall/src/mesh/mesh_settings.hpp"
 #include "gullstall/src/mesh/own_upstream.hpp"
@@ -32,6 +33,9 @@
 {
 };
 
+/// Shares stand in frames in thousandths.
+constexpr double share_scale = 1000;
+
 /// The link of calls that a node sends to the upstream beside itself.
 constexpr link_ref own_link{0};
 
@@ -267,10 +271,10 @@
 
     std::unordered_map<call_ref, entry_call> calls;
     std::unordered_map<std::uint64_t, call_ref> sent;  ///< by correlation
-    std::multimap<time_point, call_ref> call_expiry;
+    expiry_queue<call_ref> call_expiry;
     std::unordered_map<run_ref, gate_call> runs;
     std::map<std::pair<link_ref, std::uint64_t>, run_ref> served;  ///< by correlation
-    std::multimap<time_point, run_ref> run_expiry;
+    expiry_queue<run_ref> run_expiry;
     std::map<link_ref, link_clock> links;  ///< opened by other nodes
 
     mesh_counters counters;
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -49,15 +49,6 @@
     send_reply(t, link, std::move(reply));
 }
 
-void drop_expiry(mesh_turn &t, const gate_call &run)
-{
-    auto [begin, end] = t.n.run_expiry.equal_range(run.expires);
-    auto it = std::find_if(begin, end, [&](const auto &entry) { return entry.second == run.id; });
-    if (it != end) {
-        t.n.run_expiry.erase(it);
-    }
-}
-
 /// Takes the run out of all tables; its slot is not touched.
 gate_call forget_run(mesh_turn &t, run_ref id)
 {
@@ -65,7 +56,7 @@
     gate_call run = std::move(found->second);
     t.n.runs.erase(found);
     t.n.served.erase({run.link, run.call.correlation});
-    drop_expiry(t, run);
+    erase_expiry(t.n.run_expiry, run.expires, run.id);
     if (run.started_at) {
         note_run_end(t.n.chain, id, run.call.request_id);
     }
@@ -76,7 +67,7 @@
 {
     gate_call &run = t.n.runs.at(id);
     run.started_at = t.now;
-    drop_expiry(t, run);
+    erase_expiry(t.n.run_expiry, run.expires, run.id);
     run.expires = run.deadline + answer_grace;
     t.n.run_expiry.emplace(run.expires, id);
     note_run(t.n.chain, id, run.call.request_id, run.call.route);
@@ -241,7 +232,6 @@
         refuse(t, link, call, reason::too_late);
         return;
     }
-    constexpr double share_scale = 1000;
     note_arrival(t.n.demand, call.root, call.share_milli / share_scale);
     run_ref id{++t.n.last_id};
     gate_request request{id, call.priority, call.inner, left};
