--- a/bench/support/overload_runs.hpp
+++ b/bench/support/overload_runs.hpp
@@ -3,7 +3,7 @@
 
 #include "bench/support/overload_experiment.hpp"
 
-/// The measurements of issue 4's table, shared by the bench and the bounds.
+/// The measurements of the overload table, shared by the benchmark and the test of its bounds.
 namespace gullstall::bench {
 
 /// A way of control to measure.
