Read routes of large answers as idempotent

Cause: the adapter refused the operator's whole row for one route kind it did not know, so all 15 nodes of the new customer's deployment stayed without a policy and answered 503. Ruled out: a fault of the store's feed (the row came; policy-unreadable names the field).

--- a/test/platform/formats.cpp
+++ b/test/platform/formats.cpp
@@ -107,6 +107,16 @@
           std::vector<weighted_service>{{"books", 90}, {"other", 10}});
 }
 
+TEST_CASE("operator's row, route of large answers, may be repeated")
+{
+    // What a user would see: nothing is served. One route of a kind that the adapter
+    // cannot read makes the whole row unreadable, and every node stays without a policy.
+    auto read = platform::read_policy(
+        policy_with(with(route_spec, R"("kind":"upload")", R"("kind":"download")")));
+    REQUIRE(succeeded(read));
+    CHECK(value_of(read).routes.front().repeats == repeatability::idempotent);
+}
+
 TEST_CASE("operator's row, bad content, is refused with the entry's name")
 {
     for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{
