Give each mechanism of the decisions a switch

Cause: only three mechanisms could be switched off, and only by tests, so what the others are worth could not be measured. No change of behaviour with all on.

--- a/gullstall/mesh.hpp
+++ b/gullstall/mesh.hpp
@@ -10,6 +10,7 @@
 #include "gullstall/src/mesh/own_upstream.hpp"
 #include "gullstall/src/mesh/repeat_budget.hpp"
 #include "gullstall/src/mesh/run_gate.hpp"
+#include "gullstall/src/mesh/switches.hpp"
 #include "gullstall/src/mesh/traffic_split.hpp"
 
 #endif
--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -75,7 +75,8 @@
 }  // namespace
 
 mesh_daemon::mesh_daemon(asio::io_context &io, const mesh::mesh_settings &settings,
-                         platform_dialect dialect, std::uint64_t incarnation, std::uint64_t seed)
+                         platform_dialect dialect, std::uint64_t incarnation, std::uint64_t seed,
+                         const mesh::mesh_switches &on)
     : io_(io),
       settings_(settings),
       dialect_(std::move(dialect)),
@@ -121,10 +122,12 @@
               [this](mesh::link_ref link, mesh_wire::frame_message &&frame) {
                   from_link(link, std::move(frame));
               },
-              [this](mesh::link_ref link) { step([&](mesh_turn &t) { lose_link(t, link); }); }}),
+              [this](mesh::link_ref link) { step([&](mesh_turn &t) { lose_link(t, link); }); }},
+          on.packed_frames),
       expiry_timer_(io),
       tick_timer_(io)
 {
+    node_.on = on;
     schedule_tick();
 }
 
--- a/gullstall/src/edge/mesh_daemon.hpp
+++ b/gullstall/src/edge/mesh_daemon.hpp
@@ -31,7 +31,8 @@
 public:
     /// Throws boost::system::system_error when an address can't be listened on.
     mesh_daemon(boost::asio::io_context &io, const mesh::mesh_settings &settings,
-                platform_dialect dialect, std::uint64_t incarnation, std::uint64_t seed);
+                platform_dialect dialect, std::uint64_t incarnation, std::uint64_t seed,
+                const mesh::mesh_switches &on = {});
 
     /// The upstream beside the node speaks of itself.
     mesh::heartbeat_verdict heartbeat(const mesh::upstream_heartbeat &beat);
--- a/gullstall/src/edge/peer_links.cpp
+++ b/gullstall/src/edge/peer_links.cpp
@@ -33,8 +33,11 @@
 }  // namespace
 
 peer_links::peer_links(asio::io_context &io, const asio::ip::tcp::endpoint &at,
-                       peer_link_handlers handlers)
-    : io_(io), acceptor_(io, at), handlers_(std::move(handlers))
+                       peer_link_handlers handlers, bool packs_between_zones)
+    : io_(io),
+      acceptor_(io, at),
+      handlers_(std::move(handlers)),
+      packs_between_zones_(packs_between_zones)
 {
     asio::co_spawn(io_, accept_loop(), asio::detached);
 }
@@ -125,7 +128,7 @@
     asio::co_spawn(
         io_, [connection] { return connection->run(); }, asio::detached);
     mesh_wire::hello_message hello = handlers_.own_hello();
-    if (hello.zone != it.address.zone) {
+    if (packs_between_zones_ && hello.zone != it.address.zone) {
         connection->pack_from_now();
     }
     connection->send(mesh::mesh_frame(std::move(hello)));
@@ -134,7 +137,7 @@
 void peer_links::on_accepted_frame(link_ref link, mesh_wire::frame_message &&frame)
 {
     const mesh_wire::hello_message *hello = frame.payload.Ashello();
-    if (hello != nullptr && hello->zone != handlers_.own_hello().zone) {
+    if (packs_between_zones_ && hello != nullptr && hello->zone != handlers_.own_hello().zone) {
         accepted_.at(link)->pack_from_now();
     }
     handlers_.from_link(link, std::move(frame));
--- a/gullstall/src/edge/peer_links.hpp
+++ b/gullstall/src/edge/peer_links.hpp
@@ -36,7 +36,7 @@
 public:
     /// Throws boost::system::system_error when \a at can't be listened on.
     peer_links(boost::asio::io_context &io, const boost::asio::ip::tcp::endpoint &at,
-               peer_link_handlers handlers);
+               peer_link_handlers handlers, bool packs_between_zones = true);
 
     /// Keeps a connection to the node open from now on.
     void connect(const mesh::node_address &address);
@@ -77,6 +77,7 @@
     boost::asio::io_context &io_;
     boost::asio::ip::tcp::acceptor acceptor_;
     peer_link_handlers handlers_;
+    bool packs_between_zones_;
     std::map<std::string, dialed_node> dialed_;
     std::map<mesh::link_ref, std::shared_ptr<peer_connection>> accepted_;
     std::uint64_t last_link_ = 0;
--- a/gullstall/src/mesh/admission.cpp
+++ b/gullstall/src/mesh/admission.cpp
@@ -49,7 +49,7 @@
 void renew_plan(mesh_turn &t)
 {
     if (t.n.plan_is_old) {
-        plan_levels(t.n.plan, *t.n.policy);
+        plan_levels(t.n.plan, *t.n.policy, t.n.on);
         t.n.plan_is_old = false;
     }
 }
@@ -95,10 +95,10 @@
         t.n.states = states_of_services(t.n.nodes, t.now);
         t.n.states_at = t.now;
     }
-    if (t.n.guards.chains_need_all && lacks_service(t.n.plan, route, t.n.states)) {
+    if (t.n.on.chains_need_all && lacks_service(t.n.plan, route, t.n.states)) {
         return entry_verdict{mesh_wire::reason::no_upstream, 0};
     }
-    double share = admitted_share(t.n.plan, route, t.n.states);
+    double share = admitted_share(t.n.plan, route, t.n.states, t.n.on);
     if (place >= share) {
         return entry_verdict{mesh_wire::reason::overload, share};
     }
--- a/gullstall/src/mesh/directory.cpp
+++ b/gullstall/src/mesh/directory.cpp
@@ -81,14 +81,15 @@
 
 /// \returns the time until an answer of one more call, microseconds
 /// \param usual_us run time that is assumed where none is known
-double expected_us(const node_view &it, double usual_us, time_point now)
+double expected_us(const node_view &it, double usual_us, time_point now, const mesh_switches &on)
 {
     double run_us = it.status.run_time_us > 0 ? it.status.run_time_us : usual_us;
     // Below full the run time counts; the part in use still matters a little,
     // so that equal upstreams share the calls. Beyond full it is the queue.
     double used = used_share(it);
     double wait = std::max(0.0, used - 1) * run_us;
-    return (run_us * (1 + used / 2) + wait) * (1 + failure_cost * recent_failures(it, now));
+    double failing = on.failure_cost ? failure_cost * recent_failures(it, now) : 0;
+    return (run_us * (1 + used / 2) + wait) * (1 + failing);
 }
 
 struct candidate
@@ -98,15 +99,16 @@
 };
 
 /// Draws one of \a all, the cheaper the likelier.
-candidate draw(const std::vector<candidate> &all, random_source &random)
+candidate draw(const std::vector<candidate> &all, random_source &random, const mesh_switches &on)
 {
+    double power = on.cost_draw ? cost_power : 0;
     double total = 0;
     for (const candidate &it : all) {
-        total += std::pow(it.cost, -cost_power);
+        total += std::pow(it.cost, -power);
     }
     double at = draw_fraction(random) * total;
     for (const candidate &it : all) {
-        at -= std::pow(it.cost, -cost_power);
+        at -= std::pow(it.cost, -power);
         if (at <= 0) {
             return it;
         }
@@ -270,7 +272,7 @@
 }
 
 std::string choose_node(const directory &it, const zone_plan &plan, const placement_request &wanted,
-                        random_source &random, time_point now)
+                        random_source &random, time_point now, const mesh_switches &on)
 {
     std::vector<const node_view *> usable;
     for (const auto &[name, view] : it.nodes) {
@@ -283,12 +285,13 @@
     std::vector<candidate> near;
     std::vector<candidate> far;
     for (const node_view *view : usable) {
-        bool is_near = crossings_at(*view, plan, wanted) < fewest + least_saving;
-        (is_near ? near : far).push_back(candidate{view, expected_us(*view, usual_us, now)});
+        bool is_near =
+            !on.own_zone_first || crossings_at(*view, plan, wanted) < fewest + least_saving;
+        (is_near ? near : far).push_back(candidate{view, expected_us(*view, usual_us, now, on)});
     }
-    candidate best = draw(near, random);
+    candidate best = draw(near, random, on);
     if (may_leave_zone(best, now)) {
-        candidate other = draw(far, random);
+        candidate other = draw(far, random, on);
         bool is_better = best.node == nullptr || other.cost * other_zone_cost < best.cost;
         best = other.node != nullptr && is_better ? other : best;
     }
--- a/gullstall/src/mesh/directory.hpp
+++ b/gullstall/src/mesh/directory.hpp
@@ -11,6 +11,7 @@
 #include "gullstall/generated/mesh_generated.h"
 #include "gullstall/settings.hpp"
 #include "gullstall/src/mesh/service_levels.hpp"
+#include "gullstall/src/mesh/switches.hpp"
 #include "gullstall/src/mesh/zone_plan.hpp"
 
 namespace gullstall::mesh {
@@ -88,7 +89,7 @@
 /// Chooses the node to send a call to.
 /// \returns the node's name, empty when no upstream is known to take it
 std::string choose_node(const directory &it, const zone_plan &plan, const placement_request &wanted,
-                        random_source &random, time_point now);
+                        random_source &random, time_point now, const mesh_switches &on = {});
 
 /// \param own name of the asking node
 /// \returns the nodes that have calls from here and were not heard for a while;
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -23,7 +23,7 @@
     refresh_own_view(t);
     placement_request wanted{call.call.service, t.n.settings.node.zone, call.tried, call.route};
     std::string node = call.placements < max_placements
-                           ? choose_node(t.n.nodes, t.n.zones, wanted, t.n.random, t.now)
+                           ? choose_node(t.n.nodes, t.n.zones, wanted, t.n.random, t.now, t.n.on)
                            : std::string();
     if (node.empty()) {
         fail_call(t, id, call.last_reason);
@@ -80,7 +80,7 @@
 bool repeat_call(mesh_turn &t, call_ref id)
 {
     entry_call &call = t.n.calls.at(id);
-    bool allowed = call.handed_over < call.max_attempts &&
+    bool allowed = t.n.on.repeats && call.handed_over < call.max_attempts &&
                    (call.call.idempotent || !call.may_have_run) && t.now < call.expires;
     if (!allowed) {
         return false;
--- a/gullstall/src/mesh/entry_answers.cpp
+++ b/gullstall/src/mesh/entry_answers.cpp
@@ -27,7 +27,8 @@
     auto most = std::min<double>(static_cast<double>(longest_retry_after.count()),
                                  retry_after_part * static_cast<double>(left.count()));
     constexpr double least_part = 0.25;
-    double part = least_part + (1 - least_part) * draw_fraction(t.n.random);
+    double part =
+        t.n.on.spread_returns ? least_part + (1 - least_part) * draw_fraction(t.n.random) : 1;
     return duration(static_cast<std::int64_t>(std::max(0.0, most * part)));
 }
 
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -247,7 +247,7 @@
 
 void ask_quiet_nodes(mesh_turn &t)
 {
-    if (!t.n.guards.ask_quiet_nodes) {
+    if (!t.n.on.ask_quiet_nodes) {
         return;
     }
     for (const std::string &node : nodes_to_ask(t.n.nodes, t.n.settings.node.name, t.now)) {
@@ -262,7 +262,7 @@
 void members_tick(mesh_turn &t)
 {
     ask_quiet_nodes(t);
-    if (t.n.policy) {
+    if (t.n.policy && t.n.on.zone_plan) {
         t.n.zones = plan_zones(*t.n.policy, t.n.plan.calls, zones_of_services(t.n.nodes, t.now));
     }
     if (t.now - t.n.status_spread_at >= status_interval) {
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -23,6 +23,7 @@
 #include "gullstall/src/mesh/repeat_budget.hpp"
 #include "gullstall/src/mesh/run_gate.hpp"
 #include "gullstall/src/mesh/service_levels.hpp"
+#include "gullstall/src/mesh/switches.hpp"
 #include "gullstall/src/mesh/traffic_split.hpp"
 #include "gullstall/src/mesh/zone_plan.hpp"
 
@@ -222,19 +223,11 @@
     std::uint64_t stale_frames = 0;
 };
 
-/// Guards that a test may switch off, to show the failure that each prevents.
-struct mesh_guards
-{
-    bool age_of_frames = true;    ///< off: a call's time left is taken as if it had just been sent
-    bool ask_quiet_nodes = true;  ///< off: a node that fell silent gets calls until it is lost
-    bool chains_need_all = true;  ///< off: only the first service of a chain must be there
-};
-
 /// State of one node. It holds no socket, thread or clock.
 struct mesh_node
 {
     mesh_settings settings;
-    mesh_guards guards;
+    mesh_switches on;
     std::uint64_t incarnation = 0;
     random_source random;
     time_point started_at{};
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -141,7 +141,7 @@
 {
     auto left = duration(static_cast<std::int64_t>(call.left_us));
     auto known = t.n.links.find(link);
-    if (known == t.n.links.end() || !known->second.known || !t.n.guards.age_of_frames) {
+    if (known == t.n.links.end() || !known->second.known || !t.n.on.age_of_frames) {
         return left;
     }
     std::int64_t offset =
@@ -235,6 +235,10 @@
     note_arrival(t.n.demand, call.root, call.share_milli / share_scale);
     run_ref id{++t.n.last_id};
     gate_request request{id, call.priority, call.inner, left};
+    if (!t.n.on.gate_order) {
+        request.priority = 0;
+        request.inner = true;
+    }
     gate_verdict verdict = enter_gate(t.n.gate, request);
     if (verdict == gate_verdict::full) {
         refuse(t, link, call, reason::queue_full);
--- a/gullstall/src/mesh/service_levels.cpp
+++ b/gullstall/src/mesh/service_levels.cpp
@@ -75,7 +75,7 @@
 /// Weighs the routes that use one service. A route that needs little of it is
 /// cut later than its class says: refusing it frees next to nothing. No route is
 /// let in further than one of a more urgent class.
-std::map<std::string, double> weigh(std::vector<service_user> users)
+std::map<std::string, double> weigh(std::vector<service_user> users, const mesh_switches &on)
 {
     std::map<std::string, double> out;
     std::stable_sort(users.begin(), users.end(), [](const service_user &a, const service_user &b) {
@@ -93,7 +93,8 @@
             step *= class_step;
             bound = next_bound;
         }
-        double weight = std::min(bound, step * most_runs / users[i].runs);
+        double lift = on.needs_in_weights ? most_runs / users[i].runs : 1;
+        double weight = std::min(bound, step * lift);
         next_bound = std::min(next_bound, weight);
         out[users[i].route] = weight;
     }
@@ -102,7 +103,7 @@
 
 }  // namespace
 
-void plan_levels(service_levels &it, const traffic_policy &policy)
+void plan_levels(service_levels &it, const traffic_policy &policy, const mesh_switches &on)
 {
     it.needs.clear();
     it.weights.clear();
@@ -120,7 +121,7 @@
         it.needs[route.name] = std::move(needs);
     }
     for (auto &[service, all] : users) {
-        it.weights[service] = weigh(std::move(all));
+        it.weights[service] = weigh(std::move(all), on);
     }
 }
 
@@ -159,7 +160,7 @@
 }
 
 double admitted_share(const service_levels &it, const std::string &route,
-                      const std::map<std::string, service_state> &states)
+                      const std::map<std::string, service_state> &states, const mesh_switches &on)
 {
     auto needs = it.needs.find(route);
     if (needs == it.needs.end()) {
@@ -175,11 +176,14 @@
         }
         chance *= std::pow(1 - state->second.shed, runs);
         auto weight = weights->second.find(route);
-        if (weight != weights->second.end()) {
+        if (on.admission && weight != weights->second.end()) {
             share = std::min(share, state->second.level * weight->second);
         }
     }
     share = std::clamp(share, least_share, 1.0);
+    if (!on.shed_chance) {
+        return share;
+    }
     return std::min(share, std::clamp(chance / hopeful_chance, tried_share, 1.0));
 }
 
--- a/gullstall/src/mesh/service_levels.hpp
+++ b/gullstall/src/mesh/service_levels.hpp
@@ -6,6 +6,7 @@
 
 #include "gullstall/policy.hpp"
 #include "gullstall/src/mesh/call_chain.hpp"
+#include "gullstall/src/mesh/switches.hpp"
 
 namespace gullstall::mesh {
 
@@ -52,7 +53,7 @@
 double level_for(const weighted_demand &demand, double capacity);
 
 /// Works out needs and weights from the policy and the learned calls.
-void plan_levels(service_levels &it, const traffic_policy &policy);
+void plan_levels(service_levels &it, const traffic_policy &policy, const mesh_switches &on = {});
 
 /// \param states of the services that have an upstream
 /// \returns whether each request of \a route needs a service that has none. Let
@@ -64,7 +65,8 @@
 /// \param states by service; a service that is not named is open
 /// \returns the share of the requests of \a route that is let in
 double admitted_share(const service_levels &it, const std::string &route,
-                      const std::map<std::string, service_state> &states);
+                      const std::map<std::string, service_state> &states,
+                      const mesh_switches &on = {});
 
 }  // namespace gullstall::mesh
 
--- a/programs/sidecar.cpp
+++ b/programs/sidecar.cpp
@@ -24,9 +24,19 @@
         ->envname("GULLSTALL_SETTINGS")
         ->required();
     app.add_flag("--check", check, "check the settings, print the effective ones and exit");
+    std::string off;
+    app.add_option("--switch-off", off,
+                   "for trials: mechanisms to do without, with commas between them");
     app.set_version_flag("--version", gullstall::version);
     CLI11_PARSE(app, argc, argv);
 
+    gullstall::mesh::mesh_switches on;
+    auto switched = gullstall::mesh::switch_off(on, off);
+    if (!gullstall::succeeded(switched)) {
+        std::cerr << "gullstall-sidecar: --switch-off: " << gullstall::error_of(switched).message
+                  << "\n";
+        return exit_bad_settings;
+    }
     auto settings = platform::load_settings(file);
     if (!gullstall::succeeded(settings)) {
         std::cerr << "gullstall-sidecar: " << gullstall::error_of(settings).message << "\n";
@@ -36,7 +46,7 @@
         std::cout << gullstall::mesh::print_mesh_settings(gullstall::value_of(settings));
         return 0;
     }
-    auto ended = platform::run_sidecar(gullstall::value_of(settings), file);
+    auto ended = platform::run_sidecar(gullstall::value_of(settings), file, on);
     if (!gullstall::succeeded(ended)) {
         std::cerr << "gullstall-sidecar: " << gullstall::error_of(ended).message << "\n";
         return exit_cannot_run;
--- a/test/unit/mesh_decisions.cpp
+++ b/test/unit/mesh_decisions.cpp
@@ -281,3 +281,17 @@
     calls["d"] = {{"f", 1}};
     CHECK(stay("f") == 1);
 }
+
+TEST_CASE("switches, unknown name, says which")
+{
+    mesh::mesh_switches on;
+    CHECK(succeeded(switch_off(on, "")));
+    CHECK(on == mesh::mesh_switches{});
+    REQUIRE(succeeded(switch_off(on, "repeats,zone_plan")));
+    CHECK_FALSE(on.repeats);
+    CHECK_FALSE(on.zone_plan);
+    CHECK(on.admission);
+    auto failed = switch_off(on, "admission,magic");
+    REQUIRE_FALSE(succeeded(failed));
+    CHECK(error_of(failed).message == "no mechanism 'magic'");
+}
--- a/test/unit/mesh_levels.cpp
+++ b/test/unit/mesh_levels.cpp
@@ -180,7 +180,7 @@
     {
         play(seconds(2), 100, 100, 10);  // the chains are learned
         for (auto &[name, n] : w.nodes) {
-            n.guards.chains_need_all = chains_need_all;
+            n.on.chains_need_all = chains_need_all;
         }
         w.beat("d1", mesh_wire::upstream_state::draining);
         w.beat("d2", mesh_wire::upstream_state::draining);
--- a/test/unit/mesh_path.cpp
+++ b/test/unit/mesh_path.cpp
@@ -128,7 +128,7 @@
 
 TEST_CASE_FIXTURE(mesh_path_fixture, "call held in a cut, age of frames ignored, runs late")
 {
-    w.nodes.at("p1").guards.age_of_frames = false;
+    w.nodes.at("p1").on.age_of_frames = false;
     w.cuts = {{"a1", "p1"}, {"p1", "a1"}};
     w.request("a1", "r1", "/photo/x", seconds(2));
     w.run_for(milliseconds(1500));
@@ -254,7 +254,7 @@
     /// \returns calls that were sent into the cut
     std::size_t play(bool ask)
     {
-        w.nodes.at("a1").guards.ask_quiet_nodes = ask;
+        w.nodes.at("a1").on.ask_quiet_nodes = ask;
         w.cuts = {{"a1", "b1"}, {"b1", "a1"}};
         for (int i = 0; i < 300; ++i) {
             w.at(w.now + milliseconds(5 * i),
