Order the gate's queue by what gets late first, and bound it by time

And calls of requests that had been let in were refused at a queue of four runs a slot, 0.1 s, with 0.6 s left: their requests ended with 500. Ruled out: a fault of the upstreams (their answers were whole), too much let in (the refusals come in the first 0.4 s of a burst, before any measure can know of it).

--- a/gullstall/src/mesh/admission.cpp
+++ b/gullstall/src/mesh/admission.cpp
@@ -114,21 +114,22 @@
     t.n.capacity = capacity_of(t.n.gate);
     t.n.demand_parts = demand_by_weight(t.n.demand, t.n.plan.weights[t.n.upstream.latest->service]);
     double demand = total_demand(t.n.demand_parts);
-    double least_change = told_change * t.n.capacity;
+    double capacity = t.n.capacity.beside_queue;
+    double least_change = told_change * capacity;
     bool has_moved = std::abs(demand - t.n.told_demand) > least_change ||
-                     std::abs(t.n.capacity - t.n.told_capacity) > least_change;
+                     std::abs(capacity - t.n.told_capacity) > least_change;
     bool was_calm = t.n.told_demand < calm_part * t.n.told_capacity;
-    bool is_calm = demand < calm_part * t.n.capacity;
+    bool is_calm = demand < calm_part * capacity;
     if (!has_moved || (was_calm && is_calm)) {
         return;
     }
     t.n.told_demand = demand;
-    t.n.told_capacity = t.n.capacity;
+    t.n.told_capacity = capacity;
     t.out.emplace_back(write_line{write_line::severity::info,
                                   "serve",
                                   "demand-moved",
                                   {{"demand_per_s", std::to_string(to_count(demand))},
-                                   {"capacity_per_s", std::to_string(to_count(t.n.capacity))},
+                                   {"capacity_per_s", std::to_string(to_count(capacity))},
                                    {"running", std::to_string(t.n.gate.running)},
                                    {"waiting", std::to_string(t.n.gate.waiting.size())},
                                    {"slots", std::to_string(t.n.gate.slots)}}});
--- a/gullstall/src/mesh/directory.cpp
+++ b/gullstall/src/mesh/directory.cpp
@@ -122,6 +122,7 @@
     double taking = 0;  ///< slots, less the share that turns calls away
     double shed = 0;    ///< share turned away, weighed by these slots
     double capacity = 0;
+    double full = 0;       ///< capacity when nothing waits
     bool is_known = true;  ///< all upstreams have told their capacity
     weighted_demand demand;
 };
@@ -134,12 +135,24 @@
     it.taking += takes;
     it.shed += takes * shed;
     it.capacity += status.capacity_per_s;
+    it.full += status.full_per_s;
     it.is_known = it.is_known && status.capacity_per_s > 0;
     for (const mesh_wire::demand_part &part : status.demand) {
         it.demand[part.weight_milli() / milli] += part.runs_per_s();
     }
 }
 
+/// \returns the share of the demand of the most urgent class that fits when nothing
+/// else is let in
+double urgent_share(const service_sums &it)
+{
+    double urgent = 0;
+    for (const auto &[weight, per_s] : it.demand) {
+        urgent += weight >= 1 ? per_s : 0;
+    }
+    return urgent > it.full ? it.full / urgent : 1;
+}
+
 /// \returns how often a call crosses between zones when it goes to \a node, and
 /// the calls of its run after it. A little is added for each other zone, so that
 /// the own one is taken where it is as good.
@@ -334,6 +347,7 @@
     for (const auto &[service, sum] : sums) {
         service_state &state = out[service];
         state.level = sum.is_known ? level_for(sum.demand, sum.capacity) : open_level;
+        state.urgent_share = urgent_share(sum);
         state.shed = sum.taking > 0 ? sum.shed / sum.taking : 1;
     }
     return out;
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -39,6 +39,7 @@
     message.correlation = correlation;
     message.left_us = static_cast<std::uint64_t>((call.expires - t.now).count());
     message.sent_us = frame_time_us(t.now);
+    message.due_us = (call.due - t.now).count();
     message.repeat = call.call.repeat || call.handed_over > 0;
     if (node == t.n.settings.node.name) {
         take_call(t, own_link, std::move(message));
@@ -156,9 +157,10 @@
 
 /// Ties the call to the run on the own upstream that makes it, if one does: it
 /// is judged by the request that the run belongs to, and no second time.
-void inherit(mesh_turn &t, mesh_wire::call_message &call, const caller_request &request,
+void inherit(mesh_turn &t, entry_call &entry, const caller_request &request,
              const std::string &route)
 {
+    mesh_wire::call_message &call = entry.call;
     std::optional<run_ref> parent = find_parent(t.n.chain, request.request_id);
     auto run = parent ? t.n.runs.find(*parent) : t.n.runs.end();
     if (run == t.n.runs.end()) {
@@ -169,6 +171,7 @@
     call.repeat = run->second.call.repeat;
     call.root = run->second.call.root;
     call.share_milli = run->second.call.share_milli;
+    entry.due = run->second.due;
     note_child(t.n.chain, run->second.call.route, route);
 }
 
@@ -194,7 +197,7 @@
         return;
     }
     entry_call call;
-    inherit(t, call.call, request, route->name);
+    inherit(t, call, request, route->name);
     if (!call.call.inner && t.n.entry_closes_at && t.now >= *t.n.entry_closes_at) {
         refuse_request(t, id, request, reason::stopping);
         return;
@@ -224,6 +227,7 @@
     call.call.body = std::move(request.body);
     call.call.idempotent = route->repeats == repeatability::idempotent;
     if (!call.call.inner) {
+        call.due = t.now + route->latency_objective;
         call.call.priority = static_cast<std::uint16_t>(std::min(route->priority, max_class));
         earn_repeat(budget_of(t, call.call.service), t.n.settings.retry_ratio);
     }
--- a/gullstall/src/mesh/gate_demand.cpp
+++ b/gullstall/src/mesh/gate_demand.cpp
@@ -74,16 +74,17 @@
     return out;
 }
 
-double capacity_of(const run_gate &it)
+gate_capacity capacity_of(const run_gate &it)
 {
     if (it.run_us <= 0) {
-        return 0;
+        return gate_capacity{};
     }
     constexpr double us_per_s = 1e6;
     double full = it.slots * us_per_s / it.run_us;
     double free = full - static_cast<double>(it.waiting.size()) / work_off_s;
     // Calls that the upstream turns away take no slot.
-    return std::max(free, full * least_part) / (1 - std::min(it.shed, most_shed));
+    double tried = 1 / (1 - std::min(it.shed, most_shed));
+    return gate_capacity{full * tried, std::max(free, full * least_part) * tried};
 }
 
 }  // namespace gullstall::mesh
--- a/gullstall/src/mesh/gate_demand.hpp
+++ b/gullstall/src/mesh/gate_demand.hpp
@@ -50,9 +50,17 @@
 std::vector<mesh_wire::demand_part> demand_by_weight(const gate_demand &it,
                                                      const std::map<std::string, double> &weights);
 
-/// \returns the runs that the upstream takes in a second when all its slots are busy
-/// and what waits is worked off soon; 0 when it has run nothing
-double capacity_of(const run_gate &it);
+/// Runs that an upstream takes in a second when all its slots are busy; 0 when it has
+/// run nothing.
+struct gate_capacity
+{
+    double full = 0;
+    double beside_queue = 0;  ///< less what is needed to work off soon what waits
+
+    bool operator==(const gate_capacity &) const = default;
+};
+
+gate_capacity capacity_of(const run_gate &it);
 
 }  // namespace gullstall::mesh
 
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -82,7 +82,8 @@
     out.run_time_us = load.run_time_us;
     out.wait_us = load.wait_us;
     out.shed_milli = load.shed_milli;
-    out.capacity_per_s = static_cast<std::uint32_t>(t.n.capacity);
+    out.capacity_per_s = static_cast<std::uint32_t>(t.n.capacity.beside_queue);
+    out.full_per_s = static_cast<std::uint32_t>(t.n.capacity.full);
     out.demand = t.n.demand_parts;
     return out;
 }
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -182,6 +182,7 @@
     time_point taken_at{};
     time_point deadline{};  ///< the caller waits no longer
     time_point expires{};   ///< the caller's deadline or the route's timeout, the sooner
+    time_point due{};       ///< an answer to the caller's request is late from then on
     std::optional<sent_call> current;
     std::vector<std::string> tried;
     std::uint32_t placements = 0;   ///< nodes asked
@@ -200,6 +201,7 @@
     time_point arrived_at{};
     time_point deadline{};
     time_point expires{};  ///< the deadline, and once started a grace beyond it
+    time_point due{};      ///< an answer to the caller's request is late from then on
     std::optional<time_point> started_at;
     bool abandoned = false;  ///< nobody waits for the reply any more
 };
@@ -248,7 +250,7 @@
     own_upstream upstream;
     run_gate gate;
     gate_demand demand;
-    double capacity = 0;  ///< of the own upstream, runs a second, as of the last window
+    gate_capacity capacity;  ///< of the own upstream, as of the last window
     std::vector<mesh_wire::demand_part> demand_parts;  ///< as of the last window
     double told_capacity = 0;                          ///< as the other nodes know it
     double told_demand = 0;
--- a/gullstall/src/mesh/run_gate.cpp
+++ b/gullstall/src/mesh/run_gate.cpp
@@ -15,7 +15,9 @@
 constexpr double wait_part = 0.4;
 constexpr double inner_wait_part = 0.8;
 
-/// Longest queue, in slots: what is behind waits as long as this many runs.
+/// Longest queue, in slots, behind which a caller's request may wait: as long as this
+/// many runs. Calls of runs are bound by their time alone. A call that is
+/// turned away for a queue of a tenth of a second ends a request that had seconds left.
 constexpr std::size_t waiting_per_slot = 4;
 
 /// Weight of one run in the moving average of run times.
@@ -25,11 +27,13 @@
 /// fifty count, a tenth of a second of a busy upstream.
 constexpr double shed_weight = 0.02;
 
-/// Rank of a call in the queue: by class, and in a class the calls of runs
-/// first, since the slot of such a run is lost for all others meanwhile.
-std::uint32_t rank_of(const gate_request &it)
+/// By class, and in a class by the moment at which the caller's answer gets late:
+/// a request that needs one short run of a busy service is not held behind the many
+/// calls of requests that have a second left. What is late already waits behind
+/// what can still be in time.
+gate_place place_of(const gate_request &it, std::uint64_t arrival)
 {
-    return 2U * it.priority + (it.inner ? 0 : 1);
+    return gate_place{2U * it.priority + (it.late ? 1 : 0), it.due, arrival};
 }
 
 }  // namespace
@@ -56,13 +60,15 @@
         ++it.running;
         return gate_verdict::start;
     }
-    auto key = std::pair(rank_of(request), it.arrivals++);
-    auto ahead = std::distance(it.waiting.begin(), it.waiting.lower_bound(key));
-    duration wait = expected_wait(it, static_cast<std::size_t>(ahead));
+    gate_place key = place_of(request, it.arrivals++);
+    auto ahead =
+        static_cast<std::size_t>(std::distance(it.waiting.begin(), it.waiting.lower_bound(key)));
+    duration wait = expected_wait(it, ahead);
     double part = request.inner ? inner_wait_part : wait_part;
     bool is_late =
         static_cast<double>(wait.count()) > part * static_cast<double>(request.left.count());
-    if (is_late || it.waiting.size() >= it.slots * waiting_per_slot) {
+    bool is_long = !request.inner && ahead >= it.slots * waiting_per_slot;
+    if (is_late || is_long) {
         return gate_verdict::full;
     }
     it.waiting.emplace(key, request.run);
--- a/gullstall/src/mesh/run_gate.hpp
+++ b/gullstall/src/mesh/run_gate.hpp
@@ -17,10 +17,22 @@
     std::uint16_t priority = 0;  ///< 0 is the most important
     bool inner = false;          ///< made by a run of another upstream
     duration left{};             ///< time until its deadline
+    time_point due{};            ///< the caller's answer is late from then on
+    bool late = false;           ///< it is late already
 
     bool operator==(const gate_request &) const = default;
 };
 
+/// Place in the queue of a gate; the lowest goes first.
+struct gate_place
+{
+    std::uint32_t rank = 0;
+    time_point due{};
+    std::uint64_t arrival = 0;
+
+    auto operator<=>(const gate_place &) const = default;
+};
+
 /// The one way to an upstream: it never has more runs than it has slots, and
 /// what waits is kept here, where it can still be put in order and taken back.
 /// In an upstream's own queue a call can neither be overtaken nor taken back,
@@ -30,7 +42,7 @@
     std::uint32_t slots = 0;
     std::uint32_t running = 0;
     double run_us = 0;  ///< moving average of the time a run holds a slot, 0: not known
-    std::map<std::pair<std::uint32_t, std::uint64_t>, run_ref> waiting;  ///< by rank, arrival
+    std::map<gate_place, run_ref> waiting;
     std::uint64_t arrivals = 0;
     double shed = 0;  ///< moving share of calls that the upstream turned away
 };
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -234,10 +234,13 @@
     }
     note_arrival(t.n.demand, call.root, call.share_milli / share_scale);
     run_ref id{++t.n.last_id};
-    gate_request request{id, call.priority, call.inner, left};
+    // What was under way is taken off here too.
+    time_point due = t.now + duration(call.due_us) + (left - duration(call.left_us));
+    gate_request request{id, call.priority, call.inner, left, due, due <= t.now};
     if (!t.n.on.gate_order) {
         request.priority = 0;
-        request.inner = true;
+        request.late = false;
+        request.due = time_point{};
     }
     gate_verdict verdict = enter_gate(t.n.gate, request);
     if (verdict == gate_verdict::full) {
@@ -250,6 +253,7 @@
     run.arrived_at = t.now;
     run.deadline = t.now + left;
     run.expires = run.deadline;
+    run.due = due;
     run.call = std::move(call);
     t.n.served[{link, run.call.correlation}] = id;
     t.n.run_expiry.emplace(run.expires, id);
--- a/gullstall/src/mesh/service_levels.cpp
+++ b/gullstall/src/mesh/service_levels.cpp
@@ -177,7 +177,8 @@
         chance *= std::pow(1 - state->second.shed, runs);
         auto weight = weights->second.find(route);
         if (on.admission && weight != weights->second.end()) {
-            share = std::min(share, state->second.level * weight->second);
+            double at_least = weight->second >= 1 ? state->second.urgent_share : 0;
+            share = std::min(share, std::max(at_least, state->second.level * weight->second));
         }
     }
     share = std::clamp(share, least_share, 1.0);
--- a/gullstall/src/mesh/service_levels.hpp
+++ b/gullstall/src/mesh/service_levels.hpp
@@ -24,6 +24,10 @@
     /// How much is let in: at level 1 all of the most urgent class and the shares
     /// of the others that go with it.
     double level = open_level;
+    /// Share of the most urgent class that is let in at least: what fits when it is
+    /// alone. What waits may be the work of less urgent requests, behind which the
+    /// urgent don't wait.
+    double urgent_share = 0;
     double shed = 0;  ///< share of the calls that its upstreams turn away
 
     bool operator==(const service_state &) const = default;
--- /dev/null
+++ b/test/unit/mesh_gate_order.cpp
@@ -0,0 +1,124 @@
+#include <doctest/doctest.h>
+
+#include "test/support/mesh_world.hpp"
+
+using namespace gullstall;
+
+namespace {
+
+/// What callers got of the requests that were let in.
+struct outcome_share
+{
+    double in_time = 0;
+    double failed = 0;
+};
+
+/// A busy service with two kinds of callers' requests: short ones of its own, wanted
+/// within a quarter of a second, and lists that need eight of its runs one after the
+/// other and may take more than a second.
+struct shared_leaf_fixture
+{
+    test::mesh_world w{57};
+    int asked = 0;
+
+    shared_leaf_fixture()
+    {
+        traffic_route notice =
+            test::route_of("notice", "/notice/", "leaf", repeatability::non_idempotent, 2);
+        notice.latency_objective = milliseconds(250);
+        traffic_route list =
+            test::route_of("list", "/list/", "front", repeatability::idempotent, 2);
+        list.latency_objective = milliseconds(1200);
+        traffic_route call = test::route_of("call", "/call/", "leaf", repeatability::idempotent, 1);
+        w.policy = test::policy_of(1, {notice, list, call});
+        test::upstream_model front{"front", 300, milliseconds(60)};
+        front.calls["/list/x"] = {"h", "/call/x", 8};
+        for (const char *name : {"f1", "f2"}) {
+            w.add(name, "a", front);
+        }
+        for (const char *name : {"l1", "l2"}) {
+            w.add(name, "a", test::upstream_model{"leaf", 18, milliseconds(25)});
+        }
+    }
+
+    void set(bool mesh::mesh_switches::*which, bool value)
+    {
+        for (auto &[name, node] : w.nodes) {
+            node.on.*which = value;
+        }
+    }
+
+    /// Asks for \a times what the leaf runs, at random moments.
+    void play(duration length, double times)
+    {
+        constexpr double notices = 80;
+        constexpr double lists = 160;
+        for (auto [kind, per_s] : {std::pair("notice", notices), std::pair("list", lists)}) {
+            auto n =
+                static_cast<int>(times * per_s * std::chrono::duration<double>(length).count());
+            for (int i = 0; i < n; ++i) {
+                auto when = static_cast<std::int64_t>(draw_fraction(w.random) *
+                                                      static_cast<double>(length.count()));
+                w.at(w.now + duration(when), [this, name = std::string(kind)] {
+                    std::string id = name + "-" + std::to_string(++asked);
+                    const char *entries[] = {"f1", "f2", "l1", "l2"};
+                    w.request(entries[asked % 4], id, "/" + name + "/x",
+                              name == "notice" ? seconds(1) : seconds(5));
+                });
+            }
+        }
+        w.run_for(length);
+    }
+
+    outcome_share outcome(const std::string &kind, duration objective, time_point since) const
+    {
+        outcome_share out;
+        double all = 0;
+        for (const auto &[id, it] : w.results) {
+            if (id.compare(0, kind.size() + 1, kind + "-") != 0 || it.asked_at < since) {
+                continue;
+            }
+            if (it.why == mesh_wire::reason::overload) {
+                continue;
+            }
+            ++all;
+            bool is_good = it.status == 200;
+            out.in_time += is_good && it.answered_at - it.asked_at <= objective ? 1 : 0;
+            out.failed += !is_good && it.status != 503 ? 1 : 0;
+        }
+        out.in_time /= all;
+        out.failed /= all;
+        return out;
+    }
+};
+
+}  // namespace
+
+// Story: a burst comes, and for some tenths of a second more is let in than the busy
+// service runs. Notices need one short run of it and wait behind the calls of lists,
+// which have a second left: notices are late, or refused after they waited.
+TEST_CASE_FIXTURE(shared_leaf_fixture, "busy leaf, burst, short requests are answered in time")
+{
+    bool ordered = true;
+    SUBCASE("ordered by what gets late first") {}
+    SUBCASE("in order of arrival")
+    {
+        ordered = false;
+    }
+    w.run_for(seconds(1));
+    set(&mesh::mesh_switches::gate_order, ordered);
+    play(seconds(3), 0.7);
+    time_point burst = w.now;
+    play(seconds(2), 2.5);
+    w.run_for(seconds(5));
+    outcome_share notice = outcome("notice", milliseconds(250), burst);
+    outcome_share list = outcome("list", milliseconds(1200), burst);
+    MESSAGE("ordered ", ordered, " notices in time ", notice.in_time, " failed ", notice.failed,
+            " lists in time ", list.in_time, " failed ", list.failed);
+    if (ordered) {
+        CHECK(notice.in_time > 0.95);
+    } else {
+        CHECK(notice.in_time < 0.9);
+    }
+    CHECK(list.failed < 0.02);
+}
