Dial lost nodes again within 0.7 s of the end of a cut

An attempt had one second, and up to another second was waited between two. Ruled out: the store (the addresses are known), the kernel's own repeats (the attempt ends before). Change: an attempt has 0.4 s, the longest pause is 0.3 s. No test of its own in virtual time: the dialling is sockets' work; test_peer_links covers a node that comes back.

--- a/gullstall/src/edge/peer_links.cpp
+++ b/gullstall/src/edge/peer_links.cpp
@@ -25,9 +25,12 @@
 /// statuses and a ping were missed.
 constexpr duration silent_time = milliseconds(1600);
 
-constexpr std::chrono::milliseconds dial_timeout(1000);
+/// Time for a connection to come about. After a cut nodes find each other within this
+/// time and the longest backoff: until then a zone that lacks a service refuses all
+/// that needs it, though the cut is over.
+constexpr std::chrono::milliseconds dial_timeout(400);
 constexpr duration first_backoff = milliseconds(100);
-constexpr duration longest_backoff = milliseconds(1000);
+constexpr duration longest_backoff = milliseconds(300);
 constexpr std::chrono::milliseconds accept_pause(10);
 
 }  // namespace
