Keep chains in the store, learn them from whole runs, time returns by the reason

For 1.5 s requests are let in whose calls meet services that are not heard yet, and fail: about 780 answers 500 in 2 s. Ruled out: slow starts (all nodes run 0.6 s after the fault), the policy (read within 0.1 s). Kept for the callers: an order that fails with 500 can't be sent again, a refused one can. Every mechanism has its switch.

--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -161,6 +161,10 @@
                 upstream_.forget_connections();
             } else if constexpr (std::is_same_v<kind, mesh::connect_node>) {
                 peers_.connect(it.address);
+            } else if constexpr (std::is_same_v<kind, mesh::keep_chain>) {
+                if (keep_chain_) {
+                    keep_chain_(std::move(it));
+                }
             } else {
                 static_assert(std::is_same_v<kind, write_line>, "an action is not carried out");
                 log_.write(it);
@@ -293,6 +297,16 @@
     step([&](mesh_turn &t) { take_address(t, address); });
 }
 
+void mesh_daemon::kept_chain(const std::string &route, const mesh::calls_per_run &calls)
+{
+    step([&](mesh_turn &t) { take_kept_chain(t, route, calls); });
+}
+
+void mesh_daemon::keep_chains(std::function<void(mesh::keep_chain &&)> keep)
+{
+    keep_chain_ = std::move(keep);
+}
+
 void mesh_daemon::log(const write_line &line)
 {
     log_.write(line);
--- a/gullstall/src/edge/mesh_daemon.hpp
+++ b/gullstall/src/edge/mesh_daemon.hpp
@@ -41,6 +41,10 @@
     /// The platform's store tells a policy, or a node's address.
     void policy_text(const std::string &text, const char *source);
     void address(const mesh::node_address &address);
+    void kept_chain(const std::string &route, const mesh::calls_per_run &calls);
+
+    /// Sets what keeps chains in the store; without it they are not kept.
+    void keep_chains(std::function<void(mesh::keep_chain &&)> keep);
 
     void log(const mesh::write_line &line);
 
@@ -77,6 +81,7 @@
     mesh::mesh_settings settings_;
     platform_dialect dialect_;
     mesh::mesh_node node_;
+    std::function<void(mesh::keep_chain &&)> keep_chain_;
     line_log log_;
     http_edge callers_;
     http_edge metrics_;
--- a/gullstall/src/mesh/admission.cpp
+++ b/gullstall/src/mesh/admission.cpp
@@ -81,6 +81,10 @@
             t.n.plan_is_old = true;
             changed = true;
         }
+        if (learned && has_changed(t.n.kept_calls[route], *learned)) {
+            t.n.kept_calls[route] = *learned;
+            t.out.emplace_back(keep_chain{route, *learned});
+        }
     }
     return changed;
 }
@@ -98,9 +102,12 @@
     if (t.n.on.chains_need_all && lacks_service(t.n.plan, route, t.n.states)) {
         return entry_verdict{mesh_wire::reason::no_upstream, 0};
     }
-    double share = admitted_share(t.n.plan, route, t.n.states, t.n.on);
+    admitted_shares shares = shares_of(t.n.plan, route, t.n.states, t.n.on);
+    double share = admitted_share(shares);
     if (place >= share) {
-        return entry_verdict{mesh_wire::reason::overload, share};
+        bool has_room = place < shares.by_room;
+        return entry_verdict{has_room ? mesh_wire::reason::shed : mesh_wire::reason::overload,
+                             share};
     }
     return entry_verdict{std::nullopt, share};
 }
@@ -149,6 +156,17 @@
     }
 }
 
+void take_kept_chain(mesh_turn &t, const std::string &route, const calls_per_run &calls)
+{
+    t.n.kept_calls[route] = calls;
+    if (!t.n.on.kept_chains) {
+        return;
+    }
+    if (t.n.plan.calls.emplace(route, calls).second) {
+        t.n.plan_is_old = true;
+    }
+}
+
 void take_chain_news(mesh_turn &t, const mesh_wire::chain_news_message &news)
 {
     for (const auto &entry : news.entries) {
--- a/gullstall/src/mesh/call_chain.cpp
+++ b/gullstall/src/mesh/call_chain.cpp
@@ -18,9 +18,25 @@
 
 void note_run(call_chain &it, run_ref run, const std::string &request_id, const std::string &route)
 {
-    it.open[request_id] = run;
-    call_chain::observed &seen = it.below[route];
+    it.open[request_id] = call_chain::open_run{run, route, {}};
+}
+
+void note_run_end(call_chain &it, run_ref run, const std::string &request_id, bool ended_well)
+{
+    auto found = it.open.find(request_id);
+    if (found == it.open.end() || found->second.run != run) {
+        return;
+    }
+    call_chain::open_run ended = std::move(found->second);
+    it.open.erase(found);
+    if (!ended_well) {
+        return;
+    }
+    call_chain::observed &seen = it.below[ended.route];
     seen.runs += 1;
+    for (const auto &[route, calls] : ended.calls) {
+        seen.calls[route] += calls;
+    }
     if (seen.runs > most_runs) {
         seen.runs /= 2;
         for (auto &[name, calls] : seen.calls) {
@@ -29,14 +45,6 @@
     }
 }
 
-void note_run_end(call_chain &it, run_ref run, const std::string &request_id)
-{
-    auto found = it.open.find(request_id);
-    if (found != it.open.end() && found->second == run) {
-        it.open.erase(found);
-    }
-}
-
 std::optional<run_ref> find_parent(const call_chain &it, const std::string &request_id)
 {
     // The id of a call is that of its run, a separator, and a part of its own.
@@ -47,12 +55,15 @@
     }
     auto length = static_cast<std::size_t>(std::distance(last, request_id.rend())) - 1;
     auto found = it.open.find(request_id.substr(0, length));
-    return found == it.open.end() ? std::nullopt : std::optional(found->second);
+    return found == it.open.end() ? std::nullopt : std::optional(found->second.run);
 }
 
-void note_child(call_chain &it, const std::string &parent_route, const std::string &route)
+void note_child(call_chain &it, const std::string &parent_id, const std::string &route)
 {
-    it.below[parent_route].calls[route] += 1;
+    auto found = it.open.find(parent_id);
+    if (found != it.open.end()) {
+        found->second.calls[route] += 1;
+    }
 }
 
 std::optional<calls_per_run> learned_calls(const call_chain &it, const std::string &route)
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -172,7 +172,7 @@
     call.root = run->second.call.root;
     call.share_milli = run->second.call.share_milli;
     entry.due = run->second.due;
-    note_child(t.n.chain, run->second.call.route, route);
+    note_child(t.n.chain, run->second.call.request_id, route);
 }
 
 /// \returns the place of a request among all, evenly spread over [0, 1)
--- a/gullstall/src/mesh/entry_answers.cpp
+++ b/gullstall/src/mesh/entry_answers.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "gullstall/overload.hpp"
+#include "gullstall/src/mesh/return_time.hpp"
 
 namespace gullstall::mesh {
 
@@ -10,26 +10,27 @@
 
 namespace {
 
-/// Longest advice on when to come back.
-constexpr duration longest_retry_after = milliseconds(1500);
-
-/// Part of the time left within which a caller is told to come back: later it
-/// would give up instead.
-constexpr double retry_after_part = 0.3;
+/// Time left that is assumed of a caller that told no deadline.
+constexpr duration assumed_left = seconds(5);
 
 /// Good answers for each one that is logged; the line says so.
 constexpr std::uint64_t answers_per_line = 100;
 
-/// \returns when a refused caller should come back: spread evenly, so that
-/// callers refused together don't return together
-duration draw_retry_after(mesh_turn &t, duration left)
+/// \returns the time until a return may find what is missing now
+duration until_better(const mesh_turn &t, reason why, duration left)
+{
+    if (why == reason::shed) {
+        return left;  // the upstreams' trouble outlasts any return that is soon
+    }
+    bool is_missing = why == reason::no_upstream || why == reason::no_policy;
+    milliseconds interval(t.n.settings.upstream.heartbeat_interval_ms);
+    return is_missing ? t.n.started_at + interval - t.now : duration{};
+}
+
+duration return_time(mesh_turn &t, reason why, duration left)
 {
-    auto most = std::min<double>(static_cast<double>(longest_retry_after.count()),
-                                 retry_after_part * static_cast<double>(left.count()));
-    constexpr double least_part = 0.25;
-    double part =
-        t.n.on.spread_returns ? least_part + (1 - least_part) * draw_fraction(t.n.random) : 1;
-    return duration(static_cast<std::int64_t>(std::max(0.0, most * part)));
+    refusal it{left, t.n.on.timed_returns ? until_better(t, why, left) : duration{}};
+    return t.n.on.spread_returns ? draw_return_time(it, t.n.random) : latest_return_time(it);
 }
 
 std::uint16_t status_of(reason why, bool may_have_run)
@@ -86,12 +87,12 @@
 
 void refuse_request(mesh_turn &t, call_ref id, const caller_request &request, reason why)
 {
-    duration left = request.time_left.value_or(longest_retry_after);
+    duration left = request.time_left.value_or(assumed_left);
     caller_answer answer;
     answer.status = status_of(why, false);
     answer.why = why;
     if (why != reason::no_route) {
-        answer.retry_after = draw_retry_after(t, left);
+        answer.retry_after = return_time(t, why, left);
     }
     count_answer(t, "", "refused", reason_name(why));
     t.out.emplace_back(
@@ -116,7 +117,7 @@
     answer.status = status_of(why, call.may_have_run);
     bool is_refusal = !call.may_have_run && why != reason::timed_out;
     if (is_refusal) {
-        answer.retry_after = draw_retry_after(t, call.expires - t.now);
+        answer.retry_after = return_time(t, why, call.expires - t.now);
     }
     count_answer(t, call.route, is_refusal ? "refused" : "failed", reason_name(why));
     t.out.emplace_back(
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -136,6 +136,13 @@
     node_address address;
 };
 
+/// Keep what runs of a route call where it outlives all nodes.
+struct keep_chain
+{
+    std::string route;
+    calls_per_run calls;
+};
+
 /// One field of a log line.
 struct log_field
 {
@@ -159,7 +166,7 @@
 
 /// All that a node may ask of its surroundings.
 using mesh_action = std::variant<answer_caller, send_to_node, send_to_link, start_run, cancel_run,
-                                 upstream_replaced, connect_node, write_line>;
+                                 upstream_replaced, connect_node, keep_chain, write_line>;
 
 /// Actions in the order in which they are to be carried out.
 using mesh_actions = std::vector<mesh_action>;
@@ -258,6 +265,7 @@
     service_levels plan;
     bool plan_is_old = true;  ///< the policy or what is known of the chains has changed
     std::map<std::string, calls_per_run> told_calls;  ///< of this node's upstream
+    std::map<std::string, calls_per_run> kept_calls;  ///< by route, as the store has them
     std::map<std::string, service_state> states;      ///< by service, as of states_at
     time_point states_at{};
     zone_plan zones;
@@ -349,6 +357,8 @@
 void take_policy_fetch(mesh_turn &t, link_ref link);
 void take_ping(mesh_turn &t, link_ref link);
 void take_chain_news(mesh_turn &t, const mesh_wire::chain_news_message &news);
+/// Takes what the store has kept of a route's calls. What was learned since goes first.
+void take_kept_chain(mesh_turn &t, const std::string &route, const calls_per_run &calls);
 mesh_wire::node_load_message own_load(mesh_node &n);
 void stop_node(mesh_turn &t);
 mesh_wire::node_status_message own_status(mesh_turn &t);
--- a/gullstall/src/mesh/run_gate.cpp
+++ b/gullstall/src/mesh/run_gate.cpp
@@ -67,7 +67,7 @@
     double part = request.inner ? inner_wait_part : wait_part;
     bool is_late =
         static_cast<double>(wait.count()) > part * static_cast<double>(request.left.count());
-    bool is_long = !request.inner && ahead >= it.slots * waiting_per_slot;
+    bool is_long = request.bound_by_length && ahead >= it.slots * waiting_per_slot;
     if (is_late || is_long) {
         return gate_verdict::full;
     }
--- a/gullstall/src/mesh/run_gate.hpp
+++ b/gullstall/src/mesh/run_gate.hpp
@@ -14,11 +14,12 @@
 struct gate_request
 {
     run_ref run{};
-    std::uint16_t priority = 0;  ///< 0 is the most important
-    bool inner = false;          ///< made by a run of another upstream
-    duration left{};             ///< time until its deadline
-    time_point due{};            ///< the caller's answer is late from then on
-    bool late = false;           ///< it is late already
+    std::uint16_t priority = 0;   ///< 0 is the most important
+    bool inner = false;           ///< made by a run of another upstream
+    duration left{};              ///< time until its deadline
+    time_point due{};             ///< the caller's answer is late from then on
+    bool late = false;            ///< it is late already
+    bool bound_by_length = true;  ///< it may be refused for what is ahead of it alone
 
     bool operator==(const gate_request &) const = default;
 };
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -50,7 +50,7 @@
 }
 
 /// Takes the run out of all tables; its slot is not touched.
-gate_call forget_run(mesh_turn &t, run_ref id)
+gate_call forget_run(mesh_turn &t, run_ref id, bool ended_well = false)
 {
     auto found = t.n.runs.find(id);
     gate_call run = std::move(found->second);
@@ -58,7 +58,7 @@
     t.n.served.erase({run.link, run.call.correlation});
     erase_expiry(t.n.run_expiry, run.expires, run.id);
     if (run.started_at) {
-        note_run_end(t.n.chain, id, run.call.request_id);
+        note_run_end(t.n.chain, id, run.call.request_id, ended_well);
     }
     return run;
 }
@@ -242,6 +242,7 @@
         request.late = false;
         request.due = time_point{};
     }
+    request.bound_by_length = !request.inner || !t.n.on.patient_calls;
     gate_verdict verdict = enter_gate(t.n.gate, request);
     if (verdict == gate_verdict::full) {
         refuse(t, link, call, reason::queue_full);
@@ -280,8 +281,10 @@
         return;  // broken off before
     }
     duration held = t.now - found->second.started_at.value_or(t.now);
-    gate_call run = forget_run(t, id);
     bool answered = result.end == run_end::answered;
+    constexpr std::uint16_t first_error = 400;
+    gate_call run =
+        forget_run(t, id, !t.n.on.whole_runs || (answered && result.status < first_error));
     give_back_slot(t.n.gate, answered ? std::optional(held) : std::nullopt);
     note_latency(t.n.latencies.run, held);
     note_shed(t.n.gate, result.end == run_end::not_executed);
--- a/gullstall/src/mesh/service_levels.cpp
+++ b/gullstall/src/mesh/service_levels.cpp
@@ -159,14 +159,15 @@
     });
 }
 
-double admitted_share(const service_levels &it, const std::string &route,
-                      const std::map<std::string, service_state> &states, const mesh_switches &on)
+admitted_shares shares_of(const service_levels &it, const std::string &route,
+                          const std::map<std::string, service_state> &states,
+                          const mesh_switches &on)
 {
+    admitted_shares out;
     auto needs = it.needs.find(route);
     if (needs == it.needs.end()) {
-        return 1;
+        return out;
     }
-    double share = 1;
     double chance = 1;  // that no call of the whole chain is turned away
     for (const auto &[service, runs] : needs->second) {
         auto state = states.find(service);
@@ -177,15 +178,22 @@
         chance *= std::pow(1 - state->second.shed, runs);
         auto weight = weights->second.find(route);
         if (on.admission && weight != weights->second.end()) {
-            double at_least = weight->second >= 1 ? state->second.urgent_share : 0;
-            share = std::min(share, std::max(at_least, state->second.level * weight->second));
+            bool is_urgent = on.urgent_share && weight->second >= 1;
+            double at_least = is_urgent ? state->second.urgent_share : 0;
+            out.by_room =
+                std::min(out.by_room, std::max(at_least, state->second.level * weight->second));
         }
     }
-    share = std::clamp(share, least_share, 1.0);
-    if (!on.shed_chance) {
-        return share;
+    out.by_room = std::clamp(out.by_room, least_share, 1.0);
+    if (on.shed_chance) {
+        out.by_chance = std::clamp(chance / hopeful_chance, tried_share, 1.0);
     }
-    return std::min(share, std::clamp(chance / hopeful_chance, tried_share, 1.0));
+    return out;
+}
+
+double admitted_share(const admitted_shares &it)
+{
+    return std::min(it.by_room, it.by_chance);
 }
 
 }  // namespace gullstall::mesh
--- a/gullstall/src/mesh/service_levels.hpp
+++ b/gullstall/src/mesh/service_levels.hpp
@@ -66,11 +66,22 @@
 bool lacks_service(const service_levels &it, const std::string &route,
                    const std::map<std::string, service_state> &states);
 
+/// Shares of a route's requests that are let in, by what bounds them.
+struct admitted_shares
+{
+    double by_room = 1;    ///< what its services have room for
+    double by_chance = 1;  ///< what may come through upstreams that turn calls away
+
+    bool operator==(const admitted_shares &) const = default;
+};
+
 /// \param states by service; a service that is not named is open
-/// \returns the share of the requests of \a route that is let in
-double admitted_share(const service_levels &it, const std::string &route,
-                      const std::map<std::string, service_state> &states,
-                      const mesh_switches &on = {});
+admitted_shares shares_of(const service_levels &it, const std::string &route,
+                          const std::map<std::string, service_state> &states,
+                          const mesh_switches &on = {});
+
+/// \returns the share that both bounds let in
+double admitted_share(const admitted_shares &it);
 
 }  // namespace gullstall::mesh
 
--- a/gullstall/src/mesh/switches.cpp
+++ b/gullstall/src/mesh/switches.cpp
@@ -28,6 +28,11 @@
     named_switch{"packed_frames", &mesh_switches::packed_frames},
     named_switch{"repeats", &mesh_switches::repeats},
     named_switch{"gate_order", &mesh_switches::gate_order},
+    named_switch{"patient_calls", &mesh_switches::patient_calls},
+    named_switch{"urgent_share", &mesh_switches::urgent_share},
+    named_switch{"kept_chains", &mesh_switches::kept_chains},
+    named_switch{"whole_runs", &mesh_switches::whole_runs},
+    named_switch{"timed_returns", &mesh_switches::timed_returns},
     named_switch{"spread_returns", &mesh_switches::spread_returns},
 };
 
--- a/gullstall/src/mesh/switches.hpp
+++ b/gullstall/src/mesh/switches.hpp
@@ -24,6 +24,11 @@
     bool packed_frames = true;     ///< off: frames between zones are not packed
     bool repeats = true;           ///< off: nothing is handed to a second upstream
     bool gate_order = true;        ///< off: calls wait for a slot in the order in which they came
+    bool patient_calls = true;     ///< off: calls of runs are bound by the queue's length too
+    bool urgent_share = true;      ///< off: what waits lowers what is let in of all classes
+    bool kept_chains = true;       ///< off: what runs call is not kept in the store
+    bool whole_runs = true;        ///< off: chains are learned from runs that failed, too
+    bool timed_returns = true;     ///< off: callers come back as soon whatever they met
     bool spread_returns = true;    ///< off: refused callers are all told the same time
 
     bool operator==(const mesh_switches &) const = default;
--- a/test/platform/formats.cpp
+++ b/test/platform/formats.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include "platform/chain_rows.hpp"
 #include "platform/heartbeat.hpp"
 #include "platform/node_rows.hpp"
 #include "platform/operator_policy.hpp"
@@ -192,3 +193,14 @@
     CHECK(answer.version == 9);
     CHECK(answer.has_more);
 }
+
+TEST_CASE("chain row, printed, is read back, and bad content is refused")
+{
+    mesh::calls_per_run calls{{"roster", 2.0}, {"index", 0.5}};
+    auto read = platform::read_chain_row(platform::print_chain_row(calls));
+    REQUIRE(succeeded(read));
+    CHECK(value_of(read) == calls);
+    CHECK_FALSE(succeeded(platform::read_chain_row("{")));
+    CHECK_FALSE(succeeded(platform::read_chain_row(R"({"roster":"2"})")));
+    CHECK_FALSE(succeeded(platform::read_chain_row(R"({"roster":-1})")));
+}
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -67,6 +67,7 @@
     std::map<std::string, caller_result> results;     ///< by request id
     std::vector<upstream_run> runs;
     std::vector<mesh::write_line> lines;
+    std::map<std::string, mesh::calls_per_run> kept;  ///< chains, as the store has them
     /// Frames between these two wait until the cut is healed.
     std::set<std::pair<std::string, std::string>> cuts;
     std::set<std::string> frozen;  ///< nodes that do nothing for now
@@ -421,6 +422,11 @@
 
     void carry_out(const std::string &, mesh::upstream_replaced &) {}
 
+    void carry_out(const std::string &, mesh::keep_chain &it)
+    {
+        kept[it.route] = it.calls;
+    }
+
     std::priority_queue<entry> queue_;
     std::uint64_t last_ = 0;
     std::uint64_t beats_ = 0;
--- a/test/unit/mesh_decisions.cpp
+++ b/test/unit/mesh_decisions.cpp
@@ -106,7 +106,7 @@
     gate.run_us = 10000;
     auto waits = [&](std::uint64_t run, std::uint16_t priority, bool inner, int due_ms, bool late) {
         time_point due{milliseconds(due_ms)};
-        return enter_gate(gate, {run_ref{run}, priority, inner, seconds(1), due, late}) ==
+        return enter_gate(gate, {run_ref{run}, priority, inner, seconds(1), due, late, !inner}) ==
                gate_verdict::wait;
     };
     CHECK_FALSE(waits(1, 2, false, 900, false));  // has the slot
@@ -132,12 +132,15 @@
     gate.running = 10;
     gate.run_us = 20000;
     constexpr std::uint64_t many = 100;
+    auto call_of_run = [&](std::uint64_t run, duration left) {
+        return enter_gate(gate, {run_ref{run}, 2, true, left, {}, false, false});
+    };
     for (std::uint64_t i = 1; i <= many; ++i) {
-        REQUIRE(enter_gate(gate, {run_ref{i}, 2, true, milliseconds(700)}) == gate_verdict::wait);
+        REQUIRE(call_of_run(i, milliseconds(700)) == gate_verdict::wait);
     }
     CHECK(enter_gate(gate, {run_ref{many + 1}, 2, false, seconds(2)}) == gate_verdict::full);
     CHECK(enter_gate(gate, {run_ref{many + 2}, 0, false, seconds(2)}) == gate_verdict::wait);
-    CHECK(enter_gate(gate, {run_ref{many + 3}, 2, true, milliseconds(100)}) == gate_verdict::full);
+    CHECK(call_of_run(many + 3, milliseconds(100)) == gate_verdict::full);
 }
 
 TEST_CASE("gate with a queue, call that would wait too long, is refused")
@@ -217,7 +220,7 @@
     CHECK_FALSE(find_parent(chain, "abc.12"));
     CHECK_FALSE(find_parent(chain, "abc"));
     CHECK_FALSE(find_parent(chain, ""));
-    note_run_end(chain, run_ref{7}, "abc.12");
+    note_run_end(chain, run_ref{7}, "abc.12", true);
     CHECK_FALSE(find_parent(chain, "abc.12.9f"));
 }
 
--- a/test/unit/mesh_levels.cpp
+++ b/test/unit/mesh_levels.cpp
@@ -167,8 +167,8 @@
     CHECK(weights.at("lookup") == 1);
     CHECK(weights.at("list") == doctest::Approx(mesh::class_step * mesh::class_step));
     CHECK(weights.count("deep-call") == 0);
-    CHECK(mesh::admitted_share(plan, "list", {{"deep", {1.0, 0}}}) < 0.25);
-    CHECK(mesh::admitted_share(plan, "order", {{"deep", {1.0, 0}}}) == 1);
+    CHECK(admitted_share(shares_of(plan, "list", {{"deep", {1.0, 0}}})) < 0.25);
+    CHECK(admitted_share(shares_of(plan, "order", {{"deep", {1.0, 0}}})) == 1);
 }
 
 namespace {
--- /dev/null
+++ b/test/unit/mesh_return_time.cpp
@@ -0,0 +1,106 @@
+#include <doctest/doctest.h>
+
+#include "gullstall/src/mesh/return_time.hpp"
+#include "test/support/mesh_world.hpp"
+
+using namespace gullstall;
+
+TEST_CASE("return, too much load, is soon, spread and within the caller's time")
+{
+    random_source random(7);
+    mesh::refusal it{seconds(5), duration{}};
+    duration least = seconds(5);
+    duration most{};
+    for (int i = 0; i < 1000; ++i) {
+        duration drawn = draw_return_time(it, random);
+        least = std::min(least, drawn);
+        most = std::max(most, drawn);
+    }
+    CHECK(least >= milliseconds(100));
+    CHECK(most <= milliseconds(500));
+    CHECK(most - least > milliseconds(300));
+    CHECK(mesh::latest_return_time({milliseconds(-5), duration{}}) == duration{});
+}
+
+TEST_CASE("return, upstreams not heard yet, is when they will be, if the caller has the time")
+{
+    CHECK(mesh::latest_return_time({seconds(5), milliseconds(1200)}) == milliseconds(1200));
+    CHECK(mesh::latest_return_time({seconds(1), milliseconds(1200)}) == milliseconds(300));
+}
+
+namespace {
+
+/// Lists need a deep service eight times. All nodes lose power and start again; the
+/// deep upstreams announce themselves a second after the others.
+struct power_back_fixture
+{
+    test::mesh_world w{91};
+
+    power_back_fixture()
+    {
+        w.policy = test::policy_of(
+            1, {test::route_of("list", "/list/", "front", repeatability::idempotent, 2),
+                test::route_of("call", "/call/", "deep", repeatability::idempotent, 1)});
+        test::upstream_model front{"front", 100, milliseconds(30)};
+        front.calls["/list/x"] = {"h", "/call/x", 8};
+        w.add("f1", "a", front);
+        w.add("f2", "a", front);
+        w.add("d1", "a", test::upstream_model{"deep", 20, milliseconds(10)});
+        w.run_for(seconds(1));
+    }
+
+    void ask_lists(int from, int to)
+    {
+        for (int i = from; i < to; ++i) {
+            w.at(w.now + milliseconds(10 * (i - from)), [this, i] {
+                w.request(i % 2 == 0 ? "f1" : "f2", "list-" + std::to_string(i), "/list/x",
+                          seconds(5));
+            });
+        }
+    }
+};
+
+}  // namespace
+
+// Story: all machines lose power. When they are back, the deep service is heard a
+// second later than the others. Lists are let in and fail with 500 at their first
+// call, and their callers may not come again. With the chains that the store has kept
+// they are refused at once, with the time at which the deep service will be heard.
+TEST_CASE_FIXTURE(power_back_fixture,
+                  "power back, deep service missing, lists are refused, not failed")
+{
+    bool kept = true;
+    SUBCASE("chains kept in the store") {}
+    SUBCASE("chains to be learned anew")
+    {
+        kept = false;
+    }
+    ask_lists(0, 100);
+    w.run_for(seconds(3));
+    REQUIRE(w.kept.count("list") == 1);
+    CHECK(w.kept["list"].at("call") > 7);
+    for (const char *name : {"f1", "f2", "d1"}) {
+        w.start(name, "a");
+        if (kept) {
+            w.step(name, [&](mesh::mesh_turn &t) { take_kept_chain(t, "list", w.kept["list"]); });
+        }
+    }
+    w.beat("f1");
+    w.beat("f2");
+    w.run_for(milliseconds(200));
+    ask_lists(100, 150);
+    w.run_for(seconds(2));
+    int refused = 0;
+    for (int i = 100; i < 150; ++i) {
+        const test::caller_result &it = w.results.at("list-" + std::to_string(i));
+        refused += it.status == 503 ? 1 : 0;
+        if (it.status == 503 && kept) {
+            REQUIRE(it.retry_after);
+            CHECK(*it.retry_after <= milliseconds(1500));
+        }
+    }
+    MESSAGE("kept ", kept, " refused ", refused);
+    CHECK((refused == 50) == kept);
+    // What failed at its first call must not make the chain look shorter.
+    CHECK(w.kept["list"].at("call") > 7);
+}
