Log when a node falls silent and when it is heard again

Cause: a node that gives no sign gets no calls, a belief that changed without a line; on call nobody could tell a silent node from a full one. Also: a comment that told how its constant was tuned. Test: mesh_path, silent cut.

--- a/gullstall/src/mesh/directory.cpp
+++ b/gullstall/src/mesh/directory.cpp
@@ -324,6 +324,19 @@
     return out;
 }
 
+std::vector<silence_change> silence_changes(directory &it, time_point now)
+{
+    std::vector<silence_change> out;
+    for (auto &[name, view] : it.nodes) {
+        bool silent = is_silent(view, now);
+        if (silent != view.told_silent) {
+            view.told_silent = silent;
+            out.push_back(silence_change{name, silent, view.in_flight});
+        }
+    }
+    return out;
+}
+
 service_zones zones_of_services(const directory &it, time_point now)
 {
     service_zones out;
--- a/gullstall/src/mesh/directory.hpp
+++ b/gullstall/src/mesh/directory.hpp
@@ -36,6 +36,7 @@
     time_point status_at{};  ///< when the node was last heard
     /// Since when it owes a sign of life; none: it was heard after it was asked.
     std::optional<time_point> asked_at;
+    bool told_silent = false;      ///< silence_changes has told that it gives no sign
     std::uint32_t sent_since = 0;  ///< calls sent since the status was heard
     std::uint32_t in_flight = 0;   ///< calls from here that have no reply yet
     double failures = 0;           ///< moving share of calls that failed, 0 to 1
@@ -96,6 +97,19 @@
 /// they count as asked for a sign from now on
 std::vector<std::string> nodes_to_ask(directory &it, const std::string &own, time_point now);
 
+/// A node that has fallen silent, or is heard again.
+struct silence_change
+{
+    std::string node;
+    bool silent = false;
+    std::uint32_t in_flight = 0;  ///< calls from here that have no reply yet
+
+    bool operator==(const silence_change &) const = default;
+};
+
+/// \returns what has changed since the last call
+std::vector<silence_change> silence_changes(directory &it, time_point now);
+
 /// \returns the zones that have an upstream that takes work, by service
 service_zones zones_of_services(const directory &it, time_point now);
 
--- a/gullstall/src/mesh/gate_demand.cpp
+++ b/gullstall/src/mesh/gate_demand.cpp
@@ -17,9 +17,9 @@
 /// A route whose demand has faded below this is forgotten, calls a second.
 constexpr double least_demand = 0.05;
 
-/// Time in which what waits is to be worked off. All slots are planned for, and
-/// the queue alone says when that is too much: half of it lets slots idle (3 % of
-/// the calls refused at nine tenths of the load that the slots can take, against 1 %).
+/// Time in which what waits is to be worked off. All slots are planned for, and the
+/// queue alone says when that is too much: less than all would let slots idle. A longer
+/// time keeps calls of long chains waiting, whose runs hold the slots above meanwhile.
 constexpr double work_off_s = 0.5;
 
 /// Part of the capacity that is told at least, however much waits.
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -258,11 +258,23 @@
     }
 }
 
+void log_silence(mesh_turn &t)
+{
+    for (const silence_change &it : silence_changes(t.n.nodes, t.now)) {
+        t.out.emplace_back(
+            write_line{it.silent ? write_line::severity::warning : write_line::severity::info,
+                       "members",
+                       it.silent ? "node-silent" : "node-heard",
+                       {{"peer", it.node}, {"in_flight", std::to_string(it.in_flight)}}});
+    }
+}
+
 }  // namespace
 
 void members_tick(mesh_turn &t)
 {
     ask_quiet_nodes(t);
+    log_silence(t);
     if (t.n.policy && t.n.on.zone_plan) {
         t.n.zones = plan_zones(*t.n.policy, t.n.plan.calls, zones_of_services(t.n.nodes, t.now));
     }
