Split placing, totals of services and the upstream's news from large files

A check whether a node is usable no longer needs an empty placement request. Six test programs over these modules pass.

--- a/gullstall/mesh.hpp
+++ b/gullstall/mesh.hpp
@@ -5,9 +5,11 @@
 /// store: which upstream gets a request, when it is handed over, what a caller
 /// is told.
 #include "gullstall/src/mesh/directory.hpp"
+#include "gullstall/src/mesh/mesh_actions.hpp"
 #include "gullstall/src/mesh/mesh_node.hpp"
 #include "gullstall/src/mesh/mesh_settings.hpp"
 #include "gullstall/src/mesh/own_upstream.hpp"
+#include "gullstall/src/mesh/placing.hpp"
 #include "gullstall/src/mesh/repeat_budget.hpp"
 #include "gullstall/src/mesh/run_gate.hpp"
 #include "gullstall/src/mesh/switches.hpp"
--- a/gullstall/src/mesh/directory.hpp
+++ b/gullstall/src/mesh/directory.hpp
@@ -10,9 +10,6 @@
 #include "gullstall/core.hpp"
 #include "gullstall/generated/mesh_generated.h"
 #include "gullstall/settings.hpp"
-#include "gullstall/src/mesh/service_levels.hpp"
-#include "gullstall/src/mesh/switches.hpp"
-#include "gullstall/src/mesh/zone_plan.hpp"
 
 namespace gullstall::mesh {
 
@@ -49,6 +46,13 @@
     std::map<std::string, node_view> nodes;  ///< by name
 };
 
+/// \returns whether calls to \a service may be sent to the node: its connection works, it
+/// gives signs of life, and the upstream beside it takes work
+bool is_usable(const node_view &it, const std::string &service, time_point now);
+
+/// \returns the share of the last calls to the node that failed, which fades with time
+double recent_failures(const node_view &it, time_point now);
+
 /// Notes where a node is; a later incarnation takes the place of an earlier one.
 /// \returns whether the directory has changed
 bool note_address(directory &it, const node_address &address);
@@ -78,20 +82,6 @@
 /// Notes the end of a call to \a node.
 void note_call_end(directory &it, const std::string &node, call_end end, time_point now);
 
-/// What a call needs of an upstream.
-struct placement_request
-{
-    std::string service;
-    std::string zone;                ///< of the asking node
-    std::vector<std::string> tried;  ///< nodes that are not to be asked again
-    std::string route;               ///< by which the call goes
-};
-
-/// Chooses the node to send a call to.
-/// \returns the node's name, empty when no upstream is known to take it
-std::string choose_node(const directory &it, const zone_plan &plan, const placement_request &wanted,
-                        random_source &random, time_point now, const mesh_switches &on = {});
-
 /// \param own name of the asking node
 /// \returns the nodes that have calls from here and were not heard for a while;
 /// they count as asked for a sign from now on
@@ -110,19 +100,6 @@
 /// \returns what has changed since the last call
 std::vector<silence_change> silence_changes(directory &it, time_point now);
 
-/// \returns the zones that have an upstream that takes work, by service
-service_zones zones_of_services(const directory &it, time_point now);
-
-/// \returns the state of each service over its upstreams that take work: the level
-/// at which all demand together takes all capacity, and the share turned away,
-/// weighed by the slots that still take calls, since calls leave an upstream that
-/// turns many away
-std::map<std::string, service_state> states_of_services(const directory &it, time_point now);
-
-/// \returns the share of the slots of \a service that are in use or waited for,
-/// over all upstreams that take work; 0 when there are none
-double service_load(const directory &it, const std::string &service, time_point now);
-
 }  // namespace gullstall::mesh
 
 #endif
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -87,32 +87,6 @@
     run.call.share_milli = moved.share_milli;
 }
 
-void start_waiting(mesh_turn &t)
-{
-    while (std::optional<run_ref> next = next_run(t.n.gate)) {
-        if (t.n.runs.at(*next).deadline - t.now >= least_left) {
-            hand_over(t, *next);
-            continue;
-        }
-        give_back_slot(t.n.gate, std::nullopt);
-        gate_call late = forget_run(t, *next);
-        refuse(t, late.link, late.call, reason::too_late);
-    }
-}
-
-void refuse_waiting(mesh_turn &t, reason why)
-{
-    std::vector<run_ref> waiting;
-    for (const auto &[rank, run] : t.n.gate.waiting) {
-        waiting.push_back(run);
-    }
-    t.n.gate.waiting.clear();
-    for (run_ref id : waiting) {
-        gate_call run = forget_run(t, id);
-        refuse(t, run.link, run.call, why);
-    }
-}
-
 /// \returns why the node does not take the call at all
 std::optional<reason> reason_to_refuse(const mesh_turn &t, const mesh_wire::call_message &call)
 {
@@ -202,18 +176,33 @@
     return out;
 }
 
-/// Brings the gate in line with what the upstream's heartbeats say.
-void sync_gate(mesh_turn &t)
+}  // namespace
+
+void start_waiting(mesh_turn &t)
 {
-    if (takes_work(t.n.upstream)) {
-        t.n.gate.slots = usable_slots(t.n.upstream.latest->slots);
-        start_waiting(t);
-    } else {
-        refuse_waiting(t, reason::leaving);
+    while (std::optional<run_ref> next = next_run(t.n.gate)) {
+        if (t.n.runs.at(*next).deadline - t.now >= least_left) {
+            hand_over(t, *next);
+            continue;
+        }
+        give_back_slot(t.n.gate, std::nullopt);
+        gate_call late = forget_run(t, *next);
+        refuse(t, late.link, late.call, reason::too_late);
     }
 }
 
-}  // namespace
+void refuse_waiting(mesh_turn &t, reason why)
+{
+    std::vector<run_ref> waiting;
+    for (const auto &[rank, run] : t.n.gate.waiting) {
+        waiting.push_back(run);
+    }
+    t.n.gate.waiting.clear();
+    for (run_ref id : waiting) {
+        gate_call run = forget_run(t, id);
+        refuse(t, run.link, run.call, why);
+    }
+}
 
 bool serves(const mesh_node &n, time_point now)
 {
@@ -358,44 +347,4 @@
     spread_status(t);
 }
 
-heartbeat_verdict on_heartbeat(mesh_turn &t, const upstream_heartbeat &beat)
-{
-    std::optional<upstream_heartbeat> before = t.n.upstream.latest;
-    heartbeat_verdict verdict = take_heartbeat(t.n.upstream, beat, t.now);
-    if (verdict != heartbeat_verdict::taken) {
-        return verdict;
-    }
-    bool is_new = !before || before->upstream != beat.upstream || before->born != beat.born;
-    bool has_turned = is_new || before->state != beat.state;
-    t.n.upstream_down_until = time_point{};
-    if (is_new) {
-        t.n.gate.run_us = 0;
-        t.out.emplace_back(upstream_replaced{});
-    }
-    sync_gate(t);
-    if (has_turned) {
-        t.out.emplace_back(write_line{write_line::severity::info,
-                                      "upstream",
-                                      "upstream-state",
-                                      {{"upstream", beat.upstream},
-                                       {"service", beat.service},
-                                       {"state", mesh_wire::EnumNameupstream_state(beat.state)},
-                                       {"slots", std::to_string(beat.slots)},
-                                       {"born", std::to_string(beat.born)},
-                                       {"sequence", std::to_string(beat.sequence)},
-                                       {"cold_ms", std::to_string(to_ms(beat.cold_for))}}});
-        spread_status(t);
-    }
-    return verdict;
-}
-
-void on_leave(mesh_turn &t, const std::string &upstream, std::uint64_t unix_ms)
-{
-    take_leave(t.n.upstream, upstream, unix_ms);
-    t.out.emplace_back(write_line{
-        write_line::severity::info, "upstream", "upstream-left", {{"upstream", upstream}}});
-    sync_gate(t);
-    spread_status(t);
-}
-
 }  // namespace gullstall::mesh
--- /dev/null
+++ b/gullstall/src/mesh/upstream_news.cpp
@@ -0,0 +1,62 @@
+#include "gullstall/src/mesh/mesh_node.hpp"
+
+namespace gullstall::mesh {
+
+using mesh_wire::reason;
+
+namespace {
+
+/// Brings the gate in line with what the upstream's heartbeats say.
+void sync_gate(mesh_turn &t)
+{
+    if (takes_work(t.n.upstream)) {
+        t.n.gate.slots = usable_slots(t.n.upstream.latest->slots);
+        start_waiting(t);
+    } else {
+        refuse_waiting(t, reason::leaving);
+    }
+}
+
+}  // namespace
+
+heartbeat_verdict on_heartbeat(mesh_turn &t, const upstream_heartbeat &beat)
+{
+    std::optional<upstream_heartbeat> before = t.n.upstream.latest;
+    heartbeat_verdict verdict = take_heartbeat(t.n.upstream, beat, t.now);
+    if (verdict != heartbeat_verdict::taken) {
+        return verdict;
+    }
+    bool is_new = !before || before->upstream != beat.upstream || before->born != beat.born;
+    bool has_turned = is_new || before->state != beat.state;
+    t.n.upstream_down_until = time_point{};
+    if (is_new) {
+        t.n.gate.run_us = 0;
+        t.out.emplace_back(upstream_replaced{});
+    }
+    sync_gate(t);
+    if (has_turned) {
+        t.out.emplace_back(write_line{write_line::severity::info,
+                                      "upstream",
+                                      "upstream-state",
+                                      {{"upstream", beat.upstream},
+                                       {"service", beat.service},
+                                       {"state", mesh_wire::EnumNameupstream_state(beat.state)},
+                                       {"slots", std::to_string(beat.slots)},
+                                       {"born", std::to_string(beat.born)},
+                                       {"sequence", std::to_string(beat.sequence)},
+                                       {"cold_ms", std::to_string(to_ms(beat.cold_for))}}});
+        spread_status(t);
+    }
+    return verdict;
+}
+
+void on_leave(mesh_turn &t, const std::string &upstream, std::uint64_t unix_ms)
+{
+    take_leave(t.n.upstream, upstream, unix_ms);
+    t.out.emplace_back(write_line{
+        write_line::severity::info, "upstream", "upstream-left", {{"upstream", upstream}}});
+    sync_gate(t);
+    spread_status(t);
+}
+
+}  // namespace gullstall::mesh
