--- /dev/null
+++ b/gullstall/src/edge/http_answer.cpp
@@ -0,0 +1,57 @@
+#include "gullstall/src/edge/http_answer.hpp"
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+
+namespace gullstall::edge {
+
+namespace {
+
+/// \returns seconds with milliseconds, as a Retry-After field holds them
+std::string print_seconds(duration it)
+{
+    std::array<char, 32> out{};
+    std::snprintf(out.data(), out.size(), "%.3f", std::chrono::duration<double>(it).count());
+    return out.data();
+}
+
+const char *status_text(std::uint16_t status)
+{
+    switch (status) {
+        case 400:
+            return "Bad Request";
+        case 404:
+            return "Not Found";
+        case 502:
+            return "Bad Gateway";
+        case 503:
+            return "Service Unavailable";
+        case 504:
+            return "Gateway Timeout";
+        default:
+            return "";
+    }
+}
+
+}  // namespace
+
+edge_answer http_error(std::uint16_t status)
+{
+    return edge_answer{status, status_text(status), "", {}};
+}
+
+edge_answer http_answer(mesh::caller_answer &&it)
+{
+    if (it.from_upstream) {
+        return edge_answer{it.status, std::move(it.status_text), std::move(it.header_lines),
+                           std::move(it.body)};
+    }
+    edge_answer out = http_error(it.status);
+    if (it.retry_after) {
+        out.header_lines = "Retry-After: " + print_seconds(*it.retry_after) + "\r\n";
+    }
+    return out;
+}
+
+}  // namespace gullstall::edge
--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -2,10 +2,9 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/lexical_cast/try_lexical_convert.hpp>
-#include <cmath>
-#include <cstdio>
 
 #include "gullstall/src/edge/clock.hpp"
+#include "gullstall/src/edge/http_answer.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
 
 namespace gullstall::edge {
@@ -46,32 +45,6 @@
     return {value.data(), value.size()};
 }
 
-/// \returns seconds with milliseconds, as a Retry-After field holds them
-std::string print_seconds(duration it)
-{
-    std::array<char, 32> out{};
-    std::snprintf(out.data(), out.size(), "%.3f", std::chrono::duration<double>(it).count());
-    return out.data();
-}
-
-const char *status_text(std::uint16_t status)
-{
-    switch (status) {
-        case 400:
-            return "Bad Request";
-        case 404:
-            return "Not Found";
-        case 502:
-            return "Bad Gateway";
-        case 503:
-            return "Service Unavailable";
-        case 504:
-            return "Gateway Timeout";
-        default:
-            return "";
-    }
-}
-
 }  // namespace
 
 mesh_daemon::mesh_daemon(asio::io_context &io, const mesh::mesh_settings &settings,
@@ -205,7 +178,7 @@
         request.time_left = milliseconds(left_ms);
     }
     if (request.request_id.empty()) {
-        callers_.answer(id, edge_answer{400, status_text(400), "", {}});
+        callers_.answer(id, http_error(400));
         return;
     }
     // What this node sets itself must not be taken from the caller.
@@ -218,19 +191,7 @@
 
 void mesh_daemon::answer(call_ref id, mesh::caller_answer &&answer)
 {
-    edge_answer out;
-    out.status = answer.status;
-    if (answer.from_upstream) {
-        out.status_text = std::move(answer.status_text);
-        out.header_lines = std::move(answer.header_lines);
-        out.body = std::move(answer.body);
-    } else {
-        out.status_text = status_text(answer.status);
-        if (answer.retry_after) {
-            out.header_lines = "Retry-After: " + print_seconds(*answer.retry_after) + "\r\n";
-        }
-    }
-    callers_.answer(id, std::move(out));
+    callers_.answer(id, http_answer(std::move(answer)));
 }
 
 void mesh_daemon::from_node(const std::string &node, mesh_wire::frame_message &&frame)
