--- a/test/unit/mesh_demand.cpp
+++ b/test/unit/mesh_demand.cpp
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "test/support/mesh_world.hpp"
+#include "test/support/mesh_load.hpp"
 
 using namespace gullstall;
 
@@ -20,7 +20,7 @@
 struct long_chain_fixture
 {
     test::mesh_world w{31};
-    int asked = 0;
+    test::random_load load{{"f1", "f2", "f3", "f4", "m1", "d3"}};
 
     long_chain_fixture()
     {
@@ -53,23 +53,9 @@
     /// Asks for \a times what the deep service runs, at random moments.
     void play(duration length, double times)
     {
-        constexpr double orders = 100;
-        constexpr double lists = 500;
-        constexpr double lookups = 200;
-        for (auto [kind, per_s] :
-             {std::pair("order", orders), std::pair("list", lists), std::pair("lookup", lookups)}) {
-            auto n =
-                static_cast<int>(times * per_s * std::chrono::duration<double>(length).count());
-            for (int i = 0; i < n; ++i) {
-                auto when = static_cast<std::int64_t>(draw_fraction(w.random) *
-                                                      static_cast<double>(length.count()));
-                w.at(w.now + duration(when), [this, name = std::string(kind)] {
-                    std::string id = name + "-" + std::to_string(++asked);
-                    const char *entries[] = {"f1", "f2", "f3", "f4", "m1", "d3"};
-                    w.request(entries[asked % 6], id, "/" + name + "/x", seconds(4));
-                });
-            }
-        }
+        ask_at_random(w, load, {"order", times * 100}, length);
+        ask_at_random(w, load, {"list", times * 500}, length);
+        ask_at_random(w, load, {"lookup", times * 200}, length);
         w.run_for(length);
     }
 
--- a/test/unit/mesh_gate_order.cpp
+++ b/test/unit/mesh_gate_order.cpp
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "test/support/mesh_world.hpp"
+#include "test/support/mesh_load.hpp"
 
 using namespace gullstall;
 
@@ -19,7 +19,7 @@
 struct shared_leaf_fixture
 {
     test::mesh_world w{57};
-    int asked = 0;
+    test::random_load load{{"f1", "f2", "l1", "l2"}};
 
     shared_leaf_fixture()
     {
@@ -51,22 +51,8 @@
     /// Asks for \a times what the leaf runs, at random moments.
     void play(duration length, double times)
     {
-        constexpr double notices = 80;
-        constexpr double lists = 160;
-        for (auto [kind, per_s] : {std::pair("notice", notices), std::pair("list", lists)}) {
-            auto n =
-                static_cast<int>(times * per_s * std::chrono::duration<double>(length).count());
-            for (int i = 0; i < n; ++i) {
-                auto when = static_cast<std::int64_t>(draw_fraction(w.random) *
-                                                      static_cast<double>(length.count()));
-                w.at(w.now + duration(when), [this, name = std::string(kind)] {
-                    std::string id = name + "-" + std::to_string(++asked);
-                    const char *entries[] = {"f1", "f2", "l1", "l2"};
-                    w.request(entries[asked % 4], id, "/" + name + "/x",
-                              name == "notice" ? seconds(1) : seconds(5));
-                });
-            }
-        }
+        ask_at_random(w, load, {"notice", times * 80, seconds(1)}, length);
+        ask_at_random(w, load, {"list", times * 160, seconds(5)}, length);
         w.run_for(length);
     }
 
