Last read: a name of its own for the place in a gate's queue

place_of stood for two things in entry.cpp and run_gate.cpp; a comment that had come out garbled, two figures of a test named.

--- a/gullstall/src/mesh/run_gate.cpp
+++ b/gullstall/src/mesh/run_gate.cpp
@@ -16,8 +16,8 @@
 constexpr double inner_wait_part = 0.8;
 
 /// Longest queue, in slots, behind which a caller's request may wait: as long as this
-/// many runs. Calls of runs are bound by their time alone. A call that is
-/// turned away for a queue of a tenth of a second ends a request that had seconds left.
+/// many runs. Calls of runs are bound by their time alone: turned away for a queue of a
+/// tenth of a second, a call ends a request that had seconds left.
 constexpr std::size_t waiting_per_slot = 4;
 
 /// Weight of one run in the moving average of run times.
@@ -31,7 +31,7 @@
 /// a request that needs one short run of a busy service is not held behind the many
 /// calls of requests that have a second left. What is late already waits behind
 /// what can still be in time.
-gate_place place_of(const gate_request &it, std::uint64_t arrival)
+gate_place queue_place(const gate_request &it, std::uint64_t arrival)
 {
     return gate_place{2U * it.priority + (it.late ? 1 : 0), it.due, arrival};
 }
@@ -60,7 +60,7 @@
         ++it.running;
         return gate_verdict::start;
     }
-    gate_place key = place_of(request, it.arrivals++);
+    gate_place key = queue_place(request, it.arrivals++);
     auto ahead =
         static_cast<std::size_t>(std::distance(it.waiting.begin(), it.waiting.lower_bound(key)));
     duration wait = expected_wait(it, ahead);
--- a/test/unit/mesh_gate_order.cpp
+++ b/test/unit/mesh_gate_order.cpp
@@ -51,8 +51,10 @@
     /// Asks for \a times what the leaf runs, at random moments.
     void play(duration length, double times)
     {
-        ask_at_random(w, load, {"notice", times * 80, seconds(1)}, length);
-        ask_at_random(w, load, {"list", times * 160, seconds(5)}, length);
+        constexpr double notices = 80;
+        constexpr double lists = 160;
+        ask_at_random(w, load, {"notice", times * notices, seconds(1)}, length);
+        ask_at_random(w, load, {"list", times * lists, seconds(5)}, length);
         w.run_for(length);
     }
 
