gullstalld: log calls that end as unknown and runs that expire

Logs held five kinds of line a node, none with a request's id: whether a call was late at its upstream, in a queue or without a reply could not be told from them. The lines go through the bounded ring of the log as the others do.

--- a/gullstall/src/node/answer.cpp
+++ b/gullstall/src/node/answer.cpp
@@ -49,6 +49,16 @@
     ++t.n.counters.refusals[name + "/" + std::to_string(request.class_priority)];
 }
 
+/// Logs a call whose caller is told that nobody knows whether it ran.
+void log_failed(turn &t, const pending_call &call, const std::string &refused_by,
+                const std::string &description)
+{
+    log(t, write_log::severity::warning, "call",
+        "call-failed request=" + call.request.request_id + " " + description + " refused_by=" +
+            refused_by + " last_upstream=" + (call.tried.empty() ? "" : call.tried.back()) +
+            " after_ms=" + std::to_string(to_ms(t.now - call.taken_at)));
+}
+
 /// Hands the final answer to whoever asked: a caller, or the node that sent
 /// the call on to the issuer of its key.
 void give_answer(turn &t, pending_call &call, wire::reply_message &reply)
@@ -89,8 +99,12 @@
     end_once_call(t, call, reply);
     if (!ran) {
         count_refusal(t, call.request, reply.refusal);
+        std::string description = describe_refusal(t.n, call, reply);
+        if (reply.outcome == wire::outcome::unknown) {
+            log_failed(t, call, reply.refused_by, description);
+        }
         note_event(t.n.events, t.now, event_kind::call_refused, call.request.request_id,
-                   reply.refused_by, describe_refusal(t.n, call, reply));
+                   reply.refused_by, description);
         if (reply.retry_after_ms == 0) {
             double beyond =
                 classes_beyond(t.n.touches, reply.refused_by, priority_of(call.request), t.now);
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -154,6 +154,16 @@
     return run;
 }
 
+/// \param open_calls calls of the run that had no answer yet
+void log_expired(turn &t, const active_run &run, std::size_t open_calls)
+{
+    log(t, write_log::severity::warning, "serve",
+        "run-expired request=" + run.call.request_id + " origin=" + run.origin +
+            " operation=" + run.call.operation + " started=" + (run.started_at ? "yes" : "no") +
+            " open_calls=" + std::to_string(open_calls) +
+            " waited_ms=" + std::to_string(to_ms(t.now - run.queued_at)));
+}
+
 wire::reply_message reply_of(const active_run &run, worker_answered &e, const std::string &service)
 {
     wire::reply_message out;
@@ -314,7 +324,10 @@
 {
     while (t.n.rules.cancel_below && !t.n.run_deadlines.empty() &&
            t.n.run_deadlines.begin()->first <= t.now) {
-        active_run run = break_off(t, t.n.run_deadlines.begin()->second);
+        run_ref id = t.n.run_deadlines.begin()->second;
+        std::size_t open_calls = t.n.runs.at(id).children.size();
+        active_run run = break_off(t, id);
+        log_expired(t, run, open_calls);
         wire::reply_message reply;
         reply.correlation = run.call.correlation;
         reply.outcome = run.started_at ? wire::outcome::unknown : wire::outcome::not_run;
