gullstalld: answer nodes that membership does not know yet

Cause: send_to() dropped frames to an instance without a member record. A node that has just started gets calls from nodes that it has not heard of yet.

Ruled out: a queue (no run of these ids expired at an upstream), a broken connection (no connection-lost).

Fix: such frames go over the connection that the other node opened.

Both tests of node_restart failed before.

The sidecar answers over the connection of the call and has no such path.

--- a/gullstall/src/node/send.cpp
+++ b/gullstall/src/node/send.cpp
@@ -38,11 +38,11 @@
 void send_to(turn &t, const std::string &instance, wire::frame_message frame)
 {
     auto known = t.n.members.members.find(instance);
-    if (known == t.n.members.members.end()) {
-        return;
-    }
-    send_to_address(t, instance, endpoint{known->second.address, known->second.port},
-                    std::move(frame));
+    // A node that gossip has not brought yet is answered over its own connection.
+    endpoint to = known == t.n.members.members.end()
+                      ? endpoint{}
+                      : endpoint{known->second.address, known->second.port};
+    send_to_address(t, instance, to, std::move(frame));
 }
 
 }  // namespace gullstall::internal
--- /dev/null
+++ b/test/unit/node_restart.cpp
@@ -0,0 +1,120 @@
+#include <doctest/doctest.h>
+
+#include "test/support/world.hpp"
+
+using namespace gullstall;
+
+namespace {
+
+constexpr const char *bundle_text = R"(
+[bundle]
+version = 1
+previous = none
+author = tester
+reference = CB-1
+[limits]
+retry_allowance = 3
+retry_budget_percent = 100
+default_time_ms = 60000
+[class dispatch]
+priority = 0
+[call boxwatch order]
+class_name = dispatch
+non_idempotent = true
+)";
+
+const body_bytes new_body{2};
+
+/// Two nodes of two services, with workers that hold their runs.
+struct node_restart_fixture
+{
+    test::test_publisher publisher;
+    test::world w{5};
+    std::vector<caller_answer> answers;
+    std::vector<run_on_worker> held;
+
+    node_restart_fixture()
+    {
+        publisher.publish(w.platform, bundle_text);
+        w.on_run = [this](const std::string &, run_on_worker &&run) {
+            held.push_back(std::move(run));
+        };
+        w.on_answer = [this](const std::string &, call_ref, caller_answer &&answer) {
+            answers.push_back(std::move(answer));
+        };
+        add("boxwatch-1", "boxwatch", 1);
+        add("dispatcher-1", "dispatcher", 2);
+        w.run_for(seconds(3));
+    }
+
+    void add(const std::string &name, const std::string &service, std::uint16_t number)
+    {
+        constexpr std::uint32_t slots = 500;
+        w.add_node(
+            test::make_settings(name, "midrand", service, number, slots, publisher.trusted()));
+    }
+
+    /// \returns the frames that the node sends to \a peer when it takes in \a what
+    std::vector<wire::frame_message> sent_to(const std::string &peer, const std::string &node,
+                                             event what)
+    {
+        std::vector<wire::frame_message> out;
+        for (action &it : step(w.nodes.at(node), w.now, std::move(what))) {
+            auto *frame = std::get_if<send_frame>(&it);
+            if (frame != nullptr && frame->instance == peer) {
+                out.push_back(std::move(frame->frame));
+            }
+            if (auto *run = std::get_if<run_on_worker>(&it)) {
+                held.push_back(std::move(*run));
+            }
+        }
+        return out;
+    }
+
+    static wire::frame_message call_from(const std::string &sender)
+    {
+        wire::call_message call;
+        call.correlation = 7;
+        call.request_id = "r1";
+        call.service = "boxwatch";
+        call.operation = "check";
+        call.left_us = static_cast<std::uint64_t>(duration(seconds(1)).count());
+        wire::frame_message out;
+        out.sender = sender;
+        out.incarnation = 1;
+        out.payload.Set(std::move(call));
+        return out;
+    }
+};
+
+}  // namespace
+
+// Guards against a call that waits for its deadline because the node that ran it has not heard of
+// the sender yet, as after a restart beside others.
+TEST_CASE_FIXTURE(node_restart_fixture, "call, sender not known as a member, answered to it")
+{
+    CHECK(sent_to("stranger-1", "boxwatch-1", frame_arrived{call_from("stranger-1")}).empty());
+    REQUIRE(held.size() == 1);
+    std::vector<wire::frame_message> replies =
+        sent_to("stranger-1", "boxwatch-1",
+                worker_answered{held.front().run, worker_end::answered, 200, "", new_body});
+    REQUIRE(replies.size() == 1);
+    const wire::reply_message *reply = replies.front().payload.Asreply();
+    REQUIRE(reply != nullptr);
+    CHECK(reply->correlation == 7);
+    CHECK(reply->body == new_body);
+}
+
+// Guards against a call that waits for its deadline because the node that refused it has not
+// heard of the sender yet: it could have been sent to another upstream at once.
+TEST_CASE_FIXTURE(node_restart_fixture, "refused call, sender not known as a member, told so")
+{
+    w.feed("boxwatch-1", worker_leaving{});
+    std::vector<wire::frame_message> replies =
+        sent_to("stranger-1", "boxwatch-1", frame_arrived{call_from("stranger-1")});
+    REQUIRE(replies.size() == 1);
+    const wire::reply_message *reply = replies.front().payload.Asreply();
+    REQUIRE(reply != nullptr);
+    CHECK(reply->outcome == wire::outcome::not_run);
+    CHECK(reply->refusal == wire::refusal::leaving);
+}
