gullstalld: never take a reply to an earlier process for an own one

What callers would see: the answer of another request, after the kill of the node that they use.

Cause: correlations start at 1 with each process. A non-idempotent run goes on when its sender is lost, and its reply reaches the sender's next process, where the number may stand for another call.

Evidence: the test handed a new call the body of the old run before the change.

--- a/gullstall/src/node/step.cpp
+++ b/gullstall/src/node/step.cpp
@@ -104,6 +104,9 @@
     node out;
     out.settings = settings;
     out.incarnation = incarnation;
+    // Correlations of an earlier process must not be taken for this one's: a run that it
+    // asked for may still be answered.
+    out.last_id = incarnation;
     out.random.seed(seed);
     out.queue.limit = settings.worker.slots;
     out.queue.bound = settings.worker.slots;
--- a/test/unit/node_restart.cpp
+++ b/test/unit/node_restart.cpp
@@ -23,6 +23,7 @@
 non_idempotent = true
 )";
 
+const body_bytes old_body{1};
 const body_bytes new_body{2};
 
 /// Two nodes of two services, with workers that hold their runs.
@@ -89,6 +90,32 @@
 
 }  // namespace
 
+// Guards against an answer that is handed to another request: a node is killed, and a run that
+// it had asked for ends after its next process has sent calls of its own.
+TEST_CASE_FIXTURE(node_restart_fixture, "restarted node, late reply to its former process, dropped")
+{
+    w.call("dispatcher-1", caller_call{"boxwatch", "order", "r0", "k0", "", {}, old_body});
+    w.run_for(seconds(1));
+    REQUIRE(held.size() == 1);
+    run_ref late = held.front().run;
+    w.kill("dispatcher-1");
+    w.run_for(milliseconds(100));
+    add("dispatcher-1", "dispatcher", 2);
+    w.run_for(seconds(3));
+    constexpr int new_calls = 200;
+    for (int i = 1; i <= new_calls; ++i) {
+        w.call("dispatcher-1",
+               caller_call{"boxwatch", "check", "r" + std::to_string(i), "", "", {}, new_body});
+    }
+    w.run_for(milliseconds(10));
+    w.answer_run("boxwatch-1", late, worker_end::answered, 200, old_body);
+    w.run_for(milliseconds(10));
+    for (const caller_answer &it : answers) {
+        CHECK(it.body != old_body);
+    }
+    CHECK(answers.empty());
+}
+
 // Guards against a call that waits for its deadline because the node that ran it has not heard of
 // the sender yet, as after a restart beside others.
 TEST_CASE_FIXTURE(node_restart_fixture, "call, sender not known as a member, answered to it")
