gullstalld: answer calls for an issuer that has started again

What callers saw: a call under an issued key waited for its deadline when the issuer's node had started again and had no bundle yet.

Cause: the issuer dropped the call without an answer.

Evidence: the test got no reply before the change.

Fix: the reply says starting, with an unknown outcome: the earlier process may have run the call.

--- a/gullstall/src/node/once_control.cpp
+++ b/gullstall/src/node/once_control.cpp
@@ -172,7 +172,13 @@
     call.request.to_issuer = false;
     call.request.non_idempotent = true;
     if (!t.n.bundles.in_force) {
-        return;  // it has issued no key yet; the sender's deadline ends the call
+        // The key is of an earlier process, which may have run it.
+        wire::reply_message reply = refusal_reply(wire::refusal::starting, call.request.service);
+        reply.outcome = wire::outcome::unknown;
+        reply.correlation = call.origin->second;
+        reply.unspent = call.retries.left;
+        send_to(t, from, frame_of(std::move(reply)));
+        return;
     }
     take_call(t, std::move(call));
 }
--- a/test/unit/node_restart.cpp
+++ b/test/unit/node_restart.cpp
@@ -145,3 +145,22 @@
     CHECK(reply->outcome == wire::outcome::not_run);
     CHECK(reply->refusal == wire::refusal::leaving);
 }
+
+// Guards against a call that waits for its deadline at the issuer of its key: the issuer has
+// started again and has no bundle yet.
+TEST_CASE_FIXTURE(node_restart_fixture, "call for the issuer of its key, no bundle there, told so")
+{
+    w.platform_cuts = {"midrand"};
+    w.kill("boxwatch-1");
+    add("boxwatch-1", "boxwatch", 1);
+    wire::frame_message frame = call_from("dispatcher-1");
+    frame.payload.Ascall()->key = "k0";
+    frame.payload.Ascall()->to_issuer = true;
+    std::vector<wire::frame_message> replies =
+        sent_to("dispatcher-1", "boxwatch-1", frame_arrived{std::move(frame)});
+    REQUIRE(replies.size() == 1);
+    const wire::reply_message *reply = replies.front().payload.Asreply();
+    REQUIRE(reply != nullptr);
+    CHECK(reply->outcome == wire::outcome::unknown);
+    CHECK(reply->refusal == wire::refusal::starting);
+}
