gullstalld: end only when the peers' thread has taken all frames

Suspected, not seen: the end of a stop looked at the bytes that the transport holds, not at frames still in the ring to it. A refusal that was pushed in the last tick could be lost with the process.

No test: the window is a thread switch.

--- a/gullstall/src/runtime/daemon.cpp
+++ b/gullstall/src/runtime/daemon.cpp
@@ -344,7 +344,7 @@
         return false;
     }
     bool empty = node_.calls.empty() && node_.runs.empty() && callers_server_.is_drained() &&
-                 transport_.bytes_waiting() == 0;
+                 to_peers_.is_drained() && transport_.bytes_waiting() == 0;
     return empty || clock_.now() >= *flush_until_;
 }
 
--- a/gullstall/src/runtime/mailbox.hpp
+++ b/gullstall/src/runtime/mailbox.hpp
@@ -30,7 +30,10 @@
     /// \param take is called there for each entry, in order
     /// \throws boost::system::system_error when the system has no descriptor left
     mailbox(boost::asio::io_context &consumer, std::size_t capacity, std::function<void(T &&)> take)
-        : signal_(consumer, open_signal()), ring_(capacity), take_(std::move(take))
+        : signal_(consumer, open_signal()),
+          ring_(capacity),
+          capacity_(capacity),
+          take_(std::move(take))
     {
         wait();
     }
@@ -70,6 +73,12 @@
         return true;
     }
 
+    /// \returns whether the consumer has taken all entries; to be asked by the producer
+    bool is_drained() const
+    {
+        return ring_.write_available() == capacity_;
+    }
+
 private:
     static int open_signal()
     {
@@ -114,6 +123,7 @@
     boost::asio::posix::stream_descriptor signal_;
     std::uint64_t count_ = 0;
     boost::lockfree::spsc_queue<T *> ring_;
+    std::size_t capacity_;
     std::function<void(T &&)> take_;
     std::atomic<bool> scheduled_{false};
 };
