sidecar: pass an upstream's error on when no other upstream is left

Cause: a request whose answer is an error is sent to a second upstream where that is allowed. When no node was left to send it to, the call failed with the node's own 502 and the answer was dropped.

Evidence: all ten lines request-failed with connection_lost had handed_over 1 and no run-without-answer; their services had one open gate left. The test got 502 before.

Fix: the error is kept and is the answer if the second send ends without one.

--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -117,22 +117,19 @@
            reply.status != out_of_time;
 }
 
-/// Sends a call once more whose answer was an error.
-/// \returns false when that is not allowed; the answer then stands
-bool repeat_after_error(mesh_turn &t, call_ref id)
+/// Sends a call once more whose answer was an error, or passes the error on where that
+/// is not allowed.
+void repeat_after_error(mesh_turn &t, call_ref id, mesh_wire::reply_message &reply)
 {
     entry_call &call = t.n.calls.at(id);
-    std::optional<sent_call> current = call.current;
     ++call.handed_over;
-    t.n.sent.erase(current->correlation);
+    t.n.sent.erase(call.current->correlation);
     call.current.reset();
     call.may_have_run = true;
-    call.last_reason = reason::connection_lost;
-    if (repeat_call(t, id)) {
-        return true;
+    call.error_answer = std::move(reply);
+    if (!repeat_call(t, id)) {
+        fail_call(t, id, reason::none);
     }
-    call.current = current;
-    return false;
 }
 
 /// Ends the current send of a call that was not answered: places it again where
@@ -276,7 +273,8 @@
                                                            : call_end::failed;
     note_call_end(t.n.nodes, from, end, t.now);
     if (reply.outcome == outcome::answered) {
-        if (is_worth_repeating(t.n.calls.at(id), reply) && repeat_after_error(t, id)) {
+        if (is_worth_repeating(t.n.calls.at(id), reply)) {
+            repeat_after_error(t, id, reply);
             return;
         }
         pass_answer(t, id, reply);
--- a/gullstall/src/mesh/entry_answers.cpp
+++ b/gullstall/src/mesh/entry_answers.cpp
@@ -112,6 +112,11 @@
 void fail_call(mesh_turn &t, call_ref id, reason why)
 {
     entry_call &call = t.n.calls.at(id);
+    if (call.error_answer) {
+        mesh_wire::reply_message answer = std::move(*call.error_answer);
+        pass_answer(t, id, answer);
+        return;
+    }
     caller_answer answer;
     answer.why = why;
     answer.status = status_of(why, call.may_have_run);
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -57,6 +57,9 @@
     std::uint32_t handed_over = 0;  ///< upstreams that it has reached, or may have
     bool may_have_run = false;
     mesh_wire::reason last_reason = mesh_wire::reason::no_upstream;
+    /// Error of an upstream after which the call was sent once more. It is the answer if
+    /// that send ends without one.
+    std::optional<mesh_wire::reply_message> error_answer;
 };
 
 /// A call that this node runs, or will run, on its own upstream.
--- /dev/null
+++ b/test/unit/mesh_stop.cpp
@@ -0,0 +1,95 @@
+#include <doctest/doctest.h>
+
+#include "test/support/mesh_world.hpp"
+
+using namespace gullstall;
+using mesh_wire::upstream_state;
+
+namespace {
+
+constexpr duration plenty = seconds(5);
+
+/// Two upstreams of one service, and one of another whose runs call it.
+struct mesh_stop_fixture
+{
+    test::mesh_world w{24};
+
+    mesh_stop_fixture()
+    {
+        w.policy = test::policy_of(
+            3, {test::route_of("order", "/order/", "shop", repeatability::non_idempotent),
+                test::route_of("title", "/title/", "books", repeatability::idempotent),
+                test::route_of("index", "/index/", "books", repeatability::idempotent)});
+        test::upstream_model books{"books"};
+        books.calls["/index/x"] = test::inner_calls{"h", "/unknown/x", 1};
+        test::upstream_model shop{"shop"};
+        shop.calls["/order/x"] = test::inner_calls{"h", "/title/x", 1};
+        w.add("a1", "a", books);
+        w.add("b1", "b", books);
+        w.add("s1", "a", shop);
+        w.run_for(seconds(1));
+    }
+
+    void switch_off(bool mesh::mesh_switches::*mechanism)
+    {
+        for (auto &[name, n] : w.nodes) {
+            n.on.*mechanism = false;
+        }
+    }
+
+    /// Orders one request each 20 ms for a while.
+    void order_for(duration d)
+    {
+        for (duration spent{}; spent < d; spent += milliseconds(20)) {
+            w.request("s1", "r" + std::to_string(++orders), "/order/x", plenty);
+            w.run_for(milliseconds(20));
+        }
+    }
+
+    int count_failed() const
+    {
+        return static_cast<int>(
+            std::count_if(w.results.begin(), w.results.end(),
+                          [](const auto &entry) { return entry.second.status != 200; }));
+    }
+
+    int count_serving() const
+    {
+        return (mesh::serves(w.nodes.at("a1"), w.now) ? 1 : 0) +
+               (mesh::serves(w.nodes.at("b1"), w.now) ? 1 : 0);
+    }
+
+    void stop_both()
+    {
+        for (const char *name : {"a1", "b1"}) {
+            w.step(name, [](mesh::mesh_turn &t) { stop_node(t); });
+        }
+    }
+
+    /// Starts the process of the node whose gate is closed again.
+    void restart_closed()
+    {
+        for (auto [name, zone] : {std::pair("a1", "a"), std::pair("b1", "b")}) {
+            if (w.nodes.at(name).gate_closed) {
+                w.start(name, zone);
+                w.beat(name);
+                return;
+            }
+        }
+    }
+
+    int orders = 0;
+};
+
+}  // namespace
+
+// Guards against an upstream's error that is replaced by one of the node's own, since no other
+// upstream is left to try.
+TEST_CASE_FIXTURE(mesh_stop_fixture, "error of an upstream, no other is left, passed on")
+{
+    w.beat("b1", upstream_state::draining);
+    w.run_for(milliseconds(10));
+    w.request("s1", "r1", "/index/x", plenty);
+    w.run_for(milliseconds(500));
+    CHECK(w.results.at("r1").status == 500);
+}
