sidecar: close gates one after the other when nodes of a service stop together

Cause: each node closed its gate 2 s after the order to stop, whoever was left. With 14 of 17 told to stop within 0.3 s whole services had no upstream for 0.7 to 1.7 s; runs in flight lost their next call and their upstreams answered 500.

Evidence: 203 upstream-error lines with 500 and 437 refusals with no_upstream from 8 to 10 s, all between the stopped lines of the last node of a service and the upstream-state lines of the first to come back.

Fix: the order to stop is told to the other nodes; a node closes its gate when as many upstreams as half of those of its service stay, in an order by the hash of the names, and no later than three quarters of the time for a stop. While the gate is held open the entry takes what ends in time.

--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -340,7 +340,7 @@
         metrics_.sweep(at);
         upstream_.sweep(at);
     }
-    if (node_.entry_closes_at && !closing_ && at >= *node_.entry_closes_at) {
+    if (!closing_ && is_entry_closed(node_, at)) {
         closing_ = true;
         callers_.close_gently();
     }
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -195,7 +195,9 @@
     }
     entry_call call;
     inherit(t, call, request, route->name);
-    if (!call.call.inner && t.n.entry_closes_at && t.now >= *t.n.entry_closes_at) {
+    call.deadline = t.now + request.time_left.value_or(route->timeout);
+    call.expires = std::min(call.deadline, t.now + route->timeout);
+    if (!call.call.inner && !takes_callers(t.n, t.now, call.expires)) {
         refuse_request(t, id, request, reason::stopping);
         return;
     }
@@ -213,8 +215,6 @@
     call.call.route = route->name;
     call.max_attempts = std::max(1U, route->max_attempts);
     call.taken_at = t.now;
-    call.deadline = t.now + request.time_left.value_or(route->timeout);
-    call.expires = std::min(call.deadline, t.now + route->timeout);
     call.call.request_id = std::move(request.request_id);
     call.call.service = choose_service(t.n.split, *route);
     call.call.caller_service = t.n.settings.node.service;
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -19,20 +19,6 @@
 /// alone and ready.
 constexpr duration lonely_time = seconds(3);
 
-/// How long the gate stays open after the order to stop. Callers send for about
-/// as long, until they see that the node is not ready; closed at once, the
-/// upstream would stand idle for as long as the stop takes.
-constexpr duration gate_notice = milliseconds(2000);
-
-/// Part of the time for a stop that both notices take at most: the rest is for
-/// what is in flight.
-constexpr int notice_part = 2;
-
-/// How long callers' requests are taken after the order to stop. The platform
-/// asks once a second whether the node is ready and takes it out after two
-/// misses; until then callers send over the connections that they have.
-constexpr duration entry_notice = milliseconds(2300);
-
 }  // namespace
 
 std::uint64_t frame_time_us(time_point now)
@@ -66,6 +52,7 @@
     out.incarnation = t.n.incarnation;
     out.policy_version = t.n.policy ? t.n.policy->version : 0;
     out.stopping = t.n.gate_closed;
+    out.stop_asked = t.n.stopping;
     if (t.n.upstream.latest) {
         out.service = t.n.upstream.latest->service;
         out.upstream = t.n.upstream.latest->upstream;
@@ -231,19 +218,6 @@
     t.out.emplace_back(send_to_link{link, mesh_frame(own_status(t))});
 }
 
-void stop_node(mesh_turn &t)
-{
-    t.n.stopping = true;
-    duration most = t.n.settings.stop_time / notice_part;
-    t.n.gate_closes_at = t.now + std::min<duration>(gate_notice, most);
-    t.n.entry_closes_at = t.now + std::min<duration>(entry_notice, most);
-    t.out.emplace_back(write_line{
-        write_line::severity::info,
-        "node",
-        "stopping",
-        {{"calls", std::to_string(t.n.calls.size())}, {"runs", std::to_string(t.n.runs.size())}}});
-}
-
 namespace {
 
 void ask_quiet_nodes(mesh_turn &t)
@@ -283,9 +257,7 @@
         spread_chain_news(t, false, std::nullopt);
     }
     admission_tick(t);
-    if (t.n.gate_closes_at && !t.n.gate_closed && t.now >= *t.n.gate_closes_at) {
-        close_gate(t);
-    }
+    stop_tick(t);
     if (t.n.newer_policy && t.now - t.n.newer_policy->heard_at >= policy_patience) {
         mesh_wire::policy_fetch_message message;
         message.version = t.n.newer_policy->version;
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -26,6 +26,7 @@
 #include "gullstall/src/mesh/run_gate.hpp"
 #include "gullstall/src/mesh/service_levels.hpp"
 #include "gullstall/src/mesh/service_totals.hpp"
+#include "gullstall/src/mesh/stop_order.hpp"
 #include "gullstall/src/mesh/switches.hpp"
 #include "gullstall/src/mesh/traffic_split.hpp"
 #include "gullstall/src/mesh/zone_plan.hpp"
@@ -150,12 +151,14 @@
     time_point status_spread_at{};
     time_point upstream_down_until{};  ///< the upstream took no connection just now
     bool stopping = false;             ///< the process is asked to stop
-    /// When the gate closes for the stop; the upstream may live on beside.
+    /// When the gate closes for the stop at the soonest; the upstream may live on beside.
     std::optional<time_point> gate_closes_at;
-    bool gate_closed = false;
-    /// When callers' requests are no longer taken for the stop: one that is taken
-    /// later could not end before the process does.
+    /// When callers' requests are no longer taken for the stop, unless the gate is held
+    /// open: one that is taken later could not end before the process does.
     std::optional<time_point> entry_closes_at;
+    stop_times stop;                ///< valid when the process is asked to stop
+    std::size_t least_staying = 0;  ///< other upstreams that the gate's close waits for
+    bool gate_closed = false;
     std::uint64_t last_id = 0;
 };
 
@@ -230,7 +233,6 @@
 /// Takes what the store has kept of a route's calls. What was learned since goes first.
 void take_kept_chain(mesh_turn &t, const std::string &route, const calls_per_run &calls);
 mesh_wire::node_load_message own_load(mesh_node &n);
-void stop_node(mesh_turn &t);
 mesh_wire::node_status_message own_status(mesh_turn &t);
 mesh_wire::hello_message own_hello(const mesh_node &n, time_point now);
 /// To be called about every tick_interval: what is due by time alone.
@@ -252,6 +254,16 @@
 /// \returns when the next call or run expires, none when there is none
 std::optional<time_point> next_expiry(const mesh_node &n);
 
+// stop.cpp: the order to stop
+/// Begins the stop. Until the gate closes the node goes on as before, but is not ready.
+void stop_node(mesh_turn &t);
+/// Closes the gate of a node that is to stop, when it is its time.
+void stop_tick(mesh_turn &t);
+/// \returns whether the node takes a caller's request that expires at \a expires
+bool takes_callers(const mesh_node &n, time_point now, time_point expires);
+/// \returns whether callers are to go elsewhere from now on
+bool is_entry_closed(const mesh_node &n, time_point now);
+
 // report.cpp
 /// \returns the node's counters and histograms in the text exposition format
 std::string print_metrics(const mesh_node &n, time_point now);
--- a/gullstall/src/mesh/switches.cpp
+++ b/gullstall/src/mesh/switches.cpp
@@ -34,6 +34,7 @@
     named_switch{"whole_runs", &mesh_switches::whole_runs},
     named_switch{"timed_returns", &mesh_switches::timed_returns},
     named_switch{"spread_returns", &mesh_switches::spread_returns},
+    named_switch{"ordered_stops", &mesh_switches::ordered_stops},
 };
 
 }  // namespace
--- a/gullstall/src/mesh/switches.hpp
+++ b/gullstall/src/mesh/switches.hpp
@@ -30,6 +30,7 @@
     bool whole_runs = true;        ///< off: chains are learned from runs that failed, too
     bool timed_returns = true;     ///< off: callers come back as soon whatever they met
     bool spread_returns = true;    ///< off: refused callers are all told the same time
+    bool ordered_stops = true;     ///< off: a stopping node closes its gate whoever is left
 
     bool operator==(const mesh_switches &) const = default;
 };
--- a/test/unit/mesh_stop.cpp
+++ b/test/unit/mesh_stop.cpp
@@ -83,6 +83,42 @@
 
 }  // namespace
 
+// Guards against orders that fail because all nodes of a service that their runs call close their
+// gates in the same moment of a planned stop.
+TEST_CASE_FIXTURE(mesh_stop_fixture, "all nodes of a service told to stop, one after the other go")
+{
+    stop_both();
+    order_for(milliseconds(2500));
+    CHECK(count_serving() == 1);
+    restart_closed();
+    order_for(milliseconds(500));
+    CHECK(count_serving() == 1);
+    restart_closed();
+    order_for(milliseconds(500));
+    CHECK(count_serving() == 2);
+    w.run_for(seconds(3));
+    CHECK(count_failed() == 0);
+}
+
+// Guards against a stop that is held up by other nodes that never come back: the process would be
+// killed with runs in flight.
+TEST_CASE_FIXTURE(mesh_stop_fixture, "node told to stop, no other comes back, closes in time")
+{
+    stop_both();
+    w.run_for(milliseconds(4600));
+    CHECK(count_serving() == 0);
+}
+
+// Guards against a node that holds its gate open for nobody: its upstream leaves as well.
+TEST_CASE_FIXTURE(mesh_stop_fixture,
+                  "node told to stop, upstream has left, closes after the notice")
+{
+    w.beat("a1", upstream_state::draining);
+    stop_both();
+    w.run_for(milliseconds(2200));
+    CHECK(w.nodes.at("a1").gate_closed);
+}
+
 // Guards against an upstream's error that is replaced by one of the node's own, since no other
 // upstream is left to try.
 TEST_CASE_FIXTURE(mesh_stop_fixture, "error of an upstream, no other is left, passed on")
@@ -93,3 +129,13 @@
     w.run_for(milliseconds(500));
     CHECK(w.results.at("r1").status == 500);
 }
+
+// Shows that the test above fails without what it tests.
+TEST_CASE_FIXTURE(mesh_stop_fixture, "stops in any order, lose orders")
+{
+    switch_off(&mesh::mesh_switches::ordered_stops);
+    stop_both();
+    order_for(milliseconds(2500));
+    CHECK(count_serving() == 0);
+    CHECK(count_failed() > 0);
+}
