gullstalld: let calls of runs wait for an upstream

What callers saw: in stops that overlap 1 of 3642 dispatches got the same error from all six nodes that it was sent to, below:not-run/no-upstream.

Cause: a call of a run was refused at once when its node knew no upstream of the service. The run above ends with an error, which the key of the dispatch keeps.

Fix: such a call waits for a second at most and half of its time left. Callers' calls are refused at once as before.

The test that switches the wait off shows the lost run.

--- a/gullstall/src/node/attempt.cpp
+++ b/gullstall/src/node/attempt.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "gullstall/src/node/internal.hpp"
 
@@ -23,6 +24,38 @@
     send_to(t, upstream, frame_of(std::move(message)));
 }
 
+namespace {
+
+/// Time in which a replaced upstream comes back, or a node that has started hears of others.
+constexpr duration longest_wait_for_upstream = seconds(1);
+
+/// Part of its time left for which a call waits for an upstream: the rest is for its run.
+constexpr int wait_part = 2;
+
+/// Lets a call of a run wait for an upstream of its service. Refused, it would end the run
+/// with an error that is kept as the outcome of the run's key.
+/// \returns whether it waits
+bool wait_for_upstream(turn &t, pending_call &call)
+{
+    if (!call.parent || !t.n.guards.calls_wait) {
+        return false;
+    }
+    if (!call.waits_until) {
+        duration part = (call.deadline - t.now) / wait_part;
+        call.waits_until = t.now + std::min(longest_wait_for_upstream, part);
+        log(t, write_log::severity::info, "call",
+            "call-waits request=" + call.request.request_id + " service=" + call.request.service +
+                " members=" + std::to_string(t.n.members.members.size()));
+    }
+    if (t.now >= *call.waits_until) {
+        return false;
+    }
+    t.n.waiting_calls.push_back(call.id);
+    return true;
+}
+
+}  // namespace
+
 /// Sends the call to an upstream that was not tried yet.
 void start_call(turn &t, call_ref id)
 {
@@ -39,7 +72,9 @@
                          call.request.non_idempotent};
     auto upstream = choose_upstream(t.n.routes, t.n.members, wanted, t.n.random, t.now);
     if (!upstream) {
-        refuse_call(t, id, wire::refusal::no_upstream, call.request.service);
+        if (!wait_for_upstream(t, call)) {
+            refuse_call(t, id, wire::refusal::no_upstream, call.request.service);
+        }
         return;
     }
     std::uint32_t share =
@@ -48,6 +83,20 @@
     send_attempt(t, call, *upstream, share);
 }
 
+void start_waiting_calls(turn &t)
+{
+    std::vector<call_ref> waiting = std::exchange(t.n.waiting_calls, {});
+    for (call_ref id : waiting) {
+        auto found = t.n.calls.find(id);
+        if (found == t.n.calls.end() || found->second.current) {
+            continue;
+        }
+        // Upstreams that refused it may have started again.
+        found->second.tried.clear();
+        start_call(t, id);
+    }
+}
+
 namespace {
 
 bool worth_resending(const pending_call &call, const wire::reply_message &reply)
--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -25,6 +25,8 @@
 
 // attempt.cpp: sends of a call to upstreams, and their replies
 void start_call(turn &t, call_ref id);
+/// Starts the calls that wait for an upstream, as far as there is one.
+void start_waiting_calls(turn &t);
 void send_attempt(turn &t, pending_call &call, const std::string &upstream, std::uint32_t share);
 void on_reply(turn &t, const std::string &from, wire::reply_message &reply);
 void on_peer_unreachable(turn &t, const peer_unreachable &e);
--- a/gullstall/src/node/node.hpp
+++ b/gullstall/src/node/node.hpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "gullstall/bundle.hpp"
 #include "gullstall/core.hpp"
@@ -44,6 +45,8 @@
     allowance retries{};
     std::optional<attempt> current;
     std::vector<std::string> tried;
+    /// A call of a run waits until then for an upstream of its service.
+    std::optional<time_point> waits_until;
     bool may_have_run = false;      ///< an attempt ended without anyone knowing
     std::vector<call_ref> waiters;  ///< callers that get the answer, repeats included
     bool settled = false;           ///< its outcome is known from the key's memory
@@ -102,6 +105,7 @@
 {
     bool divide_allowance = true;  ///< off: every call gets a copy of the allowance
     bool join_repeats = true;      ///< off: a repeat in flight is a call of its own
+    bool calls_wait = true;        ///< off: calls of runs fail at once where no upstream is there
 };
 
 /// State of one node. It holds no socket, thread or clock.
@@ -138,6 +142,7 @@
     std::unordered_map<platform_ref, table_read> claim_reads;
 
     std::unordered_map<call_ref, pending_call> calls;
+    std::vector<call_ref> waiting_calls;  ///< for an upstream; some may have ended meanwhile
     std::unordered_map<std::string, call_ref> entered;     ///< by request id, no worker's calls
     std::unordered_map<call_ref, call_ref> joined;         ///< a repeat, and the call it waits for
     std::unordered_map<std::uint64_t, call_ref> attempts;  ///< by correlation
@@ -152,7 +157,7 @@
     bool worker_leaves = false;
     bool stopping = false;
     bool stopped = false;
-    time_point settle_until{};  ///< a stop waits no longer for outcomes to be written
+    time_point settle_until{};   ///< a stop waits no longer for outcomes to be written
     time_point stop_asked_at{};  ///< valid when stopping
     std::uint64_t last_id = 0;
 };
--- a/gullstall/src/node/step.cpp
+++ b/gullstall/src/node/step.cpp
@@ -29,6 +29,7 @@
 {
     internal::on_level_tick(t);
     internal::expire_calls(t);
+    internal::start_waiting_calls(t);
     internal::expire_runs(t);
     internal::on_control_tick(t);
 }
--- a/test/unit/node_stop.cpp
+++ b/test/unit/node_stop.cpp
@@ -39,6 +39,19 @@
         w.run_for(seconds(3));
     }
 
+    /// Asks for a call at the dispatcher whose run calls the other service and does not end.
+    void ask_dispatch()
+    {
+        w.on_run = [this](const std::string &instance, run_on_worker &&run) {
+            if (instance != "dispatcher-1") {
+                w.answer_run(instance, run.run, worker_end::answered);
+                return;
+            }
+            w.call(instance, caller_call{"boxwatch", "check", "", "", run.context, {}, {}});
+        };
+        w.call("dispatcher-1", caller_call{"dispatcher", "dispatch", "", "", "", {}, {}});
+    }
+
     const caller_answer &ask(const std::string &entry)
     {
         w.call(entry, caller_call{"boxwatch", "check", "", "", "", {}, {1}});
@@ -73,3 +86,52 @@
     w.feed("boxwatch-1", stop_requested{});
     CHECK(ask("boxwatch-1").outcome == wire::outcome::not_run);
 }
+
+// Guards against a run that is lost, and its error kept as the outcome of its key, because a call
+// of it finds no upstream for the moment of a replacement.
+TEST_CASE_FIXTURE(node_stop_fixture, "call of a run, no upstream for a moment, waits for one")
+{
+    w.feed("boxwatch-1", worker_leaving{});
+    w.run_for(milliseconds(100));
+    ask_dispatch();
+    w.run_for(milliseconds(300));
+    CHECK(answers.empty());
+    w.feed("boxwatch-1", worker_announced{4});
+    w.run_for(milliseconds(200));
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].outcome == wire::outcome::ran);
+}
+
+// Guards against runs that hold their slots until their deadlines for a service that is gone.
+TEST_CASE_FIXTURE(node_stop_fixture,
+                  "call of a run, no upstream comes back, refused before its time")
+{
+    w.feed("boxwatch-1", worker_leaving{});
+    w.run_for(milliseconds(100));
+    ask_dispatch();
+    w.run_for(milliseconds(1100));
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].outcome == wire::outcome::not_run);
+    CHECK(answers[0].refusal == wire::refusal::no_upstream);
+}
+
+// Guards against a caller who is held back: the call has not run, and can be repeated.
+TEST_CASE_FIXTURE(node_stop_fixture, "call of a caller, no upstream, refused at once")
+{
+    w.feed("boxwatch-1", worker_leaving{});
+    w.run_for(milliseconds(100));
+    w.call("dispatcher-1", caller_call{"boxwatch", "check", "", "", "", {}, {}});
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].refusal == wire::refusal::no_upstream);
+}
+
+// Shows that the call of a run above fails without the wait.
+TEST_CASE_FIXTURE(node_stop_fixture, "call of a run, no upstream for a moment, lost without a wait")
+{
+    w.nodes.at("dispatcher-1").guards.calls_wait = false;
+    w.feed("boxwatch-1", worker_leaving{});
+    w.run_for(milliseconds(100));
+    ask_dispatch();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].refusal == wire::refusal::no_upstream);
+}
