--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -17,47 +17,6 @@
 
 constexpr std::uint32_t max_class = 15;
 
-/// Time in which the process of a node that is replaced runs again, without the wait for
-/// its upstream's heartbeat.
-constexpr duration restart_time = milliseconds(700);
-
-/// Part of its time left for which a call waits for an upstream: the rest is for its run.
-constexpr int wait_part = 2;
-
-bool is_absence(reason why)
-{
-    return why == reason::no_upstream || why == reason::leaving || why == reason::stopping ||
-           why == reason::unreachable;
-}
-
-/// Lets a call of a run wait for an upstream of its service to come back. Refused, it
-/// would end the run with an error, and a run that must not start twice is lost then.
-/// \returns whether it waits
-bool wait_for_upstream(mesh_turn &t, entry_call &call)
-{
-    if (!t.n.on.waiting_calls || !call.call.inner || !is_absence(call.last_reason)) {
-        return false;
-    }
-    if (!call.waits_until) {
-        duration longest = milliseconds(t.n.settings.upstream.heartbeat_interval_ms) + restart_time;
-        duration part = (call.expires - t.now) / wait_part;
-        call.waits_until = t.now + std::min(longest, part);
-        t.out.emplace_back(
-            write_line{write_line::severity::info,
-                       "entry",
-                       "call-waits",
-                       {{"request", call.call.request_id},
-                        {"service", call.call.service},
-                        {"reason", mesh_wire::EnumNamereason(call.last_reason)},
-                        {"for_ms", std::to_string(to_ms(std::min(longest, part)))}}});
-    }
-    if (t.now >= *call.waits_until) {
-        return false;
-    }
-    t.n.waiting_calls.push_back(call.id);
-    return true;
-}
-
 /// Sends the call to a node that was not asked yet, has it wait for one, or refuses it.
 void place_call(mesh_turn &t, call_ref id)
 {
--- a/gullstall/src/mesh/entry_answers.hpp
+++ b/gullstall/src/mesh/entry_answers.hpp
@@ -15,6 +15,11 @@
 /// Ends a call with an answer of the node's own.
 void fail_call(mesh_turn &t, call_ref id, mesh_wire::reason why);
 
+/// Lets a call of a run wait for an upstream of its service to come back. Refused, it
+/// would end the run with an error, and a run that must not start twice is lost then.
+/// \returns whether it waits; place_waiting_calls places it again
+bool wait_for_upstream(mesh_turn &t, entry_call &call);
+
 /// Ends a call with its upstream's answer.
 void pass_answer(mesh_turn &t, call_ref id, mesh_wire::reply_message &reply);
 
--- a/gullstall/src/mesh/stop.cpp
+++ b/gullstall/src/mesh/stop.cpp
@@ -4,29 +4,22 @@
 
 namespace {
 
-/// \returns whether the service is served well enough without the own upstream, as far as
-/// this node sees
-bool others_suffice(mesh_turn &t)
+/// \returns the other upstreams of the own service that go on to take work
+std::size_t others_staying(const mesh_turn &t)
 {
-    if (!t.n.on.ordered_stops || !serves(t.n, t.now)) {
-        return true;
-    }
-    return count_staying(t.n.nodes, t.n.settings.node.name, t.n.upstream.latest->service, t.now) >=
-           t.n.least_staying;
+    const auto &self = t.n.settings.node;
+    return count_staying(t.n.nodes, self.name, self.service, t.now);
 }
 
-void log_gate_close(mesh_turn &t, bool suffice)
+void log_gate_close(mesh_turn &t, std::size_t staying, bool suffice)
 {
-    const std::string &service = t.n.settings.node.service;
-    t.out.emplace_back(write_line{
-        write_line::severity::info,
-        "node",
-        "gate-closed",
-        {{"why", suffice ? "others_suffice" : "time_is_over"},
-         {"staying",
-          std::to_string(count_staying(t.n.nodes, t.n.settings.node.name, service, t.now))},
-         {"least", std::to_string(t.n.least_staying)},
-         {"runs", std::to_string(t.n.runs.size())}}});
+    t.out.emplace_back(write_line{write_line::severity::info,
+                                  "node",
+                                  "gate-closed",
+                                  {{"why", suffice ? "others_suffice" : "time_is_over"},
+                                   {"staying", std::to_string(staying)},
+                                   {"least", std::to_string(t.n.least_staying)},
+                                   {"runs", std::to_string(t.n.runs.size())}}});
 }
 
 }  // namespace
@@ -54,9 +47,10 @@
     if (!t.n.gate_closes_at || t.n.gate_closed || t.now < *t.n.gate_closes_at) {
         return;
     }
-    bool suffice = others_suffice(t);
-    if (suffice || t.now >= t.n.stop.gate_by) {
-        log_gate_close(t, suffice);
+    std::size_t staying = others_staying(t);
+    bool holds = t.n.on.ordered_stops && serves(t.n, t.now) && staying < t.n.least_staying;
+    if (!holds || t.now >= t.n.stop.gate_by) {
+        log_gate_close(t, staying, !holds);
         close_gate(t);
     }
 }
--- /dev/null
+++ b/test/support/echo_world.hpp
@@ -0,0 +1,43 @@
+#ifndef GULLSTALL_TEST_SUPPORT_ECHO_WORLD_HPP
+#define GULLSTALL_TEST_SUPPORT_ECHO_WORLD_HPP
+
+#include "test/support/world.hpp"
+
+namespace gullstall::test {
+
+/// A world whose workers send each body back after 10 ms; answers are collected.
+struct echo_world
+{
+    test_publisher publisher;
+    world w;
+    std::vector<caller_answer> answers;
+
+    /// \param bundle text that is in force at all nodes
+    echo_world(std::uint64_t seed, const std::string &bundle) : w(seed)
+    {
+        publisher.publish(w.platform, bundle);
+        w.on_run = [this](const std::string &instance, run_on_worker &&run) {
+            w.after(milliseconds(10), [this, instance, id = run.run, body = run.body] {
+                w.answer_run(instance, id, worker_end::answered, 200, body);
+            });
+        };
+        w.on_answer = [this](const std::string &, call_ref, caller_answer &&answer) {
+            answers.push_back(std::move(answer));
+        };
+    }
+
+    echo_world(const echo_world &) = delete;
+    echo_world &operator=(const echo_world &) = delete;
+
+    /// Adds a node with four slots.
+    void add(const std::string &instance, const std::string &zone, const std::string &service,
+             std::uint16_t number)
+    {
+        constexpr std::uint32_t slots = 4;
+        w.add_node(make_settings(instance, zone, service, number, slots, publisher.trusted()));
+    }
+};
+
+}  // namespace gullstall::test
+
+#endif
--- a/test/unit/node_path.cpp
+++ b/test/unit/node_path.cpp
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "test/support/world.hpp"
+#include "test/support/echo_world.hpp"
 
 using namespace gullstall;
 
@@ -20,27 +20,12 @@
 )";
 
 /// Two nodes of two services in two zones, with workers that echo.
-struct node_path_fixture
+struct node_path_fixture : test::echo_world
 {
-    test::test_publisher publisher;
-    test::world w{1};
-    std::vector<caller_answer> answers;
-
-    node_path_fixture()
+    node_path_fixture() : echo_world(1, bundle_text)
     {
-        publisher.publish(w.platform, bundle_text);
-        w.on_run = [this](const std::string &instance, run_on_worker &&run) {
-            w.after(milliseconds(10), [this, instance, id = run.run, body = run.body] {
-                w.answer_run(instance, id, worker_end::answered, 200, body);
-            });
-        };
-        w.on_answer = [this](const std::string &, call_ref, caller_answer &&answer) {
-            answers.push_back(std::move(answer));
-        };
-        w.add_node(
-            test::make_settings("boxwatch-1", "midrand", "boxwatch", 1, 4, publisher.trusted()));
-        w.add_node(test::make_settings("dispatcher-1", "germiston", "dispatcher", 2, 4,
-                                       publisher.trusted()));
+        add("boxwatch-1", "midrand", "boxwatch", 1);
+        add("dispatcher-1", "germiston", "dispatcher", 2);
         w.run_for(seconds(3));
     }
 };
--- a/test/unit/node_stop.cpp
+++ b/test/unit/node_stop.cpp
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "test/support/world.hpp"
+#include "test/support/echo_world.hpp"
 
 using namespace gullstall;
 
@@ -15,27 +15,12 @@
 )";
 
 /// Two nodes of two services, with workers that echo.
-struct node_stop_fixture
+struct node_stop_fixture : test::echo_world
 {
-    test::test_publisher publisher;
-    test::world w{6};
-    std::vector<caller_answer> answers;
-
-    node_stop_fixture()
+    node_stop_fixture() : echo_world(6, bundle_text)
     {
-        publisher.publish(w.platform, bundle_text);
-        w.on_run = [this](const std::string &instance, run_on_worker &&run) {
-            w.after(milliseconds(10), [this, instance, id = run.run, body = run.body] {
-                w.answer_run(instance, id, worker_end::answered, 200, body);
-            });
-        };
-        w.on_answer = [this](const std::string &, call_ref, caller_answer &&answer) {
-            answers.push_back(std::move(answer));
-        };
-        w.add_node(
-            test::make_settings("boxwatch-1", "midrand", "boxwatch", 1, 4, publisher.trusted()));
-        w.add_node(test::make_settings("dispatcher-1", "midrand", "dispatcher", 2, 4,
-                                       publisher.trusted()));
+        add("boxwatch-1", "midrand", "boxwatch", 1);
+        add("dispatcher-1", "midrand", "dispatcher", 2);
         w.run_for(seconds(3));
     }
 
