gullstalld: queue a frame before its connection is opened

What callers saw: a gullstalld aborted with `malloc(): unaligned tcache chunk detected`, and the calls that it had accepted ended as unknown.

Cause: peer_transport::send() started connect() and used the connection that it had put into the table afterwards. co_spawn() runs connect() at once, and connect() fails before its first wait when the address is empty: it closes the connection, takes it from the table and frees it. send() then read the freed table entry and queued the frame in the freed connection. Addresses are empty for replies to nodes that membership does not know, when the connection over which these asked has closed.

Evidence: a driver of 40 sends to refused ports and four without an address, linked with the old file at -O2, aborted in 40 of 40 runs with just this message.

Fix: the frame is queued first, and send() does not touch the connection after connect() has started. A connect that fails at once now reports the frame as not sent; before, its call was reported with an empty list of unsent frames, and its bytes stayed counted, so that a stop waited for its limit of 10 s.

The sidecar was read for the same: peer_links, upstream_client and http_edge keep what they use by a shared pointer or look it up again; none starts a coroutine between a look-up and its use.

--- a/gullstall/src/runtime/peer_transport.cpp
+++ b/gullstall/src/runtime/peer_transport.cpp
@@ -75,12 +75,10 @@
                           wire::frame_message &&frame)
 {
     std::string key = instance.empty() ? to.address + ":" + std::to_string(to.port) : instance;
-    auto found = connections_.find(key);
-    if (found == connections_.end()) {
-        auto made = std::make_shared<connection>(asio::ip::tcp::socket(io_));
-        made->instance = key;
-        found = connections_.emplace(key, made).first;
-        asio::co_spawn(io_, connect(made, to), asio::detached);
+    auto [found, is_new] = connections_.try_emplace(key);
+    if (is_new) {
+        found->second = std::make_shared<connection>(asio::ip::tcp::socket(io_));
+        found->second->instance = key;
     }
     connection_ptr it = found->second;
     outgoing entry{encode_frame(frame), correlation_of(frame)};
@@ -89,9 +87,12 @@
     it->queue.push_back(std::move(entry));
     if (it->queued_bytes > max_queued_bytes) {
         close(it, "too many bytes wait for it");
-        return;
+    } else if (is_new) {
+        // A connect that fails at once closes the connection before co_spawn() returns.
+        asio::co_spawn(io_, connect(it, to), asio::detached);
+    } else {
+        start_writing(it);
     }
-    start_writing(it);
 }
 
 asio::awaitable<void> peer_transport::connect(connection_ptr it, endpoint to)
@@ -108,6 +109,8 @@
         if (ended.index() == 1) {
             ec = asio::error::timed_out;
         }
+    } else {
+        handlers_.on_bad_connection(it->instance + ": its address is not known; frames not sent");
     }
     if (ec || it->closed) {
         close(it, "connect: " + ec.message());
