gullstalld: close the listening socket when no client is connecting

What callers saw: a connection that had been made broke at once with a request on it (`cut-off`).

Cause: http_server::stop() accepted all that waited and closed the listening socket. The close resets clients whose handshake ended after the last accept.

Ruled out: the same as a cause of 408 or `leaving`, which are whole answers and are not counted as cuts.

Fix: stop() attaches a socket filter that drops SYN segments to the listening socket, goes on accepting until 50 ms have passed without a client, and closes it then. No handshake can be open at that moment, whatever the scheduler does; the window isn't smaller, it is empty. The price: a client that begins to connect in these 50 ms waits for its SYN to be sent again, about a second, in place of a refusal.

The sidecar has the same unordered close.

--- a/gullstall/src/runtime/http_server.cpp
+++ b/gullstall/src/runtime/http_server.cpp
@@ -13,6 +13,8 @@
 #include <boost/beast/http/write.hpp>
 #include <cerrno>
 
+#include "gullstall/src/runtime/tcp_options.hpp"
+
 namespace gullstall::runtime {
 
 namespace asio = boost::asio;
@@ -30,6 +32,10 @@
 constexpr std::chrono::milliseconds drain_time = std::chrono::seconds(2);
 constexpr std::chrono::milliseconds stop_drain_time = std::chrono::milliseconds(500);
 
+/// Time in which a client that has begun to connect completes the handshake: several
+/// round trips.
+constexpr std::chrono::milliseconds handshake_time(50);
+
 http_response make_refusal(http::status status, const std::string &reason)
 {
     http_response out{status, 11};
@@ -149,10 +155,32 @@
 void http_server::stop()
 {
     stopping_ = true;
+    asio::co_spawn(io_, close_acceptor(), asio::detached);
+    for (beast::tcp_stream *it : idle_) {
+        it->cancel();
+    }
+}
+
+/// Closes the listening socket once no client is connecting. The close resets clients
+/// that are not accepted yet, and they can't tell whether the request that they sent ran.
+asio::awaitable<void> http_server::close_acceptor()
+{
+    error_code ec;
+    ignore_new_clients(acceptor_);
+    asio::steady_timer timer(io_);
+    std::uint64_t before = 0;
+    do {
+        before = accepted_;
+        timer.expires_after(handshake_time);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    } while (accepted_ != before);
+    accept_waiting();
+    acceptor_.close(ec);
+}
+
+void http_server::accept_waiting()
+{
     error_code ec;
-    // Clients whose connect has succeeded may have sent a request already; the
-    // listening socket's close would reset them, and they could not tell
-    // whether it ran. They are taken and answered.
     acceptor_.non_blocking(true, ec);
     while (!ec) {
         asio::ip::tcp::socket socket(io_);
@@ -161,15 +189,11 @@
             asio::co_spawn(io_, serve(beast::tcp_stream(std::move(socket))), asio::detached);
         }
     }
-    acceptor_.close(ec);
-    for (beast::tcp_stream *it : idle_) {
-        it->cancel();
-    }
 }
 
 asio::awaitable<void> http_server::accept_loop()
 {
-    while (!stopping_) {
+    while (acceptor_.is_open()) {
         error_code ec;
         asio::ip::tcp::socket socket =
             co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, ec));
@@ -182,6 +206,7 @@
             co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
             continue;
         }
+        ++accepted_;
         socket.set_option(asio::ip::tcp::no_delay(true), ec);
         asio::co_spawn(io_, serve(beast::tcp_stream(std::move(socket))), asio::detached);
     }
--- a/gullstall/src/runtime/http_server.hpp
+++ b/gullstall/src/runtime/http_server.hpp
@@ -58,8 +58,8 @@
         return acceptor_.local_endpoint();
     }
 
-    /// Takes no new connection any more; idle ones are told so and close, the
-    /// others after their answer is written.
+    /// Ends idle connections, and the others after their answer is written. Clients
+    /// that have begun to connect are still served; then the listening socket closes.
     void stop();
 
     /// \returns whether stop() has taken effect and every connection is closed;
@@ -80,6 +80,8 @@
         boost::beast::http::request_parser<boost::beast::http::vector_body<std::uint8_t>>;
 
     boost::asio::awaitable<void> accept_loop();
+    boost::asio::awaitable<void> close_acceptor();
+    void accept_waiting();
     boost::asio::awaitable<void> serve(boost::beast::tcp_stream stream);
     static boost::asio::awaitable<void> read_whole(boost::beast::tcp_stream &stream,
                                                    boost::beast::flat_buffer &buf,
@@ -101,6 +103,7 @@
     std::uint64_t last_id_ = 0;
     std::set<boost::beast::tcp_stream *> idle_;  ///< between two requests
     std::atomic<std::uint32_t> open_ = 0;
+    std::uint64_t accepted_ = 0;
     std::uint32_t refusing_ = 0;  // connections beyond the limit that are being told so
     bool stopping_ = false;
     std::atomic<bool> closed_ = false;
--- a/gullstall/src/runtime/tcp_options.cpp
+++ b/gullstall/src/runtime/tcp_options.cpp
@@ -1,9 +1,11 @@
 #include "gullstall/src/runtime/tcp_options.hpp"
 
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <boost/asio/ip/address.hpp>
 #include <cerrno>
 
@@ -38,6 +40,22 @@
     return good;
 }
 
+void ignore_new_clients(asio::ip::tcp::acceptor &acceptor)
+{
+    constexpr std::uint32_t flags_offset = 13;  // in the TCP header
+    constexpr std::uint32_t syn = 0x02;
+    constexpr std::uint32_t ack = 0x10;
+    constexpr std::uint32_t drop = 0;
+    constexpr std::uint32_t pass = 0xffffffff;
+    std::array<sock_filter, 5> code{{BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flags_offset),
+                                     BPF_STMT(BPF_ALU | BPF_AND | BPF_K, syn | ack),
+                                     BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, syn, 0, 1),
+                                     BPF_STMT(BPF_RET | BPF_K, drop),
+                                     BPF_STMT(BPF_RET | BPF_K, pass)}};
+    sock_fprog filter{static_cast<unsigned short>(code.size()), code.data()};
+    ::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter);
+}
+
 asio::ip::tcp::endpoint tcp_endpoint(const endpoint &it)
 {
     return {asio::ip::make_address(it.address), it.port};
--- a/gullstall/src/runtime/tcp_options.hpp
+++ b/gullstall/src/runtime/tcp_options.hpp
@@ -13,6 +13,11 @@
 /// \returns false when the connection is gone already
 bool set_tcp_options(boost::asio::ip::tcp::socket &socket);
 
+/// Lets a listening socket ignore clients that begin to connect. Those that have begun
+/// still complete and can be accepted; the others try again, and are refused once the
+/// socket is closed.
+void ignore_new_clients(boost::asio::ip::tcp::acceptor &acceptor);
+
 /// \returns whether an idle connection can carry a request: readable means that
 /// the other side closed it or sent what nobody asked for
 bool is_fresh(boost::asio::ip::tcp::socket &socket);
