sidecar: refuse a queued run before its deadline

What callers saw: 504 of a node for a request that had waited in a gate's queue until its time was over and never reached an upstream. 504 promises nothing, so an order must not be sent again after it.

Cause: the gate refused a queued run at its deadline (`too_late`, not started). That is the moment at which the entry node gives the request up, and the refusal is on its way by then; on the same node expire_calls() runs first. place_call() would also have tried further nodes with what was left.

Ruled out: calls that wait for an upstream (call-waits: none) and broken links (connection_lost has handed_over 1).

Fix: a queued run expires min_time_left before its deadline. Nothing would be dispatched after that, so no run is lost. A call without time to run isn't sent to a further node; it ends as too_late (503 with a return time, by the caller's own deadline) when it has certainly not run, as timed_out otherwise.

Test: mesh_path, "queued request: refused as not run when its time is over", for a remote entry in both zones and the own node: 504 three times before.

--- a/gullstall/core.hpp
+++ b/gullstall/core.hpp
@@ -4,6 +4,7 @@
 /// Core module: time, results, ids, hashing and seeded randomness.
 /// It includes no other module.
 
+#include "gullstall/src/core/expiry.hpp"
 #include "gullstall/src/core/hash.hpp"
 #include "gullstall/src/core/hex.hpp"
 #include "gullstall/src/core/ids.hpp"
--- a/gullstall/src/mesh/expiry.hpp
+++ b/gullstall/src/core/expiry.hpp
@@ -1,12 +1,12 @@
-#ifndef GULLSTALL_MESH_EXPIRY_HPP
-#define GULLSTALL_MESH_EXPIRY_HPP
+#ifndef GULLSTALL_CORE_EXPIRY_HPP
+#define GULLSTALL_CORE_EXPIRY_HPP
 
 #include <algorithm>
 #include <map>
 
-#include "gullstall/core.hpp"
+#include "gullstall/src/core/time.hpp"
 
-namespace gullstall::mesh {
+namespace gullstall {
 
 /// References ordered by expiry time, soonest first.
 template <class Ref>
@@ -23,6 +23,6 @@
     }
 }
 
-}  // namespace gullstall::mesh
+}  // namespace gullstall
 
 #endif
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -17,10 +17,25 @@
 
 constexpr std::uint32_t max_priority = 15;
 
+/// \returns the reason for ending a call whose time is over
+reason timeout_reason(const entry_call &call)
+{
+    return call.may_have_run ? reason::timed_out : reason::too_late;
+}
+
+bool has_time_to_run(const entry_call &call, time_point now)
+{
+    return call.expires - now >= min_time_left;
+}
+
 /// Sends the call to a node not tried yet, lets it wait for one, or refuses it.
 void place_call(mesh_turn &t, call_ref id)
 {
     entry_call &call = t.n.calls.at(id);
+    if (!has_time_to_run(call, t.now)) {
+        fail_call(t, id, timeout_reason(call));
+        return;
+    }
     update_own_status(t);
     placement_request wanted{call.call.service, t.n.settings.node.zone, call.tried, call.route};
     std::string node =
@@ -87,7 +102,7 @@
 {
     entry_call &call = t.n.calls.at(id);
     bool allowed = t.n.features.repeats && call.dispatch_count < call.max_attempts &&
-                   (call.call.idempotent || !call.may_have_run) && t.now < call.expires;
+                   (call.call.idempotent || !call.may_have_run) && has_time_to_run(call, t.now);
     if (!allowed) {
         return false;
     }
@@ -293,7 +308,7 @@
         entry_call &call = t.n.calls.at(id);
         std::optional<sent_call> current = call.current;
         call.may_have_run = call.may_have_run || current.has_value();
-        fail_call(t, id, reason::timed_out);
+        fail_call(t, id, timeout_reason(call));
         if (current) {
             record_call_result(t.n.nodes, current->node, call_end::failed, t.now);
             cancel_send(t, *current);
--- a/gullstall/src/mesh/entry_answers.cpp
+++ b/gullstall/src/mesh/entry_answers.cpp
@@ -122,7 +122,7 @@
     answer.status = status_of(why, call.may_have_run);
     bool is_refusal = !call.may_have_run && why != reason::timed_out;
     if (is_refusal) {
-        answer.retry_after = return_time(t, why, call.expires - t.now);
+        answer.retry_after = return_time(t, why, call.deadline - t.now);
     }
     count_answer(t, call.route, is_refusal ? "refused" : "failed", reason_name(why));
     t.out.emplace_back(
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -16,7 +16,6 @@
 #include "gullstall/policy.hpp"
 #include "gullstall/src/mesh/call_chain.hpp"
 #include "gullstall/src/mesh/directory.hpp"
-#include "gullstall/src/mesh/expiry.hpp"
 #include "gullstall/src/mesh/gate_demand.hpp"
 #include "gullstall/src/mesh/mesh_actions.hpp"
 #include "gullstall/src/mesh/mesh_settings.hpp"
@@ -65,6 +64,9 @@
     std::optional<time_point> wait_deadline;
 };
 
+/// Minimum time left for a request to be dispatched.
+inline constexpr duration min_time_left = milliseconds(5);
+
 /// A call queued for, or running on, the local upstream.
 struct local_run
 {
@@ -74,7 +76,7 @@
     mesh_wire::call_message call;
     time_point arrived_at{};
     time_point deadline{};
-    time_point expires{};  ///< the deadline, plus a grace period once started
+    time_point expires{};  ///< just before the deadline; once started, a grace period after it
     time_point due{};      ///< end of the latency objective of the caller's request
     std::optional<time_point> started_at;
     bool abandoned = false;  ///< the reply is no longer awaited
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -13,9 +13,6 @@
 /// knows whether the request ran; the node does not.
 constexpr duration answer_grace = milliseconds(100);
 
-/// Minimum time left for a request to be dispatched.
-constexpr duration min_time_left = milliseconds(5);
-
 /// Back-off after the upstream refused a connection.
 constexpr duration connect_backoff = milliseconds(300);
 
@@ -242,7 +239,8 @@
     run.link = link;
     run.arrived_at = t.now;
     run.deadline = t.now + left;
-    run.expires = run.deadline;
+    // The refusal of a run that is still queued then reaches the entry node in time.
+    run.expires = run.deadline - min_time_left;
     run.due = due;
     run.call = std::move(call);
     t.n.runs_by_correlation[{link, run.call.correlation}] = id;
--- a/test/unit/mesh_path.cpp
+++ b/test/unit/mesh_path.cpp
@@ -178,6 +178,26 @@
     CHECK(w.runs.size() < 15);
 }
 
+// Guards against reporting a request whose time ended in a queue as one that may have run. Its
+// caller must not send an order again after that, although it never ran.
+TEST_CASE_FIXTURE(mesh_path_fixture, "queued request: refused as not run when its time is over")
+{
+    w.upstreams["p1"].run_time = seconds(4);
+    for (int i = 0; i < 10; ++i) {
+        w.send_request("a1", "busy" + std::to_string(i), "/photo/x", long_deadline);
+    }
+    w.run_for(milliseconds(50));
+    for (const char *entry : {"a1", "b1", "p1"}) {
+        std::string id = std::string("queued-at-") + entry;
+        const test::caller_result &result = run_request(entry, id, "/photo/x", milliseconds(300));
+        CHECK(result.status == 503);
+        CHECK(result.refusal_reason == reason::too_late);
+        CHECK(result.retry_after);
+        CHECK(result.answered_at - result.sent_at <= milliseconds(300));
+        CHECK(w.runs_of(id) == 0);
+    }
+}
+
 TEST_CASE_FIXTURE(mesh_path_fixture, "policy: an older version is rejected")
 {
     bool taken = true;
