gullstalld: refuse a queued run before its deadline

What callers saw: `unknown` with reason deadline for a call that had waited in the queue of an upstream until its time was over. The claim of an order's key keeps that outcome, so that each repeat gets it too, although nothing ran.

On one node expire_calls() runs before expire_runs().

Evidence: the test, with the margin at 0 as before: `unknown` for an entry at another node and at the same node. How often callers met it is not measured; the stand-ins' time is long beside their queues.

Fix: a queued run expires two ticks before its deadline, so that the refusal reaches the entry node before that node's tick behind the deadline. A run that starts gets its whole time, as before. Both expiry tables use the queue in core.

Test: node_path, "call, queued until its deadline, refused as not run": two unknown before, not_run with a return time after.

--- a/gullstall/src/node/answer.cpp
+++ b/gullstall/src/node/answer.cpp
@@ -16,13 +16,7 @@
     if (call.current) {
         t.n.calls_by_attempt.erase(call.current->correlation);
     }
-    auto [begin, end] = t.n.call_deadlines.equal_range(call.deadline);
-    for (auto it = begin; it != end; ++it) {
-        if (it->second == call.id) {
-            t.n.call_deadlines.erase(it);
-            break;
-        }
-    }
+    erase_expiry(t.n.call_deadlines, call.deadline, call.id);
     if (call.parent) {
         auto run = t.n.runs.find(*call.parent);
         if (run != t.n.runs.end()) {
--- a/gullstall/src/node/node.hpp
+++ b/gullstall/src/node/node.hpp
@@ -63,6 +63,7 @@
     std::string origin;  ///< instance of the node that sent the call
     wire::call_message call;
     time_point deadline{};
+    time_point expires{};  ///< just before the deadline; the deadline once started
     time_point queued_at{};
     std::optional<time_point> started_at;
     allowance retries{};
@@ -152,11 +153,11 @@
     std::unordered_map<call_ref, call_ref>
         joined_repeats;  ///< from a repeat to the call whose answer it gets
     std::unordered_map<std::uint64_t, call_ref> calls_by_attempt;  ///< by correlation
-    std::multimap<time_point, call_ref> call_deadlines;
+    expiry_queue<call_ref> call_deadlines;
     std::unordered_map<run_ref, active_run> runs;
     std::map<std::pair<std::string, std::uint64_t>, run_ref>
         runs_by_origin;  ///< by origin, correlation
-    std::multimap<time_point, run_ref> run_deadlines;
+    expiry_queue<run_ref> run_expiry;
     std::unordered_map<platform_ref, platform_purpose> pending_platform_requests;
 
     std::uint32_t slots = 0;  ///< slots of the local worker; 0 until it has registered
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// A run that is still queued this long before its deadline is refused. The refusal then
+/// reaches the entry node before that answers its caller that the outcome is unknown.
+constexpr duration queue_expiry_margin = 2 * tick_interval;
+
 /// Sends the reply to the node that sent the call, with the admission levels of
 /// this service and of the services that the call reached.
 void reply_to(step_context &t, const std::string &origin, wire::reply_message reply,
@@ -52,13 +56,7 @@
     if (t.n.exclusive_run == id) {
         t.n.exclusive_run.reset();
     }
-    auto [begin, end] = t.n.run_deadlines.equal_range(run.deadline);
-    for (auto it = begin; it != end; ++it) {
-        if (it->second == id) {
-            t.n.run_deadlines.erase(it);
-            break;
-        }
-    }
+    erase_expiry(t.n.run_expiry, run.expires, id);
     return run;
 }
 
@@ -66,6 +64,9 @@
 {
     active_run &run = t.n.runs.at(id);
     run.started_at = t.now;
+    erase_expiry(t.n.run_expiry, run.expires, id);
+    run.expires = run.deadline;
+    t.n.run_expiry.emplace(run.expires, id);
     ++t.n.slots_used;
     ++t.n.counters.runs_started;
     record_wait(t.n.level, t.now - run.queued_at);
@@ -235,12 +236,13 @@
     run.id = id;
     run.origin = from;
     run.deadline = t.now + microseconds(call.left_us);
+    run.expires = run.deadline - queue_expiry_margin;
     run.queued_at = t.now;
     run.retries.left = call.allowance;
     run.call = std::move(call);
     waiting_run waiting = make_waiting_run(t.n, run);
     t.n.runs_by_origin[{from, run.call.correlation}] = id;
-    t.n.run_deadlines.emplace(run.deadline, id);
+    t.n.run_expiry.emplace(run.expires, id);
     t.n.runs.emplace(id, std::move(run));
     if (requires_exclusive_worker(t.n, t.n.runs.at(id).call)) {
         t.n.exclusive_waiting.push_back(id);
@@ -324,9 +326,9 @@
 
 void expire_runs(step_context &t)
 {
-    while (t.n.rules.propagate_cancellation && !t.n.run_deadlines.empty() &&
-           t.n.run_deadlines.begin()->first <= t.now) {
-        run_ref id = t.n.run_deadlines.begin()->second;
+    while (t.n.rules.propagate_cancellation && !t.n.run_expiry.empty() &&
+           t.n.run_expiry.begin()->first <= t.now) {
+        run_ref id = t.n.run_expiry.begin()->second;
         std::size_t open_calls = t.n.runs.at(id).child_calls.size();
         active_run run = cancel_run(t, id);
         log_expired(t, run, open_calls);
--- a/test/unit/node_path.cpp
+++ b/test/unit/node_path.cpp
@@ -66,6 +66,27 @@
     CHECK(w.nodes.at("boxwatch-1").slots_used == 0);
 }
 
+// Guards against a call whose time ended in a queue being reported as one that may have run.
+TEST_CASE_FIXTURE(node_path_fixture, "call, queued until its deadline, refused as not run")
+{
+    w.on_run = [](const std::string &, run_on_worker &&) {};
+    for (int i = 0; i < 4; ++i) {
+        std::string id = "busy-" + std::to_string(i);
+        w.call("dispatcher-1", call_request{"boxwatch", "check", id, "", "", seconds(1), {}});
+    }
+    w.run_for(milliseconds(5));
+    for (const char *entry : {"dispatcher-1", "boxwatch-1"}) {
+        w.call(entry, call_request{"boxwatch", "check", entry, "", "", milliseconds(100), {}});
+    }
+    w.run_for(milliseconds(120));
+    REQUIRE(answers.size() == 2);
+    for (const caller_answer &it : answers) {
+        CHECK(it.outcome == wire::outcome::not_run);
+        CHECK(it.refusal == wire::refusal::deadline);
+        CHECK(it.retry_after_ms > 0);
+    }
+}
+
 TEST_CASE_FIXTURE(node_path_fixture, "stop, call in flight, finishes before it stops")
 {
     w.call("dispatcher-1", call_request{"boxwatch", "check", "r1", "", "", {}, {7}});
