gullstalld: answer questions for bundles at the member's address

Cause: answers to questions for bundles, and the questions for a version that a frame names, were sent with an empty address, also to known members. A node that is killed while a seed answers it leaves no connection, and the send to nowhere freed what it then wrote to.

Fix: these frames go through send_to(), which knows the member's address. Without a connection the answer reaches the next process of the instance, and a node is no longer taken for unreachable for want of an address.

Test: node_restart, "question for the bundle, known member, answered to its address", failed before (empty address). bundle_spread, bundle_race, bundle_chain, cut_zone, member_changes, member_frozen pass.

--- a/gullstall/src/node/bundle_control.cpp
+++ b/gullstall/src/node/bundle_control.cpp
@@ -64,7 +64,7 @@
     }
     wire::bundle_fetch_message message;
     message.version = order->version;
-    send_to_address(t, order->from.instance, endpoint{}, make_frame(message));
+    send_to(t, order->from.instance, make_frame(message));
 }
 
 void log_refused_bundle(step_context &t, const error &why)
@@ -221,7 +221,7 @@
     if (held != t.n.bundles.held.end()) {
         out.content.assign(held->second.stored.begin(), held->second.stored.end());
     }
-    send_to_address(t, from, endpoint{}, make_frame(std::move(out)));
+    send_to(t, from, make_frame(std::move(out)));
 }
 
 }  // namespace
@@ -308,8 +308,7 @@
         on_content(t, frame.sender, frame.bundle_version, *content);
         if (content->version == 0 && frame.bundle_version < own) {
             // The sender has an older version: the header of the answer contains the newer.
-            send_to_address(t, frame.sender, endpoint{},
-                            make_frame(wire::bundle_content_message{}));
+            send_to(t, frame.sender, make_frame(wire::bundle_content_message{}));
         }
     }
     if (!t.n.bundles.in_force || !t.n.bundles.guards.hear_frames) {
--- a/test/unit/node_restart.cpp
+++ b/test/unit/node_restart.cpp
@@ -164,3 +164,22 @@
     CHECK(reply->outcome == wire::outcome::unknown);
     CHECK(reply->refusal == wire::refusal::starting);
 }
+
+// Guards against an answer that is dropped, and its receiver taken for unreachable, because the
+// connection on which the question came has closed.
+TEST_CASE_FIXTURE(node_restart_fixture,
+                  "question for the bundle, known member, answered to its address")
+{
+    wire::frame_message question;
+    question.sender = "dispatcher-1";
+    question.payload.Set(wire::bundle_fetch_message{});
+    const node_settings &asking = w.nodes.at("dispatcher-1").settings;
+    std::vector<endpoint> targets;
+    for (action &it : step(w.nodes.at("boxwatch-1"), w.now, frame_arrived{std::move(question)})) {
+        auto *frame = std::get_if<send_frame>(&it);
+        if (frame != nullptr && frame->frame.payload.Asbundle_content() != nullptr) {
+            targets.push_back(frame->to);
+        }
+    }
+    CHECK(targets == std::vector{endpoint{asking.listen.address, asking.listen.peers_port}});
+}
