Tests name the process that has ended and the error of each cut

The script now prints such a process, its status and the end of its log; an exchange keeps the error that ended it, and the load's log has a line for each cut-off.

--- a/gullstall/src/runtime/http_client.cpp
+++ b/gullstall/src/runtime/http_client.cpp
@@ -93,6 +93,7 @@
             reusable = out.response.keep_alive() && buf.size() == 0;
         }
     }
+    out.error = ec;
     if (handle) {
         handle->stream = nullptr;
     }
--- a/gullstall/src/runtime/http_client.hpp
+++ b/gullstall/src/runtime/http_client.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/system/error_code.hpp>
 #include <memory>
 #include <vector>
 
@@ -25,6 +26,7 @@
 {
     exchange_end end;
     http_response response;
+    boost::system::error_code error{};  ///< why no whole response came
 };
 
 /// A connection in use, so that its exchange can be broken off.
--- a/test/process/process_kill.sh
+++ b/test/process/process_kill.sh
@@ -27,6 +27,19 @@
   "$bin/gullstall-worker" --port $((base + 400 + n)) --node-port $((base + 100 + n)) --slots 20 \
     --service-ms 30 --run-log "$out/runs.log" 2>>"$out/$1-worker.log" & worker_pid[$1]=$!
 }
+# Names what has ended by itself: the script ends at the next kill of it.
+report_ended() {
+  local log pid status
+  for log in "${names[@]}" "${names[@]/%/-worker}"; do
+    pid=${node_pid[$log]:-${worker_pid[${log%-worker}]}}
+    kill -0 "$pid" 2>/dev/null && continue
+    status=0
+    wait "$pid" || status=$?
+    echo "$log has ended with $status; its log ends with:"
+    tail -n 5 "$out/$log.log"
+  done
+}
+trap report_ended ERR
 zones=(midrand germiston centurion)
 for n in 1 2 3 4 5 6; do
   name=dispatcher-$n
--- a/test/standins/load.cpp
+++ b/test/standins/load.cpp
@@ -136,6 +136,10 @@
             rt::http_client &client = *clients_[chosen];
             rt::exchange it =
                 co_await client.send(std::move(message), gullstall::seconds(10), nullptr);
+            if (it.end == rt::exchange_end::lost) {
+                std::fprintf(stderr, "cut-off %s %s@%zu: %s\n", id.c_str(), of.target.c_str(),
+                             chosen, it.error.message().c_str());
+            }
             if (note(count, it, body)) {
                 std::chrono::duration<double, std::milli> took =
                     std::chrono::steady_clock::now() - start;
