Statuses go to the nodes of the own zone, and between zones by relays

Cause: each node sent its status to every other node twice a second and at each change of demand, encoded once for each connection: at 195 nodes 388 frames a second sent and as many received.

Change: a status goes to the nodes of the own availability zone. Two relays of each zone, the first by a hash of the names that a node hears, send what has changed in their zone to a relay of each other zone every 200 ms; who receives such a batch passes it on in its zone. Changes after which a call would be refused (left, stopping, ready) still go to all at once. A frame for several connections is encoded once. Connections between zones are pinged every 10 s, or when their node was not heard of for 1.5 s, and closed only when a ping stays unanswered; they get a compressor after 2 KiB. Nodes tell in their greeting that they take batches; others get statuses as before.

Load and state have sequences of their own now: replies to frequent calls would otherwise outdate each relayed status, and demand would never be updated.

Ruled out: slower statuses to all (the age grows with the saving); relays that send to every node of other zones (bytes between zones).

mesh_path counted lines about silent nodes over all nodes; the far side of the cut now notices it too, without calls. It counts the lines about the node that the test cuts off: as strict for the node that makes the calls.

--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -129,6 +129,8 @@
                 send_to_node(it);
             } else if constexpr (std::is_same_v<kind, mesh::send_to_link>) {
                 peers_.send_to_link(it.link, it.frame);
+            } else if constexpr (std::is_same_v<kind, mesh::send_to_links>) {
+                peers_.send_to_links(it.links, it.frame);
             } else if constexpr (std::is_same_v<kind, mesh::start_run>) {
                 upstream_.start(std::move(it));
             } else if constexpr (std::is_same_v<kind, mesh::cancel_run>) {
@@ -204,6 +206,8 @@
         step([&](mesh_turn &t) { handle_reply(t, node, *reply); });
     } else if (const mesh_wire::node_status_message *status = frame.payload.Asnode_status()) {
         step([&](mesh_turn &t) { handle_status(t, *status); });
+    } else if (const mesh_wire::status_batch_message *batch = frame.payload.Asstatus_batch()) {
+        step([&](mesh_turn &t) { handle_status_batch(t, node, *batch); });
     } else if (const mesh_wire::chain_news_message *news = frame.payload.Aschain_news()) {
         step([&](mesh_turn &t) { handle_chain_news(t, *news); });
     } else if (const mesh_wire::policy_content_message *it = frame.payload.Aspolicy_content()) {
--- a/gullstall/src/edge/peer_connection.cpp
+++ b/gullstall/src/edge/peer_connection.cpp
@@ -28,6 +28,10 @@
 /// already, and compressing 60 KB takes 1 ms of a full core.
 constexpr std::size_t max_compressed_frame_bytes = 8192;
 
+/// Bytes of compressible frames that a connection carries before it is given a compressor,
+/// which takes 100 KiB. Most connections between zones carry a greeting only.
+constexpr std::size_t uncompressed_start_bytes = 2048;
+
 std::uint64_t call_correlation(const mesh_wire::frame_message &frame)
 {
     const mesh_wire::call_message *call = frame.payload.Ascall();
@@ -130,28 +134,44 @@
     return true;
 }
 
-void peer_connection::enable_compression()
+bool peer_connection::send(const mesh_wire::frame_message &frame)
 {
-    result<frame_compressor> made = make_compressor();
-    if (!succeeded(made)) {
-        close(error_of(made).message);
-        return;
-    }
-    compressor_ = value_of(std::move(made));
+    return queue_frame(
+        queued_frame{encode_frame_of<mesh_wire::frame>(frame), call_correlation(frame)});
 }
 
-bool peer_connection::send(const mesh_wire::frame_message &frame)
+bool peer_connection::send_encoded(const std::string &bytes)
+{
+    return queue_frame(queued_frame{bytes, 0});
+}
+
+bool peer_connection::queue_frame(queued_frame &&frame)
 {
     if (closed_ || queued_bytes_ > max_queued_bytes) {
         return false;
     }
-    std::string bytes = encode_frame_of<mesh_wire::frame>(frame);
-    queued_bytes_ += bytes.size();
-    queued_.push_back(queued_frame{std::move(bytes), call_correlation(frame)});
+    queued_bytes_ += frame.bytes.size();
+    queued_.push_back(std::move(frame));
     write_queued();
     return true;
 }
 
+bool peer_connection::is_compressed(const queued_frame &frame)
+{
+    if (!compresses_ || frame.bytes.size() > max_compressed_frame_bytes) {
+        return false;
+    }
+    uncompressed_bytes_ += compressor_ ? 0 : frame.bytes.size();
+    if (!compressor_ && uncompressed_bytes_ > uncompressed_start_bytes) {
+        result<frame_compressor> made = make_compressor();
+        compresses_ = succeeded(made);  // the frames are whole without compression, too
+        if (compresses_) {
+            compressor_ = value_of(std::move(made));
+        }
+    }
+    return compressor_.has_value();
+}
+
 void peer_connection::write_queued()
 {
     if (!writing_.empty() || queued_.empty() || closed_) {
@@ -161,7 +181,7 @@
     std::string batch;
     for (queued_frame &it : queued_) {
         n_queued += it.bytes.size();
-        if (compressor_ && it.bytes.size() <= max_compressed_frame_bytes) {
+        if (is_compressed(it)) {
             batch += it.bytes;
             continue;
         }
--- a/gullstall/src/edge/peer_connection.hpp
+++ b/gullstall/src/edge/peer_connection.hpp
@@ -37,16 +37,23 @@
     /// Reads frames until the connection is closed.
     boost::asio::awaitable<void> run();
 
-    /// Compresses all frames sent from now on. Used between availability zones, where
-    /// traffic is billed: call frames shrink to a fifth of their size. A flag in each
-    /// block tells the receiver whether it is compressed.
-    void enable_compression();
+    /// Compresses frames sent from now on, once some have been sent. Used between
+    /// availability zones, where traffic is billed: call frames shrink to a fifth of their
+    /// size. A flag in each block tells the receiver whether it is compressed.
+    void enable_compression()
+    {
+        compresses_ = true;
+    }
 
     /// Queues a frame for sending.
     /// \returns false when the send queue is full or the connection is closed, and the
     /// frame was not queued
     bool send(const mesh_wire::frame_message &frame);
 
+    /// Queues an encoded frame, which is not a call, for sending.
+    /// \returns the same as send()
+    bool send_encoded(const std::string &bytes);
+
     /// Closes the connection; `on_closed` is called once.
     void close(const std::string &why);
 
@@ -65,7 +72,9 @@
         std::uint64_t correlation;  ///< of a call, otherwise 0
     };
 
+    bool queue_frame(queued_frame &&frame);
     void write_queued();
+    bool is_compressed(const queued_frame &frame);
     void flush_compressed(std::string &batch);
     bool parse_input();
     bool parse_compressed_block(std::string_view content);
@@ -76,6 +85,8 @@
     std::string read_buffer_;
     std::vector<queued_frame> queued_;
     std::vector<std::string> writing_;
+    bool compresses_ = false;
+    std::size_t uncompressed_bytes_ = 0;  ///< sent so far that could have been compressed
     std::optional<frame_compressor> compressor_;
     std::optional<frame_decompressor> decompressor_;
     std::size_t queued_bytes_ = 0;
--- a/gullstall/src/edge/peer_links.cpp
+++ b/gullstall/src/edge/peer_links.cpp
@@ -8,6 +8,7 @@
 
 #include "gullstall/src/edge/clock.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
+#include "gullstall/src/wire/frame_codec.hpp"
 
 namespace gullstall::edge {
 
@@ -17,13 +18,18 @@
 
 namespace {
 
-/// A connection on which nothing was received for this long is pinged. It is longer
-/// than the status interval.
+/// A connection within the zone on which nothing was received for this long is pinged. It
+/// is longer than the status interval.
 constexpr duration ping_idle_time = milliseconds(800);
 
-/// A connection on which nothing was received for this long is closed: three statuses
-/// and the response to a ping were missed.
+/// The same between zones. A connection that a firewall has dropped silently is found
+/// within this time, so that calls seldom are the first to meet it.
+constexpr duration ping_idle_time_between_zones = seconds(10);
+
+/// A connection on which nothing was received for this long, and for ping_timeout after a
+/// ping, is closed: within the zone three statuses were missed as well.
 constexpr duration silence_timeout = milliseconds(1600);
+constexpr duration ping_timeout = milliseconds(800);
 
 /// Timeout of a connection attempt. After a network partition heals, nodes reconnect
 /// within this timeout plus the longest backoff; until then a zone without some
@@ -33,6 +39,15 @@
 constexpr duration max_backoff = milliseconds(300);
 constexpr std::chrono::milliseconds accept_retry_delay(10);
 
+/// Closes a connection whose send queue is full. Dropping a reply instead would leave its
+/// request unanswered.
+void close_unless_sent(peer_connection &connection, bool sent)
+{
+    if (!sent) {
+        connection.close("send queue full, peer reads too slowly");
+    }
+}
+
 }  // namespace
 
 peer_links::peer_links(asio::io_context &io, const asio::ip::tcp::endpoint &at,
@@ -77,6 +92,7 @@
     dialed_node &it = dialed_[address.node];
     bool address_changed = it.address.peers != address.peers;
     it.address = address;
+    it.in_own_zone = address.zone == handlers_.make_hello().zone;
     it.next_dial_at = time_point{};
     it.backoff = duration{};
     if (address_changed && it.connection) {
@@ -178,8 +194,14 @@
 bool peer_links::send_to_node(const std::string &node, const mesh_wire::frame_message &frame)
 {
     auto found = dialed_.find(node);
-    return found != dialed_.end() && found->second.established &&
-           found->second.connection->send(frame);
+    if (found == dialed_.end() || !found->second.established) {
+        return false;
+    }
+    dialed_node &it = found->second;
+    if (frame.payload.Asping() != nullptr && !is_ping_unanswered(it)) {
+        it.last_ping_at = now();
+    }
+    return it.connection->send(frame);
 }
 
 void peer_links::send_to_link(link_ref link, const mesh_wire::frame_message &frame)
@@ -189,23 +211,38 @@
         return;
     }
     std::shared_ptr<peer_connection> connection = found->second;
-    if (!connection->send(frame)) {
-        // Dropping a reply would leave its request unanswered, so close the connection
-        // instead.
-        connection->close("send queue full, peer reads too slowly");
+    close_unless_sent(*connection, connection->send(frame));
+}
+
+void peer_links::send_to_links(const std::vector<link_ref> &links,
+                               const mesh_wire::frame_message &frame)
+{
+    std::string bytes = encode_frame_of<mesh_wire::frame>(frame);
+    for (link_ref link : links) {
+        auto found = accepted_.find(link);
+        if (found != accepted_.end()) {
+            std::shared_ptr<peer_connection> connection = found->second;
+            close_unless_sent(*connection, connection->send_encoded(bytes));
+        }
     }
 }
 
+bool peer_links::is_ping_unanswered(const dialed_node &it)
+{
+    return it.last_ping_at >= it.connection->last_received_at();
+}
+
 void peer_links::check_liveness(const std::string &node, dialed_node &it, time_point now)
 {
     std::shared_ptr<peer_connection> connection = it.connection;
     duration silence = now - connection->last_received_at();
-    if (silence > silence_timeout) {
+    bool is_ping_lost = is_ping_unanswered(it) && now - it.last_ping_at > ping_timeout;
+    if (silence > silence_timeout && is_ping_lost) {
         connection->close("silent");
         return;
     }
-    if (silence > ping_idle_time && now - it.last_ping_at > ping_idle_time) {
-        it.last_ping_at = now;
+    duration idle_time = it.in_own_zone ? ping_idle_time : ping_idle_time_between_zones;
+    if (silence > idle_time && !is_ping_unanswered(it)) {
         mesh_wire::ping_message ping;
         ping.sent_us = mesh::frame_time_us(now);
         send_to_node(node, mesh::mesh_frame(ping));
--- a/gullstall/src/edge/peer_links.hpp
+++ b/gullstall/src/edge/peer_links.hpp
@@ -32,6 +32,9 @@
 
 /// Connections between nodes. Each node opens one connection to every other node and
 /// sends its calls over it; replies and statuses return over the same connection.
+///
+/// A connection within the zone is never idle for long, as statuses arrive over it.
+/// One between zones may be; it counts as lost only when a ping stays unanswered.
 class peer_links
 {
 public:
@@ -49,6 +52,10 @@
     /// Sends a frame over a connection that another node opened.
     void send_to_link(mesh::link_ref link, const mesh_wire::frame_message &frame);
 
+    /// Sends the same frame over several connections that other nodes opened.
+    void send_to_links(const std::vector<mesh::link_ref> &links,
+                       const mesh_wire::frame_message &frame);
+
     /// Opens connections whose backoff has expired, and closes those that have timed
     /// out. Call several times per second.
     void tick(time_point now);
@@ -61,7 +68,8 @@
         std::shared_ptr<peer_connection> connection;
         bool connecting = false;
         bool established = false;
-        time_point last_ping_at{};
+        bool in_own_zone = false;
+        time_point last_ping_at{};  ///< or when the connection was opened
         time_point next_dial_at{};
         duration backoff{};
     };
@@ -73,6 +81,7 @@
     void on_dialed_frame(const std::string &node, const std::weak_ptr<peer_connection> &from,
                          mesh_wire::frame_message &&frame);
     void on_dialed_closed(const std::string &node, const std::string &why);
+    static bool is_ping_unanswered(const dialed_node &it);
     void check_liveness(const std::string &node, dialed_node &it, time_point now);
 
     boost::asio::io_context &io_;
--- a/gullstall/src/mesh/admission.cpp
+++ b/gullstall/src/mesh/admission.cpp
@@ -2,6 +2,7 @@
 #include <cmath>
 
 #include "gullstall/src/mesh/mesh_node.hpp"
+#include "gullstall/src/mesh/status_relay.hpp"
 
 namespace gullstall::mesh {
 
@@ -142,7 +143,7 @@
                                    {"running", std::to_string(t.n.gate.running)},
                                    {"waiting", std::to_string(t.n.gate.waiting.size())},
                                    {"slots", std::to_string(t.n.gate.slots)}}});
-    broadcast_status(t);
+    send_status_nearby(t);
 }
 
 void broadcast_chain_news(mesh_turn &t, bool to_all, std::optional<link_ref> link)
@@ -151,11 +152,16 @@
     if ((!changed && !to_all) || t.n.announced_calls.empty()) {
         return;
     }
+    std::vector<link_ref> links;
     for (const auto &[each, clock] : t.n.links) {
         if (changed || each == link) {
-            t.out.emplace_back(send_to_link{each, mesh_frame(to_chain_news(t.n.announced_calls))});
+            links.push_back(each);
         }
     }
+    if (!links.empty()) {
+        t.out.emplace_back(
+            send_to_links{std::move(links), mesh_frame(to_chain_news(t.n.announced_calls))});
+    }
 }
 
 void restore_chain(mesh_turn &t, const std::string &route, const calls_per_run &calls)
--- a/gullstall/src/mesh/directory.cpp
+++ b/gullstall/src/mesh/directory.cpp
@@ -24,13 +24,34 @@
 /// flight. A node on a saturated core answers a probe within 100 ms.
 constexpr duration probe_timeout = milliseconds(250);
 
-bool is_silent(const node_view &it, time_point now)
+/// Age of a status after which the node is probed without calls in flight: the nodes that
+/// passed its statuses on are gone, or none of them hears it.
+constexpr duration stale_status_age = milliseconds(1500);
+
+bool is_older(const mesh_wire::node_status_message &status,
+              const mesh_wire::node_status_message &known)
 {
-    return it.probed_at && now - *it.probed_at >= probe_timeout;
+    return status.incarnation < known.incarnation ||
+           (status.incarnation == known.incarnation && status.sequence <= known.sequence);
+}
+
+void copy_load(const mesh_wire::node_status_message &from, mesh_wire::node_status_message &to)
+{
+    to.slots = from.slots;
+    to.running = from.running;
+    to.waiting = from.waiting;
+    to.run_time_us = from.run_time_us;
+    to.wait_us = from.wait_us;
+    to.shed_milli = from.shed_milli;
 }
 
 }  // namespace
 
+bool is_silent(const node_view &it, time_point now)
+{
+    return it.probed_at && now - *it.probed_at >= probe_timeout;
+}
+
 bool is_usable(const node_view &it, const std::string &service, time_point now)
 {
     return it.linked && !is_silent(it, now) && !it.status.stopping &&
@@ -53,6 +74,7 @@
     }
     if (address.incarnation > known.address.incarnation) {
         known.status = mesh_wire::node_status_message{};
+        known.load_sequence = 0;
         known.sent_since_status = 0;
     }
     known.address = address;
@@ -67,15 +89,39 @@
     }
     node_view &known = found->second;
     known.probed_at.reset();
-    bool is_older = status.incarnation < known.status.incarnation ||
-                    (status.incarnation == known.status.incarnation &&
-                     status.sequence <= known.status.sequence);
-    if (is_older) {
+    if (is_older(status, known.status)) {
         return false;
     }
     known.status = status;
     known.status_at = now;
+    known.load_sequence = status.sequence;
     known.sent_since_status = 0;
+    known.to_pass_on = false;
+    return true;
+}
+
+bool update_relayed_status(directory &it, const mesh_wire::node_status_message &status,
+                           time_point heard_at)
+{
+    auto found = it.nodes.find(status.node);
+    if (found == it.nodes.end()) {
+        return false;
+    }
+    node_view &known = found->second;
+    if (status.incarnation < known.address.incarnation || is_older(status, known.status)) {
+        return false;
+    }
+    mesh_wire::node_status_message before = std::move(known.status);
+    known.status = status;
+    known.status_at = std::max(known.status_at, heard_at);
+    bool is_same_process = before.incarnation == status.incarnation;
+    if (is_same_process && status.sequence < known.load_sequence) {
+        copy_load(before, known.status);  // a reply has told a later one
+    } else {
+        known.load_sequence = status.sequence;
+        // Calls sent after the node was heard are not in the status.
+        known.sent_since_status = std::min(known.sent_since_status, known.in_flight);
+    }
     return true;
 }
 
@@ -88,10 +134,10 @@
     }
     node_view &known = found->second;
     known.probed_at.reset();
-    if (load.sequence <= known.status.sequence) {
+    if (load.sequence <= known.load_sequence) {
         return;
     }
-    known.status.sequence = load.sequence;
+    known.load_sequence = load.sequence;
     known.status.slots = load.slots;
     known.status.running = load.running;
     known.status.waiting = load.waiting;
@@ -140,7 +186,8 @@
 {
     std::vector<std::string> out;
     for (auto &[name, view] : it.nodes) {
-        bool is_quiet = view.in_flight > 0 && now - view.status_at >= probe_delay;
+        duration age = now - view.status_at;
+        bool is_quiet = (view.in_flight > 0 && age >= probe_delay) || age >= stale_status_age;
         if (name != own && view.linked && is_quiet && !view.probed_at) {
             view.probed_at = now;
             out.push_back(name);
--- a/gullstall/src/mesh/directory.hpp
+++ b/gullstall/src/mesh/directory.hpp
@@ -30,7 +30,12 @@
     node_address address;
     bool linked = false;  ///< the outgoing connection is established
     mesh_wire::node_status_message status;
-    time_point status_at{};  ///< when the status was last updated
+    /// When the status was last heard, from the node itself or by the node that passed it
+    /// on.
+    time_point status_at{};
+    std::uint64_t load_sequence = 0;     ///< of the status or reply that told the load
+    std::uint64_t relayed_sequence = 0;  ///< of the status last sent to other zones
+    bool to_pass_on = false;             ///< the nodes of this zone may lack the status
     /// When the outstanding probe was sent; unset if there is none.
     std::optional<time_point> probed_at;
     bool reported_silent = false;         ///< state last reported by silence_changes
@@ -46,6 +51,9 @@
     std::map<std::string, node_view> nodes;  ///< by name
 };
 
+/// \returns whether the node has left a probe unanswered
+bool is_silent(const node_view &it, time_point now);
+
 /// \returns whether calls to \a service may be sent to the node: it is connected and
 /// responsive, and its upstream accepts work
 bool is_usable(const node_view &it, const std::string &service, time_point now);
@@ -61,6 +69,12 @@
 /// \returns false for a status that is older than the known one or of an unknown node
 bool update_status(directory &it, const mesh_wire::node_status_message &status, time_point now);
 
+/// Applies a status that another node heard at \a heard_at. It shows that the node is
+/// alive, not that the connection to it works.
+/// \returns false for a status that is older than the known one or of an unknown node
+bool update_relayed_status(directory &it, const mesh_wire::node_status_message &status,
+                           time_point heard_at);
+
 /// Applies the load carried by a reply of \a node.
 void update_load(directory &it, const std::string &node, const mesh_wire::node_load_message &load,
                  time_point now);
@@ -82,8 +96,8 @@
 /// Records the result of a call to \a node.
 void record_call_result(directory &it, const std::string &node, call_end end, time_point now);
 
-/// Selects the nodes to probe: those with calls in flight and no recent status. Marks
-/// them as probed.
+/// Selects the nodes to probe: those with calls in flight and no recent status, and those
+/// that were not heard of for long. Marks them as probed.
 /// \param own name of this node
 std::vector<std::string> select_nodes_to_probe(directory &it, const std::string &own,
                                                time_point now);
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "gullstall/src/mesh/mesh_node.hpp"
+#include "gullstall/src/mesh/status_relay.hpp"
 
 namespace gullstall::mesh {
 
@@ -97,6 +98,7 @@
     out.port = self.peers.port;
     out.incarnation = n.incarnation;
     out.sent_us = frame_time_us(now);
+    out.relays_statuses = n.features.relayed_statuses;
     return out;
 }
 
@@ -107,9 +109,13 @@
 
 void broadcast_status(mesh_turn &t)
 {
-    t.n.status_sent_at = t.now;
+    std::vector<link_ref> links;
     for (const auto &[link, clock] : t.n.links) {
-        t.out.emplace_back(send_to_link{link, mesh_frame(own_status(t))});
+        links.push_back(link);
+    }
+    if (!links.empty()) {
+        t.n.status_sent_at = t.now;
+        t.out.emplace_back(send_to_links{std::move(links), mesh_frame(own_status(t))});
     }
 }
 
@@ -132,6 +138,8 @@
 {
     link_clock &clock = t.n.links[link];
     clock.node = hello.node;
+    clock.zone = hello.zone;
+    clock.relays_statuses = hello.relays_statuses;
     clock.known = true;
     clock.min_offset_us =
         static_cast<std::int64_t>(frame_time_us(t.now)) - static_cast<std::int64_t>(hello.sent_us);
@@ -141,16 +149,19 @@
     broadcast_chain_news(t, true, link);
 }
 
-void handle_status(mesh_turn &t, const mesh_wire::node_status_message &status)
+namespace {
+
+mesh_wire::upstream_state known_state(const directory &it, const std::string &node)
 {
-    auto before = t.n.nodes.nodes.find(status.node);
-    bool was_known = before != t.n.nodes.nodes.end();
-    mesh_wire::upstream_state state =
-        was_known ? before->second.status.state : mesh_wire::upstream_state::absent;
-    if (!update_status(t.n.nodes, status, t.now)) {
-        return;
-    }
-    if (status.state != state) {
+    auto found = it.nodes.find(node);
+    return found != it.nodes.end() ? found->second.status.state : mesh_wire::upstream_state::absent;
+}
+
+/// Acts on a status that has replaced one with the state \a before.
+void on_status_changed(mesh_turn &t, const mesh_wire::node_status_message &status,
+                       mesh_wire::upstream_state before)
+{
+    if (status.state != before) {
         t.out.emplace_back(write_line{write_line::severity::info,
                                       "members",
                                       "peer-upstream-state",
@@ -169,6 +180,27 @@
     }
 }
 
+}  // namespace
+
+void handle_status(mesh_turn &t, const mesh_wire::node_status_message &status)
+{
+    mesh_wire::upstream_state before = known_state(t.n.nodes, status.node);
+    if (update_status(t.n.nodes, status, t.now)) {
+        on_status_changed(t, status, before);
+    }
+}
+
+bool apply_relayed_status(mesh_turn &t, const mesh_wire::node_status_message &status,
+                          time_point heard_at)
+{
+    mesh_wire::upstream_state before = known_state(t.n.nodes, status.node);
+    if (!update_relayed_status(t.n.nodes, status, heard_at)) {
+        return false;
+    }
+    on_status_changed(t, status, before);
+    return true;
+}
+
 void handle_node_connected(mesh_turn &t, const std::string &node)
 {
     update_link(t.n.nodes, node, true);
@@ -253,9 +285,10 @@
         t.n.zones = make_zone_plan(*t.n.policy, t.n.plan.calls, zones_by_service(t.n.nodes, t.now));
     }
     if (t.now - t.n.status_sent_at >= status_interval) {
-        broadcast_status(t);
+        send_status_nearby(t);
         broadcast_chain_news(t, false, std::nullopt);
     }
+    relay_statuses(t);
     admission_tick(t);
     stop_tick(t);
     dispatch_waiting_calls(t);
--- a/gullstall/src/mesh/mesh_actions.hpp
+++ b/gullstall/src/mesh/mesh_actions.hpp
@@ -94,6 +94,13 @@
     mesh_wire::frame_message frame;
 };
 
+/// Sends the same frame over several incoming connections.
+struct send_to_links
+{
+    std::vector<link_ref> links;
+    mesh_wire::frame_message frame;
+};
+
 /// Dispatches a request to the local upstream.
 struct start_run
 {
@@ -149,8 +156,9 @@
 };
 
 /// Any effect that a node requests of its runtime.
-using mesh_action = std::variant<answer_caller, send_to_node, send_to_link, start_run, cancel_run,
-                                 upstream_replaced, connect_node, store_chain, write_line>;
+using mesh_action =
+    std::variant<answer_caller, send_to_node, send_to_link, send_to_links, start_run, cancel_run,
+                 upstream_replaced, connect_node, store_chain, write_line>;
 
 /// Actions in execution order.
 using mesh_actions = std::vector<mesh_action>;
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -82,10 +82,13 @@
     bool abandoned = false;  ///< the reply is no longer awaited
 };
 
-/// Clock offset of a peer, estimated from the timestamps of its frames.
+/// A connection opened by a peer, with the peer's clock offset estimated from the
+/// timestamps of its frames.
 struct link_clock
 {
     std::string node;
+    std::string zone;
+    bool relays_statuses = false;  ///< the peer accepts status_batch frames
     bool known = false;
     std::int64_t min_offset_us = 0;  ///< minimum of arrival time minus send time
 };
@@ -155,6 +158,7 @@
     node_latencies latencies;
     std::uint64_t status_sequence = 0;
     time_point status_sent_at{};
+    time_point relayed_at{};              ///< when statuses of others were last passed on
     time_point upstream_backoff_until{};  ///< back-off after a refused connection
     bool stopping = false;                ///< shutdown was requested
     /// Earliest time at which the gate closes for shutdown. The upstream may outlive it.
@@ -233,6 +237,10 @@
 void handle_address(mesh_turn &t, const node_address &address);
 void handle_hello(mesh_turn &t, link_ref link, const mesh_wire::hello_message &hello);
 void handle_status(mesh_turn &t, const mesh_wire::node_status_message &status);
+/// Applies a status that another node has heard at \a heard_at.
+/// \returns whether it was newer than the known one
+bool apply_relayed_status(mesh_turn &t, const mesh_wire::node_status_message &status,
+                          time_point heard_at);
 void handle_node_connected(mesh_turn &t, const std::string &node);
 /// Puts a policy in force if it is newer than the current one.
 /// \param text its source text
@@ -250,7 +258,8 @@
 void members_tick(mesh_turn &t);
 /// \returns whether the node is ready: it has a policy and peers to send to
 bool is_ready(const mesh_node &n, time_point now);
-/// Sends this node's status over all incoming connections.
+/// Sends this node's status over all incoming connections. For changes after which a call
+/// to this node would be refused; others go out with send_status_nearby.
 void broadcast_status(mesh_turn &t);
 /// Updates this node's own entry in the directory.
 void update_own_status(mesh_turn &t);
--- /dev/null
+++ b/gullstall/src/mesh/status_relay.cpp
@@ -0,0 +1,191 @@
+#include "gullstall/src/mesh/status_relay.hpp"
+
+#include <algorithm>
+
+namespace gullstall::mesh {
+
+namespace {
+
+/// Interval at which statuses are passed on. A status of another zone takes two such steps.
+constexpr duration relay_interval = milliseconds(200);
+
+/// Statuses in one frame between zones, which is then small enough to be compressed.
+constexpr std::size_t max_entries_between_zones = 32;
+
+/// Statuses in one frame within a zone.
+constexpr std::size_t max_entries_in_zone = 1000;
+
+using status_batches = std::vector<mesh_wire::status_batch_message>;
+
+bool is_responsive(const node_view &it, time_point now)
+{
+    return it.linked && !is_silent(it, now) && !it.status.stopping && !it.status.stop_asked;
+}
+
+bool is_in_own_zone(const mesh_node &n, const std::string &node)
+{
+    auto found = n.nodes.nodes.find(node);
+    return found != n.nodes.nodes.end() && found->second.address.zone == n.settings.node.zone;
+}
+
+void add_entry(status_batches &out, std::size_t max_entries,
+               const mesh_wire::node_status_message &status, duration age)
+{
+    if (out.empty() || out.back().entries.size() >= max_entries) {
+        out.emplace_back();
+    }
+    auto entry = std::make_unique<mesh_wire::heard_status_message>();
+    entry->status = std::make_unique<mesh_wire::node_status_message>(status);
+    entry->age_us = static_cast<std::uint64_t>(std::max(duration{}, age).count());
+    out.back().entries.push_back(std::move(entry));
+}
+
+void send_batches(mesh_turn &t, const std::vector<link_ref> &links, status_batches &&batches)
+{
+    if (links.empty()) {
+        return;
+    }
+    for (mesh_wire::status_batch_message &it : batches) {
+        t.out.emplace_back(send_to_links{links, mesh_frame(std::move(it))});
+    }
+}
+
+/// \returns the statuses of this zone that have changed since they were last sent to other
+/// zones
+status_batches changed_in_own_zone(mesh_turn &t)
+{
+    status_batches out;
+    for (auto &[name, view] : t.n.nodes.nodes) {
+        bool is_changed = view.status.sequence != view.relayed_sequence;
+        bool is_own_zone = view.address.zone == t.n.settings.node.zone;
+        if (is_own_zone && is_changed && view.linked && !is_silent(view, t.now)) {
+            view.relayed_sequence = view.status.sequence;
+            add_entry(out, max_entries_between_zones, view.status, t.now - view.status_at);
+        }
+    }
+    return out;
+}
+
+/// \returns the statuses received from other zones that the nodes of this zone may lack
+status_batches take_received(mesh_turn &t)
+{
+    status_batches out;
+    for (auto &[name, view] : t.n.nodes.nodes) {
+        if (view.to_pass_on) {
+            view.to_pass_on = false;
+            add_entry(out, max_entries_in_zone, view.status, t.now - view.status_at);
+        }
+    }
+    return out;
+}
+
+std::vector<link_ref> links_in_own_zone(const mesh_node &n)
+{
+    std::vector<link_ref> out;
+    for (const auto &[link, clock] : n.links) {
+        if (clock.relays_statuses && clock.zone == n.settings.node.zone) {
+            out.push_back(link);
+        }
+    }
+    return out;
+}
+
+/// \returns a connection to one relay of each other zone
+/// \param rank position of this node among the relays of its zone: relays of equal rank
+/// are connected
+std::vector<link_ref> links_to_other_zones(const mesh_turn &t, std::size_t rank)
+{
+    std::map<std::string, std::vector<std::string>> relays_by_zone;
+    for (const auto &[name, view] : t.n.nodes.nodes) {
+        relays_by_zone.try_emplace(view.address.zone);
+    }
+    relays_by_zone.erase(t.n.settings.node.zone);
+    std::map<std::string, link_ref> link_of;
+    for (const auto &[link, clock] : t.n.links) {
+        if (clock.relays_statuses) {
+            link_of[clock.node] = link;
+        }
+    }
+    std::vector<link_ref> out;
+    for (auto &[zone, relays] : relays_by_zone) {
+        relays = choose_relays(t.n.nodes, zone, t.now);
+        auto found = relays.empty() ? link_of.end() : link_of.find(relays[rank % relays.size()]);
+        if (found != link_of.end()) {
+            out.push_back(found->second);
+        }
+    }
+    return out;
+}
+
+}  // namespace
+
+std::vector<std::string> choose_relays(const directory &it, const std::string &zone, time_point now)
+{
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (const auto &[name, view] : it.nodes) {
+        if (view.address.zone == zone && is_responsive(view, now)) {
+            ranked.emplace_back(hash_text(name), name);
+        }
+    }
+    std::size_t n = std::min(relays_per_zone, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(n),
+                      ranked.end());
+    std::vector<std::string> out;
+    for (std::size_t i = 0; i < n; ++i) {
+        out.push_back(ranked[i].second);
+    }
+    return out;
+}
+
+void send_status_nearby(mesh_turn &t)
+{
+    std::vector<link_ref> links;
+    for (const auto &[link, clock] : t.n.links) {
+        bool is_relayed_to = t.n.features.relayed_statuses && clock.relays_statuses &&
+                             clock.zone != t.n.settings.node.zone;
+        if (!is_relayed_to) {
+            links.push_back(link);
+        }
+    }
+    t.n.status_sent_at = t.now;
+    update_own_status(t);
+    if (!links.empty()) {
+        const node_view &self = t.n.nodes.nodes.at(t.n.settings.node.name);
+        t.out.emplace_back(send_to_links{std::move(links), mesh_frame(self.status)});
+    }
+}
+
+void relay_statuses(mesh_turn &t)
+{
+    if (!t.n.features.relayed_statuses || t.now - t.n.relayed_at < relay_interval) {
+        return;
+    }
+    t.n.relayed_at = t.now;
+    send_batches(t, links_in_own_zone(t.n), take_received(t));
+    const auto &self = t.n.settings.node;
+    std::vector<std::string> relays = choose_relays(t.n.nodes, self.zone, t.now);
+    auto place = std::find(relays.begin(), relays.end(), self.name);
+    if (place != relays.end()) {
+        auto rank = static_cast<std::size_t>(place - relays.begin());
+        send_batches(t, links_to_other_zones(t, rank), changed_in_own_zone(t));
+    }
+}
+
+void handle_status_batch(mesh_turn &t, const std::string &from,
+                         const mesh_wire::status_batch_message &batch)
+{
+    bool is_from_other_zone = !is_in_own_zone(t.n, from);
+    for (const auto &entry : batch.entries) {
+        if (!entry->status || entry->status->node == t.n.settings.node.name) {
+            continue;
+        }
+        const mesh_wire::node_status_message &status = *entry->status;
+        auto age = duration(static_cast<std::int64_t>(entry->age_us));
+        if (apply_relayed_status(t, status, t.now - age)) {
+            t.n.nodes.nodes.at(status.node).to_pass_on =
+                is_from_other_zone && !is_in_own_zone(t.n, status.node);
+        }
+    }
+}
+
+}  // namespace gullstall::mesh
--- a/gullstall/src/mesh/switches.cpp
+++ b/gullstall/src/mesh/switches.cpp
@@ -36,6 +36,7 @@
     named_flag{"spread_returns", &mesh_features::spread_returns},
     named_flag{"ordered_stops", &mesh_features::ordered_stops},
     named_flag{"waiting_calls", &mesh_features::waiting_calls},
+    named_flag{"relayed_statuses", &mesh_features::relayed_statuses},
 };
 
 }  // namespace
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -71,7 +71,8 @@
         stored_calls;  ///< calls per run in the store, by route
     /// Pairs (from, to) whose frames are held back until the pair is removed.
     std::set<std::pair<std::string, std::string>> partitions;
-    std::set<std::string> paused_nodes;  ///< nodes whose process is paused
+    std::set<std::string> paused_nodes;                ///< nodes whose process is paused
+    std::map<std::string, std::uint64_t> sent_frames;  ///< by sender
     traffic_policy policy;
 
     void schedule_at(time_point when, std::function<void()> action)
@@ -290,10 +291,28 @@
         }
     }
 
+    void perform(const std::string &name, mesh::send_to_links &it)
+    {
+        auto shared = std::make_shared<mesh_wire::frame_message>(std::move(it.frame));
+        for (mesh::link_ref ref : it.links) {
+            auto found = links_.find(ref);
+            if (found != links_.end()) {
+                send_shared(name, found->second.from, ref, shared, false);
+            }
+        }
+    }
+
     void send(const std::string &from, const std::string &to, mesh::link_ref ref,
               mesh_wire::frame_message &&frame, bool is_to_server)
     {
-        auto shared = std::make_shared<mesh_wire::frame_message>(std::move(frame));
+        send_shared(from, to, ref, std::make_shared<mesh_wire::frame_message>(std::move(frame)),
+                    is_to_server);
+    }
+
+    void send_shared(const std::string &from, const std::string &to, mesh::link_ref ref,
+                     const std::shared_ptr<mesh_wire::frame_message> &shared, bool is_to_server)
+    {
+        ++sent_frames[from];
         deliver(from, to, [this, from, to, ref, shared, is_to_server] {
             if (links_.count(ref) > 0) {
                 is_to_server ? receive_at_server(to, ref, *shared)
@@ -329,6 +348,8 @@
                 if (!t.n.nodes.nodes.at(from).linked) {
                     handle_node_connected(t, from);
                 }
+            } else if (const auto *batch = frame.payload.Asstatus_batch()) {
+                handle_status_batch(t, from, *batch);
             } else if (const mesh_wire::chain_news_message *news = frame.payload.Aschain_news()) {
                 handle_chain_news(t, *news);
             }
--- a/test/unit/mesh_path.cpp
+++ b/test/unit/mesh_path.cpp
@@ -284,10 +284,13 @@
         return w.nodes.at("a1").nodes.nodes.at("b1").in_flight;
     }
 
-    auto count_lines(const std::string &event) const
+    /// \returns the number of lines that a node has written about its peer
+    auto count_lines(const std::string &event, const std::string &peer) const
     {
         return std::count_if(w.log_lines.begin(), w.log_lines.end(),
-                             [&](const mesh::write_line &it) { return it.event == event; });
+                             [&](const mesh::write_line &it) {
+                                 return it.event == event && it.fields.front().value == peer;
+                             });
     }
 };
 
@@ -311,12 +314,12 @@
 TEST_CASE_FIXTURE(silent_link_fixture, "unresponsive node: gets calls again once it responds")
 {
     run_cut(true);
-    CHECK(count_lines("node-silent") == 1);
-    CHECK(count_lines("node-heard") == 0);
+    CHECK(count_lines("node-silent", "b1") == 1);
+    CHECK(count_lines("node-heard", "b1") == 0);
     w.partitions.clear();
     w.run_for(milliseconds(200));
-    CHECK(count_lines("node-silent") == 1);
-    CHECK(count_lines("node-heard") == 1);
+    CHECK(count_lines("node-silent", "b1") == 1);
+    CHECK(count_lines("node-heard", "b1") == 1);
     std::size_t before = w.runs.size();
     for (int i = 0; i < 100; ++i) {
         w.send_request("a1", "s" + std::to_string(i), "/read/x", long_deadline);
