gullstalld: keep running when the reader of the log has gone

Callers: all that a node had accepted was lost at its next log line, also at a planned stop, when the reader of its log had ended before it. Cause: SIGPIPE, which gullstall-sidecar ignores and gullstalld did not. Evidence: process_log_reader_gone ends with 141 on the build before, 0 after.

--- a/gullstall/src/runtime/daemon.cpp
+++ b/gullstall/src/runtime/daemon.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <csignal>
 #include <cstdlib>
 #include <random>
 #include <thread>
@@ -500,6 +501,8 @@
 
 result<done> run_daemon(const node_settings &settings)
 {
+    // A closed reader of the log must not end the process with requests in flight.
+    std::signal(SIGPIPE, SIG_IGN);
     open_log(settings.node.instance, settings.log.level);
     daemon_clock clock;
     auto incarnation = static_cast<std::uint64_t>(clock.now().time_since_epoch().count());
