Two nodes of each zone watch the store; the others hear of a policy from them

Cause: each node holds a feed of the policy's row.

Change: the nodes on duty, the first two of a zone by the hash of their names among those that are heard and have not lost the store, watch it. Who reads a new version tells its zone at once; the others fetch it from there, from another zone after 300 ms, and read the store themselves when they lack it for 800 ms longer. A node that has lost the store says so in its status, and the next one watches.

Ruled out: longer feeds (a call that the store leaves unanswered would be noticed later); a leader with a lease in the store (calls, and a duty to hand over).

--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -211,7 +211,8 @@
     } else if (const mesh_wire::chain_news_message *news = frame.payload.Aschain_news()) {
         step([&](mesh_turn &t) { handle_chain_news(t, *news); });
     } else if (const mesh_wire::policy_content_message *it = frame.payload.Aspolicy_content()) {
-        update_policy(std::string(it->content.begin(), it->content.end()), "peer");
+        update_policy(std::string(it->content.begin(), it->content.end()),
+                      mesh::policy_source::peer);
     }
 }
 
@@ -242,14 +243,15 @@
     step([&](mesh_turn &t) { handle_leave(t, upstream, unix_ms()); });
 }
 
-void mesh_daemon::update_policy(const std::string &text, const char *source)
+void mesh_daemon::update_policy(const std::string &text, mesh::policy_source source)
 {
     result<traffic_policy> read = dialect_.read_policy(text);
     if (!succeeded(read)) {
         log(write_line{write_line::severity::warning,
                        "policy",
                        "policy-unreadable",
-                       {{"source", source}, {"error", error_of(read).message}}});
+                       {{"source", source == mesh::policy_source::store ? "store" : "peer"},
+                        {"error", error_of(read).message}}});
         return;
     }
     bool taken = false;
@@ -271,6 +273,16 @@
     step([&](mesh_turn &t) { restore_chain(t, route, calls); });
 }
 
+bool mesh_daemon::watches_store() const
+{
+    return mesh::watches_store(node_, now());
+}
+
+void mesh_daemon::set_store_lost(bool lost)
+{
+    step([&](mesh_turn &t) { mesh::set_store_lost(t, lost); });
+}
+
 void mesh_daemon::set_chain_saver(std::function<void(mesh::store_chain &&)> keep)
 {
     save_chain_ = std::move(keep);
--- a/gullstall/src/edge/mesh_daemon.hpp
+++ b/gullstall/src/edge/mesh_daemon.hpp
@@ -40,10 +40,15 @@
 
     /// Updates from the platform's store: the policy, a node's address, a stored call
     /// chain.
-    void update_policy(const std::string &text, const char *source);
+    void update_policy(const std::string &text, mesh::policy_source source);
     void update_address(const mesh::node_address &address);
     void update_chain(const std::string &route, const mesh::calls_per_run &calls);
 
+    /// \returns whether this node has to watch the platform's store for a newer policy
+    bool watches_store() const;
+    /// Records whether the platform's store can be reached.
+    void set_store_lost(bool lost);
+
     /// Sets the function that saves call chains in the store. Without it they are not
     /// saved.
     void set_chain_saver(std::function<void(mesh::store_chain &&)> keep);
--- a/gullstall/src/edge/store_watch.cpp
+++ b/gullstall/src/edge/store_watch.cpp
@@ -17,13 +17,24 @@
 constexpr double initial_backoff_us = 150000;
 constexpr double max_backoff_us = 1000000;
 
-void log_state(const store_watch &it, bool works, const platform_answer &response)
+/// Interval at which a watch that is not wanted checks whether it is.
+constexpr duration wanted_poll_interval = milliseconds(200);
+
+void report_state(const store_watch &it, bool works, const platform_answer &response)
 {
     it.handlers.log(write_line{
         works ? write_line::severity::info : write_line::severity::warning,
         "store",
         works ? "store-regained" : "store-lost",
         {{"table", it.prefix}, {"status", std::to_string(static_cast<int>(response.status))}}});
+    it.handlers.on_reachable(works);
+}
+
+asio::awaitable<void> wait_until_wanted(asio::io_context &io, const store_watch &it)
+{
+    while (!it.handlers.is_wanted()) {
+        co_await async_sleep(io, wanted_poll_interval);
+    }
 }
 
 }  // namespace
@@ -51,13 +62,16 @@
     bool has_snapshot = false;
     std::uint32_t failures = 0;
     while (true) {
+        if (has_snapshot) {
+            co_await wait_until_wanted(io, it);
+        }
         platform_request next =
             has_snapshot ? platform_request(table_feed{it.prefix, last_version, it.wait_ms})
                          : platform_request(table_scan{it.prefix});
         platform_answer response = co_await it.call(std::move(next));
         if (response.status == platform_status::done) {
             if (failures > 0) {
-                log_state(it, true, response);
+                report_state(it, true, response);
             }
             failures = 0;
             has_snapshot = true;
@@ -71,7 +85,7 @@
         // whereas a feed returns only with the next change.
         has_snapshot = false;
         if (++failures == 1) {
-            log_state(it, false, response);
+            report_state(it, false, response);
         }
         co_await async_sleep(io, draw_store_backoff(it.random, failures));
     }
--- a/gullstall/src/edge/store_watch.hpp
+++ b/gullstall/src/edge/store_watch.hpp
@@ -18,11 +18,15 @@
 struct store_watch_handlers
 {
     std::function<void(const table_row &)> on_row;
+    /// Whether changes are waited for. While they are not, no calls are made.
+    std::function<bool()> is_wanted;
+    /// The store has become unreachable (false) or reachable (true).
+    std::function<void(bool works)> on_reachable;
     std::function<void(const mesh::write_line &)> log;
 };
 
 /// Watches the rows whose keys begin with a prefix: reads them all, then waits for
-/// changes. It runs as long as the process.
+/// changes while that is wanted. It runs as long as the process.
 struct store_watch
 {
     std::string prefix;
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -10,9 +10,9 @@
 /// Interval of periodic statuses. A connection counts as silent after three missed ones.
 constexpr duration status_interval = milliseconds(500);
 
-/// Time that the platform's store has to deliver a newer policy before it is fetched from a
-/// peer. The store notifies all nodes at once; fetching immediately would transfer the same
-/// policy between zones again for each node.
+/// Time that the nodes of this zone have to tell of a newer policy before it is fetched from
+/// another zone. The store notifies the zones at once; fetching immediately would transfer
+/// the same policy between zones again for each node.
 constexpr duration policy_fetch_delay = milliseconds(300);
 
 /// Time after the start after which a node without peers counts as ready.
@@ -52,6 +52,7 @@
     out.policy_version = t.n.policy ? t.n.policy->version : 0;
     out.stopping = t.n.gate_closed;
     out.stop_asked = t.n.stopping;
+    out.store_lost = t.n.store_lost;
     if (t.n.upstream.latest) {
         out.service = t.n.upstream.latest->service;
         out.upstream = t.n.upstream.latest->upstream;
@@ -157,6 +158,24 @@
     return found != it.nodes.end() ? found->second.status.state : mesh_wire::upstream_state::absent;
 }
 
+void note_announced_policy(mesh_turn &t, const mesh_wire::node_status_message &status)
+{
+    std::uint64_t own = t.n.policy ? t.n.policy->version : 0;
+    if (status.policy_version <= own) {
+        return;
+    }
+    if (!t.n.policy_behind_since) {
+        t.n.policy_behind_since = t.now;
+    }
+    // A node of the own zone is asked at once, others later.
+    duration delay = status.zone == t.n.settings.node.zone ? duration{} : policy_fetch_delay;
+    time_point fetch_at = t.now + delay;
+    std::optional<mesh_node::announced_policy> &known = t.n.newer_policy;
+    if (!known || status.policy_version > known->version || fetch_at < known->fetch_at) {
+        known = mesh_node::announced_policy{status.policy_version, status.node, fetch_at};
+    }
+}
+
 /// Acts on a status that has replaced one with the state \a before.
 void on_status_changed(mesh_turn &t, const mesh_wire::node_status_message &status,
                        mesh_wire::upstream_state before)
@@ -172,12 +191,7 @@
                                        {"sequence", std::to_string(status.sequence)}}});
         dispatch_waiting_calls(t);
     }
-    std::uint64_t own = t.n.policy ? t.n.policy->version : 0;
-    bool is_newer = status.policy_version > own &&
-                    (!t.n.newer_policy || status.policy_version > t.n.newer_policy->version);
-    if (is_newer) {
-        t.n.newer_policy = mesh_node::announced_policy{status.policy_version, status.node, t.now};
-    }
+    note_announced_policy(t, status);
 }
 
 }  // namespace
@@ -208,7 +222,7 @@
         write_line{write_line::severity::info, "members", "node-connected", {{"peer", node}}});
 }
 
-bool apply_policy(mesh_turn &t, traffic_policy policy, std::string text, const char *source)
+bool apply_policy(mesh_turn &t, traffic_policy policy, std::string text, policy_source source)
 {
     std::uint64_t before = t.n.policy ? t.n.policy->version : 0;
     bool is_newer = !t.n.policy || policy.version > before;
@@ -217,7 +231,7 @@
                                   is_newer ? "policy-in-force" : "policy-not-newer",
                                   {{"version", std::to_string(policy.version)},
                                    {"before", std::to_string(before)},
-                                   {"source", source},
+                                   {"source", source == policy_source::store ? "store" : "peer"},
                                    {"routes", std::to_string(policy.routes.size())}}});
     if (!is_newer) {
         return false;
@@ -225,14 +239,27 @@
     t.n.policy = std::move(policy);
     t.n.policy_text = std::move(text);
     t.n.policy_at = t.now;
+    t.n.policy_behind_since.reset();
     if (t.n.newer_policy && t.n.newer_policy->version <= t.n.policy->version) {
         t.n.newer_policy.reset();
     }
     t.n.plan_outdated = true;
     apply_timeouts(t);
+    if (source == policy_source::store) {
+        send_status_nearby(t);  // the nodes of this zone wait for it
+    }
     return true;
 }
 
+void set_store_lost(mesh_turn &t, bool lost)
+{
+    bool changed = t.n.store_lost != lost;
+    t.n.store_lost = lost;
+    if (changed) {
+        send_status_nearby(t);
+    }
+}
+
 void handle_policy_fetch(mesh_turn &t, link_ref link)
 {
     if (!t.n.policy) {
@@ -292,7 +319,7 @@
     admission_tick(t);
     stop_tick(t);
     dispatch_waiting_calls(t);
-    if (t.n.newer_policy && t.now - t.n.newer_policy->heard_at >= policy_fetch_delay) {
+    if (t.n.newer_policy && t.now >= t.n.newer_policy->fetch_at) {
         mesh_wire::policy_fetch_message message;
         message.version = t.n.newer_policy->version;
         t.out.emplace_back(send_to_node{t.n.newer_policy->node, mesh_frame(message)});
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -118,11 +118,14 @@
     {
         std::uint64_t version;
         std::string node;
-        time_point heard_at;
+        time_point fetch_at;
     };
 
     std::optional<traffic_policy> policy;
     std::optional<announced_policy> newer_policy;
+    /// Since when peers have a later policy than this node.
+    std::optional<time_point> policy_behind_since;
+    bool store_lost = false;  ///< the last call to the platform's store failed
     std::string policy_text;  ///< source text, for peers that lack it
     time_point policy_at{};
     directory nodes;
@@ -233,6 +236,13 @@
 heartbeat_verdict handle_heartbeat(mesh_turn &t, const upstream_heartbeat &beat);
 void handle_leave(mesh_turn &t, const std::string &upstream, std::uint64_t unix_ms);
 
+/// Where a policy was read.
+enum class policy_source
+{
+    store,
+    peer
+};
+
 // members.cpp: peers, their state and the policy
 void handle_address(mesh_turn &t, const node_address &address);
 void handle_hello(mesh_turn &t, link_ref link, const mesh_wire::hello_message &hello);
@@ -245,7 +255,9 @@
 /// Puts a policy in force if it is newer than the current one.
 /// \param text its source text
 /// \returns whether it was put in force
-bool apply_policy(mesh_turn &t, traffic_policy policy, std::string text, const char *source);
+bool apply_policy(mesh_turn &t, traffic_policy policy, std::string text, policy_source source);
+/// Records whether the platform's store can be reached.
+void set_store_lost(mesh_turn &t, bool lost);
 void handle_policy_fetch(mesh_turn &t, link_ref link);
 void handle_ping(mesh_turn &t, link_ref link);
 void handle_chain_news(mesh_turn &t, const mesh_wire::chain_news_message &news);
--- a/gullstall/src/mesh/status_relay.cpp
+++ b/gullstall/src/mesh/status_relay.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "gullstall/src/mesh/zone_duty.hpp"
+
 namespace gullstall::mesh {
 
 namespace {
@@ -17,11 +19,6 @@
 
 using status_batches = std::vector<mesh_wire::status_batch_message>;
 
-bool is_responsive(const node_view &it, time_point now)
-{
-    return it.linked && !is_silent(it, now) && !it.status.stopping && !it.status.stop_asked;
-}
-
 bool is_in_own_zone(const mesh_node &n, const std::string &node)
 {
     auto found = n.nodes.nodes.find(node);
@@ -119,24 +116,6 @@
 
 }  // namespace
 
-std::vector<std::string> choose_relays(const directory &it, const std::string &zone, time_point now)
-{
-    std::vector<std::pair<std::uint64_t, std::string>> ranked;
-    for (const auto &[name, view] : it.nodes) {
-        if (view.address.zone == zone && is_responsive(view, now)) {
-            ranked.emplace_back(hash_text(name), name);
-        }
-    }
-    std::size_t n = std::min(relays_per_zone, ranked.size());
-    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(n),
-                      ranked.end());
-    std::vector<std::string> out;
-    for (std::size_t i = 0; i < n; ++i) {
-        out.push_back(ranked[i].second);
-    }
-    return out;
-}
-
 void send_status_nearby(mesh_turn &t)
 {
     std::vector<link_ref> links;
--- a/gullstall/src/mesh/switches.hpp
+++ b/gullstall/src/mesh/switches.hpp
@@ -33,6 +33,7 @@
     bool ordered_stops = true;     ///< off: a stopping node does not wait for other upstreams
     bool waiting_calls = true;     ///< off: nested calls without an upstream fail at once
     bool relayed_statuses = true;  ///< off: each node sends its status to all other nodes
+    bool store_watchers = true;    ///< off: each node watches the store
 
     bool operator==(const mesh_features &) const = default;
 };
--- /dev/null
+++ b/gullstall/src/mesh/zone_duty.cpp
@@ -0,0 +1,66 @@
+#include "gullstall/src/mesh/zone_duty.hpp"
+
+#include <algorithm>
+
+namespace gullstall::mesh {
+
+namespace {
+
+/// Time after the start before a node takes itself for the only one of its zone.
+constexpr duration lone_node_delay = seconds(1);
+
+/// Time in which a policy that peers have in force is fetched from them. Later it is read
+/// from the store.
+constexpr duration peer_policy_timeout = milliseconds(800);
+
+bool is_responsive(const node_view &it, time_point now)
+{
+    return it.linked && !is_silent(it, now) && !it.status.stopping && !it.status.stop_asked;
+}
+
+/// \returns the names of the first responsive nodes of \a zone by the hash of their names
+/// \param is_able whether a node can do the duty
+template <class Predicate>
+std::vector<std::string> choose_nodes(const directory &it, const std::string &zone, time_point now,
+                                      Predicate is_able)
+{
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (const auto &[name, view] : it.nodes) {
+        if (view.address.zone == zone && is_responsive(view, now) && is_able(view)) {
+            ranked.emplace_back(hash_text(name), name);
+        }
+    }
+    std::size_t n = std::min(nodes_on_duty, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(n),
+                      ranked.end());
+    std::vector<std::string> out;
+    for (std::size_t i = 0; i < n; ++i) {
+        out.push_back(ranked[i].second);
+    }
+    return out;
+}
+
+}  // namespace
+
+std::vector<std::string> choose_relays(const directory &it, const std::string &zone, time_point now)
+{
+    return choose_nodes(it, zone, now, [](const node_view &) { return true; });
+}
+
+bool watches_store(const mesh_node &n, time_point now)
+{
+    bool is_policy_late =
+        n.policy_behind_since && now - *n.policy_behind_since >= peer_policy_timeout;
+    if (!n.features.store_watchers || is_policy_late) {
+        return true;
+    }
+    if (now - n.started_at < lone_node_delay) {
+        return false;
+    }
+    const auto &self = n.settings.node;
+    std::vector<std::string> watchers = choose_nodes(
+        n.nodes, self.zone, now, [](const node_view &view) { return !view.status.store_lost; });
+    return std::find(watchers.begin(), watchers.end(), self.name) != watchers.end();
+}
+
+}  // namespace gullstall::mesh
--- /dev/null
+++ b/gullstall/src/mesh/zone_duty.hpp
@@ -0,0 +1,30 @@
+#ifndef GULLSTALL_MESH_ZONE_DUTY_HPP
+#define GULLSTALL_MESH_ZONE_DUTY_HPP
+
+#include <string>
+#include <vector>
+
+#include "gullstall/src/mesh/mesh_node.hpp"
+
+namespace gullstall::mesh {
+
+/// Duties that a few nodes of an availability zone do for all of it. Nobody is elected: each
+/// node ranks the nodes that it hears by a hash of their names and takes the first ones.
+/// Nodes that hear different ones disagree until they hear the same; a duty is then done
+/// twice, or by the second node only.
+
+/// Nodes on duty in a zone. The second one covers the time until the loss of the first one
+/// is detected.
+inline constexpr std::size_t nodes_on_duty = 2;
+
+/// \returns the names of the nodes of \a zone that relay statuses between zones
+std::vector<std::string> choose_relays(const directory &it, const std::string &zone,
+                                       time_point now);
+
+/// \returns whether this node watches the platform's store for a newer policy; the other
+/// nodes hear of it from those that do
+bool watches_store(const mesh_node &n, time_point now);
+
+}  // namespace gullstall::mesh
+
+#endif
--- a/test/runtime/store_watch.cpp
+++ b/test/runtime/store_watch.cpp
@@ -22,16 +22,29 @@
     std::deque<platform_answer> answers;
     std::vector<platform_request> requests;
     std::vector<std::string> seen;
+    std::vector<bool> reachable;
+    int polls_until_wanted = 0;
+
+    bool is_wanted()
+    {
+        if (polls_until_wanted == 0) {
+            return true;
+        }
+        --polls_until_wanted;
+        return false;
+    }
 
     /// Runs the watch until all scripted responses are used.
     void run()
     {
-        edge::store_watch it{"t/",
-                             1000,
-                             [this](platform_request what) { return answer(std::move(what)); },
-                             {[this](const table_row &row) { seen.push_back(row.value); },
-                              [](const mesh::write_line &) {}},
-                             random_source(1)};
+        edge::store_watch it{
+            "t/",
+            1000,
+            [this](platform_request what) { return answer(std::move(what)); },
+            {[this](const table_row &row) { seen.push_back(row.value); },
+             [this] { return is_wanted(); }, [this](bool works) { reachable.push_back(works); },
+             [](const mesh::write_line &) {}},
+            random_source(1)};
         asio::co_spawn(io, edge::run_watch(io, std::move(it)), asio::detached);
         io.run();
     }
@@ -91,6 +104,28 @@
     CHECK(requests[2] == platform_request(table_scan{"t/"}));
 }
 
+// Each node that waits for changes costs the store a call at every change and time-out.
+TEST_CASE_FIXTURE(watch_fixture, "watch not wanted, rows read, calls the store when it is wanted")
+{
+    polls_until_wanted = 3;
+    answers = {rows(4, "a"), rows(6, "b")};
+    run();
+    CHECK(polls_until_wanted == 0);
+    REQUIRE(requests.size() == 3);
+    CHECK(requests[1] == platform_request(table_feed{"t/", 4, 1000}));
+}
+
+// Another node has to take over from one that has lost the store.
+TEST_CASE_FIXTURE(watch_fixture, "watch, store lost and regained, reports each once")
+{
+    platform_answer lost{platform_status::lost, {}, {}};
+    answers = {rows(4, "a"), lost, lost, rows(9, "c")};
+    run();
+    REQUIRE(reachable.size() >= 2);
+    CHECK_FALSE(reachable[0]);
+    CHECK(reachable[1]);
+}
+
 // The store is unreachable and does not accept connections. A feed may wait ten
 // seconds for its response, but not for its connection, or the node would retry only
 // long after the store has recovered.
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -74,6 +74,7 @@
     std::set<std::string> paused_nodes;                ///< nodes whose process is paused
     std::map<std::string, std::uint64_t> sent_frames;  ///< by sender
     traffic_policy policy;
+    std::map<std::uint64_t, traffic_policy> published;  ///< that nodes may fetch, by version
 
     void schedule_at(time_point when, std::function<void()> action)
     {
@@ -114,7 +115,9 @@
         auto incarnation = static_cast<std::uint64_t>(now.time_since_epoch().count());
         lose_links_of(name);
         nodes.insert_or_assign(name, make_mesh_node(settings, incarnation, random(), now));
-        run_node(name, [&](mesh::mesh_turn &t) { apply_policy(t, policy, "text", "test"); });
+        run_node(name, [&](mesh::mesh_turn &t) {
+            apply_policy(t, policy, "text", mesh::policy_source::store);
+        });
         for (auto &[other, n] : nodes) {
             mesh::node_address address = nodes.at(name).nodes.nodes.at(name).address;
             mesh::node_address other_address = n.nodes.nodes.at(other).address;
@@ -350,6 +353,11 @@
                 }
             } else if (const auto *batch = frame.payload.Asstatus_batch()) {
                 handle_status_batch(t, from, *batch);
+            } else if (const auto *content = frame.payload.Aspolicy_content()) {
+                auto known = published.find(content->version);
+                if (known != published.end()) {
+                    apply_policy(t, known->second, "text", mesh::policy_source::peer);
+                }
             } else if (const mesh_wire::chain_news_message *news = frame.payload.Aschain_news()) {
                 handle_chain_news(t, *news);
             }
--- a/test/unit/mesh_path.cpp
+++ b/test/unit/mesh_path.cpp
@@ -202,7 +202,7 @@
 {
     bool taken = true;
     w.run_node("a1", [&](mesh::mesh_turn &t) {
-        taken = apply_policy(t, test::policy_of(2, {}), "text", "peer");
+        taken = apply_policy(t, test::policy_of(2, {}), "text", mesh::policy_source::peer);
     });
     CHECK_FALSE(taken);
     CHECK(w.nodes.at("a1").policy->version == 3);
@@ -218,7 +218,9 @@
     traffic_policy shorter = w.policy;
     shorter.version = 4;
     shorter.routes[2].timeout = seconds(1);
-    w.run_node("a1", [&](mesh::mesh_turn &t) { apply_policy(t, shorter, "text", "store"); });
+    w.run_node("a1", [&](mesh::mesh_turn &t) {
+        apply_policy(t, shorter, "text", mesh::policy_source::store);
+    });
     w.run_for(milliseconds(1000));
     CHECK(w.results.at("r1").status == 504);
 }
