Only relays send call rates to a node of another zone that starts

Cause: each node sends the call rates that it has learned to every node that opens a connection, 194 times a start, although a node that starts reads them from the store, and relays of each zone know them too.

Change: a node greets those of its own zone so; to nodes of other zones only the relays of its zone send what they know.

Test: mesh_relay, "node restarted, call rates of other zones, come from relays only" (without the change 18 frames, at most 6 allowed).

--- a/gullstall/src/mesh/admission.cpp
+++ b/gullstall/src/mesh/admission.cpp
@@ -3,6 +3,7 @@
 
 #include "gullstall/src/mesh/mesh_node.hpp"
 #include "gullstall/src/mesh/status_relay.hpp"
+#include "gullstall/src/mesh/zone_duty.hpp"
 
 namespace gullstall::mesh {
 
@@ -146,17 +147,14 @@
     send_status_nearby(t);
 }
 
-void broadcast_chain_news(mesh_turn &t, bool to_all, std::optional<link_ref> link)
+void broadcast_chain_news(mesh_turn &t)
 {
-    bool changed = update_reported_calls(t);
-    if ((!changed && !to_all) || t.n.announced_calls.empty()) {
+    if (!update_reported_calls(t)) {
         return;
     }
     std::vector<link_ref> links;
     for (const auto &[each, clock] : t.n.links) {
-        if (changed || each == link) {
-            links.push_back(each);
-        }
+        links.push_back(each);
     }
     if (!links.empty()) {
         t.out.emplace_back(
@@ -164,6 +162,17 @@
     }
 }
 
+void greet_with_chains(mesh_turn &t, link_ref link)
+{
+    const auto &self = t.n.settings.node;
+    bool is_near = !t.n.features.relayed_statuses || t.n.links.at(link).zone == self.zone;
+    const std::map<std::string, calls_per_run> &calls =
+        is_near ? t.n.announced_calls : t.n.plan.calls;
+    if (!calls.empty() && (is_near || is_relay(t.n, t.now))) {
+        t.out.emplace_back(send_to_link{link, mesh_frame(to_chain_news(calls))});
+    }
+}
+
 void restore_chain(mesh_turn &t, const std::string &route, const calls_per_run &calls)
 {
     t.n.stored_calls[route] = calls;
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -147,7 +147,7 @@
     handle_address(t, node_address{hello.node, hello.zone, endpoint{hello.address, hello.port},
                                    hello.incarnation});
     t.out.emplace_back(send_to_link{link, mesh_frame(own_status(t))});
-    broadcast_chain_news(t, true, link);
+    greet_with_chains(t, link);
 }
 
 namespace {
@@ -313,7 +313,7 @@
     }
     if (t.now - t.n.status_sent_at >= status_interval) {
         send_status_nearby(t);
-        broadcast_chain_news(t, false, std::nullopt);
+        broadcast_chain_news(t);
     }
     relay_statuses(t);
     admission_tick(t);
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -215,9 +215,11 @@
 admission_decision admit_request(mesh_turn &t, const std::string &route, double place);
 /// Measures the demand on the local upstream and announces changes.
 void admission_tick(mesh_turn &t);
-/// Updates the learned call rates of local runs and announces them to peers.
-/// \param to_all whether to send without a change too, then only to \a link
-void broadcast_chain_news(mesh_turn &t, bool to_all, std::optional<link_ref> link);
+/// Updates the learned call rates of local runs and announces changes to peers.
+void broadcast_chain_news(mesh_turn &t);
+/// Sends call rates to a node that has just opened the connection \a link: the learned ones
+/// to a node of this zone, on a relay all known ones to a node of another zone.
+void greet_with_chains(mesh_turn &t, link_ref link);
 
 // serve.cpp: calls executed on the local upstream
 void handle_call(mesh_turn &t, link_ref link, mesh_wire::call_message &&call);
--- a/gullstall/src/mesh/zone_duty.cpp
+++ b/gullstall/src/mesh/zone_duty.cpp
@@ -47,6 +47,13 @@
     return choose_nodes(it, zone, now, [](const node_view &) { return true; });
 }
 
+bool is_relay(const mesh_node &n, time_point now)
+{
+    const auto &self = n.settings.node;
+    std::vector<std::string> relays = choose_relays(n.nodes, self.zone, now);
+    return std::find(relays.begin(), relays.end(), self.name) != relays.end();
+}
+
 bool watches_store(const mesh_node &n, time_point now)
 {
     bool is_policy_late =
--- a/gullstall/src/mesh/zone_duty.hpp
+++ b/gullstall/src/mesh/zone_duty.hpp
@@ -21,6 +21,9 @@
 std::vector<std::string> choose_relays(const directory &it, const std::string &zone,
                                        time_point now);
 
+/// \returns whether this node is one of the relays of its zone
+bool is_relay(const mesh_node &n, time_point now);
+
 /// \returns whether this node watches the platform's store for a newer policy; the other
 /// nodes hear of it from those that do
 bool watches_store(const mesh_node &n, time_point now);
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -73,6 +73,8 @@
     std::set<std::pair<std::string, std::string>> partitions;
     std::set<std::string> paused_nodes;                ///< nodes whose process is paused
     std::map<std::string, std::uint64_t> sent_frames;  ///< by sender
+    /// Sender and receiver of each frame with call rates.
+    std::vector<std::pair<std::string, std::string>> chain_frames;
     traffic_policy policy;
     std::map<std::uint64_t, traffic_policy> published;  ///< that nodes may fetch, by version
 
@@ -316,6 +318,9 @@
                      const std::shared_ptr<mesh_wire::frame_message> &shared, bool is_to_server)
     {
         ++sent_frames[from];
+        if (shared->payload.Aschain_news() != nullptr) {
+            chain_frames.emplace_back(from, to);
+        }
         deliver(from, to, [this, from, to, ref, shared, is_to_server] {
             if (links_.count(ref) > 0) {
                 is_to_server ? receive_at_server(to, ref, *shared)
--- a/test/unit/mesh_relay.cpp
+++ b/test/unit/mesh_relay.cpp
@@ -151,3 +151,24 @@
     CHECK(known.nodes.at("a").status.running == 9);
     CHECK(known.nodes.at("a").status_at == time_point(seconds(3)));
 }
+
+// Call rates sent by each node to each one that starts are most of the bytes between zones
+// when all nodes are restarted in turn.
+TEST_CASE_FIXTURE(zones_fixture, "node restarted, call rates of other zones, come from relays only")
+{
+    start();
+    for (auto &[name, node] : world.nodes) {
+        node.plan.calls["read"]["below"] = 2;
+        if (node.settings.node.zone != zone_name(0)) {
+            node.announced_calls["read"]["below"] = 2;
+        }
+    }
+    std::string restarted = plain_node(0);
+    world.chain_frames.clear();
+    world.start_node(restarted, zone_name(0));
+    world.run_for(seconds(1));
+    CHECK(world.nodes.at(restarted).plan.calls["read"]["below"] == 2);
+    auto received = std::count_if(world.chain_frames.begin(), world.chain_frames.end(),
+                                  [&](const auto &it) { return it.second == restarted; });
+    CHECK(received <= 2 * (zone_count - 1));
+}
