--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -66,7 +66,7 @@
                                  text +=
                                      "# TYPE gullstall_log_lines_dropped_total counter\n"
                                      "gullstall_log_lines_dropped_total " +
-                                     std::to_string(log_.dropped()) + "\n";
+                                     std::to_string(log_.dropped()) + "\n" + peers_.print_metrics();
                                  metrics_.respond(id, edge_answer{200,
                                                                   "OK",
                                                                   "Content-Type: text/plain\r\n",
--- a/gullstall/src/edge/peer_connection.cpp
+++ b/gullstall/src/edge/peer_connection.cpp
@@ -32,12 +32,6 @@
 /// which takes 100 KiB. Most connections between zones carry a greeting only.
 constexpr std::size_t uncompressed_start_bytes = 2048;
 
-std::uint64_t call_correlation(const mesh_wire::frame_message &frame)
-{
-    const mesh_wire::call_message *call = frame.payload.Ascall();
-    return call == nullptr ? 0 : call->correlation;
-}
-
 }  // namespace
 
 peer_connection::peer_connection(asio::ip::tcp::socket &&socket, handlers handlers)
@@ -134,24 +128,13 @@
     return true;
 }
 
-bool peer_connection::send(const mesh_wire::frame_message &frame)
-{
-    return queue_frame(
-        queued_frame{encode_frame_of<mesh_wire::frame>(frame), call_correlation(frame)});
-}
-
-bool peer_connection::send_encoded(const std::string &bytes)
-{
-    return queue_frame(queued_frame{bytes, 0});
-}
-
-bool peer_connection::queue_frame(queued_frame &&frame)
+bool peer_connection::send(std::string bytes, std::uint64_t correlation)
 {
     if (closed_ || queued_bytes_ > max_queued_bytes) {
         return false;
     }
-    queued_bytes_ += frame.bytes.size();
-    queued_.push_back(std::move(frame));
+    queued_bytes_ += bytes.size();
+    queued_.push_back(queued_frame{std::move(bytes), correlation});
     write_queued();
     return true;
 }
--- a/gullstall/src/edge/peer_connection.hpp
+++ b/gullstall/src/edge/peer_connection.hpp
@@ -45,14 +45,21 @@
         compresses_ = true;
     }
 
-    /// Queues a frame for sending.
+    bool is_between_zones() const
+    {
+        return between_zones_;
+    }
+
+    void set_between_zones()
+    {
+        between_zones_ = true;
+    }
+
+    /// Queues an encoded frame for sending.
+    /// \param correlation of a call, otherwise 0
     /// \returns false when the send queue is full or the connection is closed, and the
     /// frame was not queued
-    bool send(const mesh_wire::frame_message &frame);
-
-    /// Queues an encoded frame, which is not a call, for sending.
-    /// \returns the same as send()
-    bool send_encoded(const std::string &bytes);
+    bool send(std::string bytes, std::uint64_t correlation);
 
     /// Closes the connection; `on_closed` is called once.
     void close(const std::string &why);
@@ -72,7 +79,6 @@
         std::uint64_t correlation;  ///< of a call, otherwise 0
     };
 
-    bool queue_frame(queued_frame &&frame);
     void write_queued();
     bool is_compressed(const queued_frame &frame);
     void flush_compressed(std::string &batch);
@@ -85,6 +91,7 @@
     std::string read_buffer_;
     std::vector<queued_frame> queued_;
     std::vector<std::string> writing_;
+    bool between_zones_ = false;
     bool compresses_ = false;
     std::size_t uncompressed_bytes_ = 0;  ///< sent so far that could have been compressed
     std::optional<frame_compressor> compressor_;
--- a/gullstall/src/edge/peer_links.cpp
+++ b/gullstall/src/edge/peer_links.cpp
@@ -147,17 +147,18 @@
     asio::co_spawn(
         io_, [connection] { return connection->run(); }, asio::detached);
     mesh_wire::hello_message hello = handlers_.make_hello();
-    if (compress_between_zones_ && hello.zone != it.address.zone) {
-        connection->enable_compression();
+    if (hello.zone != it.address.zone) {
+        mark_between_zones(*connection);
     }
-    connection->send(mesh::mesh_frame(std::move(hello)));
+    mesh_wire::frame_message frame = mesh::mesh_frame(std::move(hello));
+    send(*connection, frame, encode_frame_of<mesh_wire::frame>(frame));
 }
 
 void peer_links::on_accepted_frame(link_ref link, mesh_wire::frame_message &&frame)
 {
     const mesh_wire::hello_message *hello = frame.payload.Ashello();
-    if (compress_between_zones_ && hello != nullptr && hello->zone != handlers_.make_hello().zone) {
-        accepted_.at(link)->enable_compression();
+    if (hello != nullptr && hello->zone != handlers_.make_hello().zone) {
+        mark_between_zones(*accepted_.at(link));
     }
     handlers_.on_link_frame(link, std::move(frame));
 }
@@ -201,7 +202,7 @@
     if (frame.payload.Asping() != nullptr && !is_ping_unanswered(it)) {
         it.last_ping_at = now();
     }
-    return it.connection->send(frame);
+    return send(*it.connection, frame, encode_frame_of<mesh_wire::frame>(frame));
 }
 
 void peer_links::send_to_link(link_ref link, const mesh_wire::frame_message &frame)
@@ -211,7 +212,8 @@
         return;
     }
     std::shared_ptr<peer_connection> connection = found->second;
-    close_unless_sent(*connection, connection->send(frame));
+    close_unless_sent(*connection,
+                      send(*connection, frame, encode_frame_of<mesh_wire::frame>(frame)));
 }
 
 void peer_links::send_to_links(const std::vector<link_ref> &links,
@@ -222,11 +224,49 @@
         auto found = accepted_.find(link);
         if (found != accepted_.end()) {
             std::shared_ptr<peer_connection> connection = found->second;
-            close_unless_sent(*connection, connection->send_encoded(bytes));
+            close_unless_sent(*connection, send(*connection, frame, bytes));
         }
     }
 }
 
+bool peer_links::send(peer_connection &connection, const mesh_wire::frame_message &frame,
+                      std::string bytes)
+{
+    frame_counts &counts = connection.is_between_zones() ? sent_between_zones_ : sent_in_zone_;
+    frame_count &count = counts.at(static_cast<std::size_t>(frame.payload.type));
+    ++count.frames;
+    count.bytes += bytes.size();
+    const mesh_wire::call_message *call = frame.payload.Ascall();
+    return connection.send(std::move(bytes), call == nullptr ? 0 : call->correlation);
+}
+
+void peer_links::mark_between_zones(peer_connection &connection)
+{
+    connection.set_between_zones();
+    if (compress_between_zones_) {
+        connection.enable_compression();
+    }
+}
+
+std::string peer_links::print_metrics() const
+{
+    std::string frames = "# TYPE gullstall_peer_frames_sent_total counter\n";
+    std::string bytes = "# TYPE gullstall_peer_frame_bytes_sent_total counter\n";
+    for (const auto &[zone, counts] :
+         {std::pair("own", &sent_in_zone_), std::pair("other", &sent_between_zones_)}) {
+        for (std::size_t i = 1; i < counts->size(); ++i) {
+            std::string labels = std::string("{zone=\"") + zone + "\",kind=\"" +
+                                 mesh_wire::EnumNamepayload(static_cast<mesh_wire::payload>(i)) +
+                                 "\"} ";
+            frames += "gullstall_peer_frames_sent_total" + labels +
+                      std::to_string(counts->at(i).frames) + "\n";
+            bytes += "gullstall_peer_frame_bytes_sent_total" + labels +
+                     std::to_string(counts->at(i).bytes) + "\n";
+        }
+    }
+    return frames + bytes;
+}
+
 bool peer_links::is_ping_unanswered(const dialed_node &it)
 {
     return it.last_ping_at >= it.connection->last_received_at();
--- a/gullstall/src/edge/peer_links.hpp
+++ b/gullstall/src/edge/peer_links.hpp
@@ -1,6 +1,7 @@
 #ifndef GULLSTALL_EDGE_PEER_LINKS_HPP
 #define GULLSTALL_EDGE_PEER_LINKS_HPP
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
@@ -30,6 +31,16 @@
     std::function<void(mesh::link_ref)> on_link_closed;
 };
 
+/// Frames sent to other nodes, and their bytes before compression.
+struct frame_count
+{
+    std::uint64_t frames = 0;
+    std::uint64_t bytes = 0;
+};
+
+/// Frame counts by kind: the index is a mesh_wire::payload.
+using frame_counts = std::array<frame_count, static_cast<std::size_t>(mesh_wire::payload::MAX) + 1>;
+
 /// Connections between nodes. Each node opens one connection to every other node and
 /// sends its calls over it; replies and statuses return over the same connection.
 ///
@@ -56,6 +67,9 @@
     void send_to_links(const std::vector<mesh::link_ref> &links,
                        const mesh_wire::frame_message &frame);
 
+    /// \returns the counters in the text exposition format
+    std::string print_metrics() const;
+
     /// Opens connections whose backoff has expired, and closes those that have timed
     /// out. Call several times per second.
     void tick(time_point now);
@@ -81,6 +95,11 @@
     void on_dialed_frame(const std::string &node, const std::weak_ptr<peer_connection> &from,
                          mesh_wire::frame_message &&frame);
     void on_dialed_closed(const std::string &node, const std::string &why);
+    /// Sends an encoded frame over a connection and counts it.
+    bool send(peer_connection &connection, const mesh_wire::frame_message &frame,
+              std::string bytes);
+    /// Prepares a connection to another zone.
+    void mark_between_zones(peer_connection &connection);
     static bool is_ping_unanswered(const dialed_node &it);
     void check_liveness(const std::string &node, dialed_node &it, time_point now);
 
@@ -91,6 +110,8 @@
     std::map<std::string, dialed_node> dialed_;
     std::map<mesh::link_ref, std::shared_ptr<peer_connection>> accepted_;
     std::uint64_t last_link_ = 0;
+    frame_counts sent_in_zone_{};
+    frame_counts sent_between_zones_{};
 };
 
 }  // namespace gullstall::edge
--- a/test/runtime/peer_links.cpp
+++ b/test/runtime/peer_links.cpp
@@ -140,6 +140,17 @@
 
 }  // namespace
 
+// Without counts by kind nobody can tell what crosses between zones.
+TEST_CASE_FIXTURE(peer_links_fixture, "call between zones, is counted by kind and zone")
+{
+    REQUIRE(a.connected);
+    call(1, 100);
+    run_until([this] { return a.replies.size() == 1; });
+    std::string metrics = a.links->print_metrics();
+    CHECK(metrics.find("frames_sent_total{zone=\"other\",kind=\"call\"} 1\n") != std::string::npos);
+    CHECK(metrics.find("frames_sent_total{zone=\"own\",kind=\"call\"} 0\n") != std::string::npos);
+}
+
 // Frames between zones are compressed, except large ones. Reordering the two kinds or
 // decompressing a block with the wrong history would match a reply to the wrong
 // request or lose it.
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -71,10 +71,10 @@
         stored_calls;  ///< calls per run in the store, by route
     /// Pairs (from, to) whose frames are held back until the pair is removed.
     std::set<std::pair<std::string, std::string>> partitions;
-    std::set<std::string> paused_nodes;                ///< nodes whose process is paused
-    std::map<std::string, std::uint64_t> sent_frames;  ///< by sender
-    /// Sender and receiver of each frame with call rates.
-    std::vector<std::pair<std::string, std::string>> chain_frames;
+    std::set<std::string> paused_nodes;  ///< nodes whose process is paused
+    /// Observes each frame and its sender and receiver, if set.
+    std::function<void(const std::string &, const std::string &, const mesh_wire::frame_message &)>
+        on_send;
     traffic_policy policy;
     std::map<std::uint64_t, traffic_policy> published;  ///< that nodes may fetch, by version
 
@@ -269,6 +269,7 @@
         drop_link(name, to);
         mesh::link_ref ref{++last_id_};
         links_[ref] = link{name, to};
+        link_between_[{name, to}] = ref;
         deliver(name, to, [this, ref, name, to] {
             if (links_.count(ref) == 0) {
                 return;
@@ -280,11 +281,9 @@
 
     void perform(const std::string &name, mesh::send_to_node &it)
     {
-        for (const auto &[ref, each] : links_) {
-            if (each.from == name && each.to == it.node) {
-                send(name, it.node, ref, std::move(it.frame), true);
-                return;
-            }
+        auto found = link_between_.find({name, it.node});
+        if (found != link_between_.end()) {
+            send(name, it.node, found->second, std::move(it.frame), true);
         }
     }
 
@@ -317,9 +316,8 @@
     void send_shared(const std::string &from, const std::string &to, mesh::link_ref ref,
                      const std::shared_ptr<mesh_wire::frame_message> &shared, bool is_to_server)
     {
-        ++sent_frames[from];
-        if (shared->payload.Aschain_news() != nullptr) {
-            chain_frames.emplace_back(from, to);
+        if (on_send) {
+            on_send(from, to, *shared);
         }
         deliver(from, to, [this, from, to, ref, shared, is_to_server] {
             if (links_.count(ref) > 0) {
@@ -371,15 +369,15 @@
 
     void drop_link(const std::string &from, const std::string &to)
     {
-        for (auto it = links_.begin(); it != links_.end(); ++it) {
-            if (it->second.from == from && it->second.to == to) {
-                mesh::link_ref ref = it->first;
-                links_.erase(it);
-                run_node(from, [&](mesh::mesh_turn &t) { handle_node_lost(t, to, {}); });
-                run_node(to, [&](mesh::mesh_turn &t) { handle_link_closed(t, ref); });
-                return;
-            }
+        auto found = link_between_.find({from, to});
+        if (found == link_between_.end()) {
+            return;
         }
+        mesh::link_ref ref = found->second;
+        link_between_.erase(found);
+        links_.erase(ref);
+        run_node(from, [&](mesh::mesh_turn &t) { handle_node_lost(t, to, {}); });
+        run_node(to, [&](mesh::mesh_turn &t) { handle_link_closed(t, ref); });
     }
 
     void lose_links_of(const std::string &name)
@@ -472,6 +470,7 @@
     std::uint64_t heartbeats_ = 0;
     std::uint16_t last_port_ = 1000;
     std::map<mesh::link_ref, link> links_;
+    std::map<std::pair<std::string, std::string>, mesh::link_ref> link_between_;  ///< from, to
     std::map<std::string, call_ref> calls_;
     std::map<call_ref, answer_function> answer_handlers_;
     std::set<std::pair<std::string, run_ref>> open_runs_;
--- a/test/support/mesh_zones.hpp
+++ b/test/support/mesh_zones.hpp
@@ -57,10 +57,14 @@
     double highest_frame_rate()
     {
         constexpr int length_s = 10;
-        world.sent_frames.clear();
+        std::map<std::string, std::uint64_t> sent;  // by node
+        world.on_send = [&](const std::string &from, const std::string &, const auto &) {
+            ++sent[from];
+        };
         world.run_for(seconds(length_s));
+        world.on_send = nullptr;
         std::uint64_t most = 0;
-        for (const auto &[node, frames] : world.sent_frames) {
+        for (const auto &[node, frames] : sent) {
             most = std::max(most, frames);
         }
         return static_cast<double>(most) / length_s;
--- a/test/unit/mesh_relay.cpp
+++ b/test/unit/mesh_relay.cpp
@@ -164,11 +164,12 @@
         }
     }
     std::string restarted = plain_node(0);
-    world.chain_frames.clear();
+    int received = 0;
+    world.on_send = [&](const std::string &, const std::string &to, const auto &frame) {
+        received += to == restarted && frame.payload.Aschain_news() != nullptr ? 1 : 0;
+    };
     world.start_node(restarted, zone_name(0));
     world.run_for(seconds(1));
     CHECK(world.nodes.at(restarted).plan.calls["read"]["below"] == 2);
-    auto received = std::count_if(world.chain_frames.begin(), world.chain_frames.end(),
-                                  [&](const auto &it) { return it.second == restarted; });
     CHECK(received <= 2 * (zone_count - 1));
 }
