Tell other zones directly only where calls come from; pass statuses on once

Change: a change after which calls would be refused goes to the own zone and to nodes of other zones that have sent calls within 10 s; the others hear of it from the relays, and a call that meets a closed gate meanwhile is placed elsewhere. Idle connections between zones are pinged every 60 s; TCP's keep-alive finds a dead path within five. A second relay passes a status on only when the first one had time to do so (500 ms), and a status that is heard again counts as passed on.

--- a/gullstall/src/edge/peer_links.cpp
+++ b/gullstall/src/edge/peer_links.cpp
@@ -22,9 +22,9 @@
 /// is longer than the status interval.
 constexpr duration ping_idle_time = milliseconds(800);
 
-/// The same between zones. A connection that a firewall has dropped silently is found
-/// within this time, so that calls seldom are the first to meet it.
-constexpr duration ping_idle_time_between_zones = seconds(10);
+/// The same between zones, where most connections are idle. The keep-alive of TCP finds a
+/// dead path sooner; a ping also finds a process that has stopped reading.
+constexpr duration ping_idle_time_between_zones = seconds(60);
 
 /// A connection on which nothing was received for this long, and for ping_timeout after a
 /// ping, is closed: within the zone three statuses were missed as well.
--- a/gullstall/src/mesh/directory.cpp
+++ b/gullstall/src/mesh/directory.cpp
@@ -96,7 +96,7 @@
     known.status_at = now;
     known.load_sequence = status.sequence;
     known.sent_since_status = 0;
-    known.to_pass_on = false;
+    known.pass_on_at.reset();
     return true;
 }
 
--- a/gullstall/src/mesh/directory.hpp
+++ b/gullstall/src/mesh/directory.hpp
@@ -35,7 +35,8 @@
     time_point status_at{};
     std::uint64_t load_sequence = 0;     ///< of the status or reply that told the load
     std::uint64_t relayed_sequence = 0;  ///< of the status last sent to other zones
-    bool to_pass_on = false;             ///< the nodes of this zone may lack the status
+    /// When the status is passed on to the nodes of this zone; unset if they have it.
+    std::optional<time_point> pass_on_at;
     /// When the outstanding probe was sent; unset if there is none.
     std::optional<time_point> probed_at;
     bool reported_silent = false;         ///< state last reported by silence_changes
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -108,18 +108,6 @@
     update_status(t.n.nodes, own_status(t), t.now);
 }
 
-void broadcast_status(mesh_turn &t)
-{
-    std::vector<link_ref> links;
-    for (const auto &[link, clock] : t.n.links) {
-        links.push_back(link);
-    }
-    if (!links.empty()) {
-        t.n.status_sent_at = t.now;
-        t.out.emplace_back(send_to_links{std::move(links), mesh_frame(own_status(t))});
-    }
-}
-
 void handle_address(mesh_turn &t, const node_address &address)
 {
     if (address.node == t.n.settings.node.name || !update_address(t.n.nodes, address)) {
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -89,6 +89,7 @@
     std::string node;
     std::string zone;
     bool relays_statuses = false;  ///< the peer accepts status_batch frames
+    time_point last_call_at{};
     bool known = false;
     std::int64_t min_offset_us = 0;  ///< minimum of arrival time minus send time
 };
@@ -272,9 +273,6 @@
 void members_tick(mesh_turn &t);
 /// \returns whether the node is ready: it has a policy and peers to send to
 bool is_ready(const mesh_node &n, time_point now);
-/// Sends this node's status over all incoming connections. For changes after which a call
-/// to this node would be refused; others go out with send_status_nearby.
-void broadcast_status(mesh_turn &t);
 /// Updates this node's own entry in the directory.
 void update_own_status(mesh_turn &t);
 /// \returns \a now in the representation used in frames
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "gullstall/src/mesh/mesh_node.hpp"
+#include "gullstall/src/mesh/status_relay.hpp"
 
 namespace gullstall::mesh {
 
@@ -208,6 +209,9 @@
 
 void handle_call(mesh_turn &t, link_ref link, mesh_wire::call_message &&call)
 {
+    if (auto known = t.n.links.find(link); known != t.n.links.end()) {
+        known->second.last_call_at = t.now;
+    }
     duration left = time_left(t, link, call);
     if (std::optional<reason> why = refusal_reason(t, call)) {
         refuse(t, link, call, *why);
@@ -342,7 +346,7 @@
 {
     t.n.gate_closed = true;
     refuse_queued(t, reason::stopping);
-    broadcast_status(t);
+    send_status_to_callers(t);
 }
 
 }  // namespace gullstall::mesh
--- a/gullstall/src/mesh/status_relay.cpp
+++ b/gullstall/src/mesh/status_relay.cpp
@@ -11,6 +11,13 @@
 /// Interval at which statuses are passed on. A status of another zone takes two such steps.
 constexpr duration relay_interval = milliseconds(200);
 
+/// Time that the first relay of this zone has to receive a status as well and to pass it on
+/// before others do.
+constexpr duration other_relay_delay = 2 * relay_interval + mesh_tick_interval;
+
+/// Time after a call in which its sender is told of changes directly.
+constexpr duration caller_memory = seconds(10);
+
 /// Statuses in one frame between zones, which is then small enough to be compressed.
 constexpr std::size_t max_entries_between_zones = 32;
 
@@ -25,6 +32,12 @@
     return found != n.nodes.nodes.end() && found->second.address.zone == n.settings.node.zone;
 }
 
+bool is_same_status(const mesh_wire::node_status_message &a,
+                    const mesh_wire::node_status_message &b)
+{
+    return a.incarnation == b.incarnation && a.sequence == b.sequence;
+}
+
 void add_entry(status_batches &out, std::size_t max_entries,
                const mesh_wire::node_status_message &status, duration age)
 {
@@ -68,8 +81,8 @@
 {
     status_batches out;
     for (auto &[name, view] : t.n.nodes.nodes) {
-        if (view.to_pass_on) {
-            view.to_pass_on = false;
+        if (view.pass_on_at && t.now >= *view.pass_on_at) {
+            view.pass_on_at.reset();
             add_entry(out, max_entries_in_zone, view.status, t.now - view.status_at);
         }
     }
@@ -114,19 +127,21 @@
     return out;
 }
 
-}  // namespace
+bool hears_directly(const mesh_node &n, const link_clock &it)
+{
+    return !n.features.relayed_statuses || !it.relays_statuses || it.zone == n.settings.node.zone;
+}
 
-void send_status_nearby(mesh_turn &t)
+/// Sends this node's status over the connections for which \a is_receiver holds.
+template <class Predicate>
+void send_own_status(mesh_turn &t, Predicate is_receiver)
 {
     std::vector<link_ref> links;
     for (const auto &[link, clock] : t.n.links) {
-        bool is_relayed_to = t.n.features.relayed_statuses && clock.relays_statuses &&
-                             clock.zone != t.n.settings.node.zone;
-        if (!is_relayed_to) {
+        if (is_receiver(clock)) {
             links.push_back(link);
         }
     }
-    t.n.status_sent_at = t.now;
     update_own_status(t);
     if (!links.empty()) {
         const node_view &self = t.n.nodes.nodes.at(t.n.settings.node.name);
@@ -134,6 +149,21 @@
     }
 }
 
+}  // namespace
+
+void send_status_nearby(mesh_turn &t)
+{
+    t.n.status_sent_at = t.now;
+    send_own_status(t, [&](const link_clock &it) { return hears_directly(t.n, it); });
+}
+
+void send_status_to_callers(mesh_turn &t)
+{
+    send_own_status(t, [&](const link_clock &it) {
+        return hears_directly(t.n, it) || t.now - it.last_call_at <= caller_memory;
+    });
+}
+
 void relay_statuses(mesh_turn &t)
 {
     if (!t.n.features.relayed_statuses || t.now - t.n.relayed_at < relay_interval) {
@@ -153,16 +183,26 @@
 void handle_status_batch(mesh_turn &t, const std::string &from,
                          const mesh_wire::status_batch_message &batch)
 {
-    bool is_from_other_zone = !is_in_own_zone(t.n, from);
+    bool is_from_own_zone = is_in_own_zone(t.n, from);
+    std::vector<std::string> relays = choose_relays(t.n.nodes, t.n.settings.node.zone, t.now);
+    bool is_first = !relays.empty() && relays.front() == t.n.settings.node.name;
+    time_point pass_on_at = t.now + (is_first ? duration{} : other_relay_delay);
     for (const auto &entry : batch.entries) {
         if (!entry->status || entry->status->node == t.n.settings.node.name) {
             continue;
         }
         const mesh_wire::node_status_message &status = *entry->status;
         auto age = duration(static_cast<std::int64_t>(entry->age_us));
-        if (apply_relayed_status(t, status, t.now - age)) {
-            t.n.nodes.nodes.at(status.node).to_pass_on =
-                is_from_other_zone && !is_in_own_zone(t.n, status.node);
+        bool is_applied = apply_relayed_status(t, status, t.now - age);
+        auto known = t.n.nodes.nodes.find(status.node);
+        if (known == t.n.nodes.nodes.end()) {
+            continue;
+        }
+        node_view &view = known->second;
+        if (is_from_own_zone && is_same_status(view.status, status)) {
+            view.pass_on_at.reset();
+        } else if (is_applied && !is_from_own_zone && !is_in_own_zone(t.n, status.node)) {
+            view.pass_on_at = std::min(view.pass_on_at.value_or(pass_on_at), pass_on_at);
         }
     }
 }
--- a/gullstall/src/mesh/status_relay.hpp
+++ b/gullstall/src/mesh/status_relay.hpp
@@ -17,6 +17,10 @@
 /// that don't accept relayed statuses.
 void send_status_nearby(mesh_turn &t);
 
+/// Sends this node's status to these nodes and to those of other zones that have sent it
+/// calls lately. For changes after which such a call would be refused.
+void send_status_to_callers(mesh_turn &t);
+
 /// Passes on statuses received from other zones and, on a relay, sends the statuses of
 /// this zone to the other zones. To be called on each tick.
 void relay_statuses(mesh_turn &t);
--- a/gullstall/src/mesh/stop.cpp
+++ b/gullstall/src/mesh/stop.cpp
@@ -1,4 +1,5 @@
 #include "gullstall/src/mesh/mesh_node.hpp"
+#include "gullstall/src/mesh/status_relay.hpp"
 
 namespace gullstall::mesh {
 
@@ -39,7 +40,7 @@
         "node",
         "stopping",
         {{"calls", std::to_string(t.n.calls.size())}, {"runs", std::to_string(t.n.runs.size())}}});
-    broadcast_status(t);
+    send_status_to_callers(t);
 }
 
 void stop_tick(mesh_turn &t)
--- a/gullstall/src/mesh/upstream_news.cpp
+++ b/gullstall/src/mesh/upstream_news.cpp
@@ -1,4 +1,5 @@
 #include "gullstall/src/mesh/mesh_node.hpp"
+#include "gullstall/src/mesh/status_relay.hpp"
 
 namespace gullstall::mesh {
 
@@ -46,7 +47,7 @@
                                        {"born", std::to_string(beat.started_ms)},
                                        {"sequence", std::to_string(beat.sequence)},
                                        {"cold_ms", std::to_string(to_ms(beat.warmup_time))}}});
-        broadcast_status(t);
+        send_status_to_callers(t);
         dispatch_waiting_calls(t);
     }
     return verdict;
@@ -58,7 +59,7 @@
     t.out.emplace_back(write_line{
         write_line::severity::info, "upstream", "upstream-left", {{"upstream", upstream}}});
     sync_gate(t);
-    broadcast_status(t);
+    send_status_to_callers(t);
 }
 
 }  // namespace gullstall::mesh
