Retries of calls without calls below are granted by the upstreams' nodes

Cause: each entry node holds its own bucket of a service's retries, filled by the callers' requests that it has seen and by its part of the slack.

Change: a retry of a call without nested calls is sent with the request to grant it. The node of the upstream counts callers' requests and grants in a sliding window, each its share of the limit (by the nodes of its service, reachable or not), and refuses what is beyond it without a run; half of the limit is left to the most urgent class, which can't be sent again by its callers. Entry nodes keep a quarter of the limit for retries of other calls, and charge those to nodes of an earlier version themselves.

--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "gullstall/src/mesh/entry_answers.hpp"
+#include "gullstall/src/mesh/retry_grant.hpp"
 
 namespace gullstall::mesh {
 
@@ -28,6 +29,35 @@
     return call.expires - now >= min_time_left;
 }
 
+/// \returns the retry budget of a service, accrued up to now
+retry_token_bucket &budget_of(mesh_turn &t, const std::string &service)
+{
+    double retries = t.n.settings.limits.retry_slack * entry_share(t.n);
+    retry_slack slack{retries, seconds(t.n.settings.limits.retry_window_s), t.n.nodes.nodes.size()};
+    retry_token_bucket &out = t.n.budgets[service];
+    accrue_slack_tokens(out, slack, t.now);
+    return out;
+}
+
+/// Charges a retry to the budget of every service that it reaches, since the calls of a
+/// repeated run are retries too.
+/// \returns false if a budget does not suffice; nothing is charged then
+bool charge_retry(mesh_turn &t, const entry_call &call)
+{
+    service_runs needs = t.n.plan.runs_per_request.count(call.route) > 0
+                             ? t.n.plan.runs_per_request.at(call.route)
+                             : service_runs{{call.call.service, 1.0}};
+    for (const auto &[service, runs] : needs) {
+        if (!has_retry_tokens(budget_of(t, service), runs)) {
+            return false;
+        }
+    }
+    for (const auto &[service, runs] : needs) {
+        spend_retry_tokens(t.n.budgets[service], runs);
+    }
+    return true;
+}
+
 /// Sends the call to a node not tried yet, lets it wait for one, or refuses it.
 void place_call(mesh_turn &t, call_ref id)
 {
@@ -48,6 +78,14 @@
         }
         return;
     }
+    if (call.call.asks_grant && !t.n.nodes.nodes.at(node).status.grants_retries) {
+        call.call.asks_grant = false;
+        if (!charge_retry(t, call)) {
+            ++t.n.counters.repeats_denied;
+            fail_call(t, id, call.last_reason);
+            return;
+        }
+    }
     ++call.send_count;
     call.tried.push_back(node);
     std::uint64_t correlation = ++t.n.last_id;
@@ -67,35 +105,6 @@
     t.out.emplace_back(send_to_node{node, mesh_frame(std::move(message))});
 }
 
-/// \returns the retry budget of a service, accrued up to now
-retry_token_bucket &budget_of(mesh_turn &t, const std::string &service)
-{
-    retry_slack slack{t.n.settings.limits.retry_slack, seconds(t.n.settings.limits.retry_window_s),
-                      t.n.nodes.nodes.size()};
-    retry_token_bucket &out = t.n.budgets[service];
-    accrue_slack_tokens(out, slack, t.now);
-    return out;
-}
-
-/// Charges a retry to the budget of every service that it reaches, since the calls of a
-/// repeated run are retries too.
-/// \returns false if a budget does not suffice; nothing is charged then
-bool charge_retry(mesh_turn &t, const entry_call &call)
-{
-    service_runs needs = t.n.plan.runs_per_request.count(call.route) > 0
-                             ? t.n.plan.runs_per_request.at(call.route)
-                             : service_runs{{call.call.service, 1.0}};
-    for (const auto &[service, runs] : needs) {
-        if (!has_retry_tokens(budget_of(t, service), runs)) {
-            return false;
-        }
-    }
-    for (const auto &[service, runs] : needs) {
-        spend_retry_tokens(t.n.budgets[service], runs);
-    }
-    return true;
-}
-
 /// Retries a call that has reached an upstream.
 /// \returns false if no retry is allowed
 bool retry_call(mesh_turn &t, call_ref id)
@@ -106,7 +115,8 @@
     if (!allowed) {
         return false;
     }
-    if (!charge_retry(t, call)) {
+    call.call.asks_grant = is_granted_at_gate(t.n, call);
+    if (!call.call.asks_grant && !charge_retry(t, call)) {
         ++t.n.counters.repeats_denied;
         return false;
     }
@@ -157,7 +167,9 @@
     entry_call &call = t.n.calls.at(id);
     t.n.calls_by_correlation.erase(call.current->correlation);
     call.current.reset();
-    call.last_reason = why;
+    if (why != reason::retry_limit) {
+        call.last_reason = why;  // otherwise the reason of the failed attempt is kept
+    }
     call.dispatch_count += reached ? 1 : 0;
     call.may_have_run = call.may_have_run || how == outcome::unknown;
     if (!reached) {
@@ -244,7 +256,8 @@
     if (!call.call.inner) {
         call.due = t.now + route->latency_objective;
         call.call.priority = static_cast<std::uint16_t>(std::min(route->priority, max_priority));
-        earn_retry_tokens(budget_of(t, call.call.service), t.n.settings.retry_ratio);
+        earn_retry_tokens(budget_of(t, call.call.service),
+                          t.n.settings.retry_ratio * entry_share(t.n));
     }
     t.n.call_expiry.emplace(call.expires, id);
     t.n.calls.emplace(id, std::move(call));
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -22,6 +22,7 @@
 #include "gullstall/src/mesh/own_upstream.hpp"
 #include "gullstall/src/mesh/placing.hpp"
 #include "gullstall/src/mesh/repeat_budget.hpp"
+#include "gullstall/src/mesh/retry_quota.hpp"
 #include "gullstall/src/mesh/run_gate.hpp"
 #include "gullstall/src/mesh/service_levels.hpp"
 #include "gullstall/src/mesh/service_totals.hpp"
@@ -101,6 +102,8 @@
     std::uint64_t successful_answers = 0;
     std::uint64_t repeats = 0;
     std::uint64_t repeats_denied = 0;
+    std::uint64_t retries_granted = 0;  ///< at the gate
+    std::uint64_t retries_refused = 0;  ///< at the gate
     std::uint64_t runs_started = 0;
     std::uint64_t stale_frames = 0;
 };
@@ -147,7 +150,8 @@
     time_point states_at{};
     zone_plan zones;
     traffic_split split;
-    std::map<std::string, retry_token_bucket> budgets;  ///< by service
+    std::map<std::string, retry_token_bucket> budgets;  ///< of this entry node, by service
+    retry_quota gate_retries;                           ///< of the local upstream
 
     std::unordered_map<call_ref, entry_call> calls;
     std::unordered_map<std::uint64_t, call_ref> calls_by_correlation;  ///< by correlation
--- a/gullstall/src/mesh/repeat_budget.hpp
+++ b/gullstall/src/mesh/repeat_budget.hpp
@@ -26,7 +26,7 @@
 /// Retries that are allowed in addition to the share of the requests.
 struct retry_slack
 {
-    std::uint32_t retries = 0;  ///< per window, over all nodes
+    double retries = 0;  ///< per window, over all nodes
     duration window = seconds(10);
     std::size_t nodes = 1;  ///< nodes that share the slack
 };
--- a/gullstall/src/mesh/report.cpp
+++ b/gullstall/src/mesh/report.cpp
@@ -21,6 +21,10 @@
     add(out, "gullstall_repeats_total", "counter", static_cast<double>(n.counters.repeats));
     add(out, "gullstall_repeats_denied_total", "counter",
         static_cast<double>(n.counters.repeats_denied));
+    add(out, "gullstall_gate_retries_granted_total", "counter",
+        static_cast<double>(n.counters.retries_granted));
+    add(out, "gullstall_gate_retries_refused_total", "counter",
+        static_cast<double>(n.counters.retries_refused));
     add(out, "gullstall_runs_started_total", "counter",
         static_cast<double>(n.counters.runs_started));
     add(out, "gullstall_stale_calls_total", "counter",
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "gullstall/src/mesh/mesh_node.hpp"
+#include "gullstall/src/mesh/retry_grant.hpp"
 #include "gullstall/src/mesh/status_relay.hpp"
 
 namespace gullstall::mesh {
@@ -68,6 +69,7 @@
     erase_expiry(t.n.run_expiry, run.expires, run.id);
     run.expires = run.deadline + answer_grace;
     t.n.run_expiry.emplace(run.expires, id);
+    count_for_retries(t, run.call);
     record_run_start(t.n.chain, id, run.call.request_id, run.call.route);
     ++t.n.counters.runs_started;
     note_latency(t.n.latencies.queue_wait, t.now - run.arrived_at);
@@ -222,6 +224,10 @@
         refuse(t, link, call, reason::too_late);
         return;
     }
+    if (call.asks_grant && !grant_retry(t, call)) {
+        refuse(t, link, call, reason::retry_limit);
+        return;
+    }
     record_arrival(t.n.demand, call.root, call.share_milli / share_scale);
     run_ref id{++t.n.last_id};
     // The transit time is deducted here too.
@@ -235,6 +241,9 @@
     request.limited_by_queue_length = !request.inner || !t.n.features.patient_calls;
     gate_verdict verdict = request_slot(t.n.gate, request);
     if (verdict == gate_verdict::refused) {
+        if (call.asks_grant) {
+            return_grant(t, call);
+        }
         refuse(t, link, call, reason::queue_full);
         return;
     }
--- a/gullstall/src/mesh/switches.hpp
+++ b/gullstall/src/mesh/switches.hpp
@@ -34,6 +34,7 @@
     bool waiting_calls = true;     ///< off: nested calls without an upstream fail at once
     bool relayed_statuses = true;  ///< off: each node sends its status to all other nodes
     bool store_watchers = true;    ///< off: each node watches the store
+    bool gate_grants = true;       ///< off: entry nodes limit all retries by themselves
 
     bool operator==(const mesh_features &) const = default;
 };
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -29,6 +29,7 @@
     std::uint32_t slots = 10;
     duration run_time = milliseconds(10);
     double shed = 0;                              ///< share of the calls that it sheds
+    double lost = 0;                              ///< share of the calls whose answer is lost
     std::map<std::string, nested_calls> calls{};  ///< by the path of the run
 };
 
@@ -400,6 +401,12 @@
             });
             return;
         }
+        if (model.lost > 0 && draw_fraction(random) < model.lost) {
+            schedule_after(model.run_time, [this, name, run = it.run] {
+                end_run(name, run, mesh::run_end::lost, 0);
+            });
+            return;
+        }
         open_runs_.insert({name, it.run});
         auto calls = model.calls.find(it.call.target);
         nested_calls inner = calls == model.calls.end() ? nested_calls{} : calls->second;
--- a/test/support/mesh_zones.hpp
+++ b/test/support/mesh_zones.hpp
@@ -99,6 +99,7 @@
     std::vector<std::string> nodes_of(int zone)
     {
         std::vector<std::string> out;
+        out.reserve(nodes_per_zone);
         for (int i = 0; i < nodes_per_zone; ++i) {
             out.push_back(node_name(zone, i));
         }
