A restarted gate grants no slack before the window of its predecessor is over

Upstreams would get more retries than the users' limit allows: a node that is killed forgets what it has granted, and its successor grants the slack of the same ten seconds once more. Found by reading.

--- a/gullstall/src/mesh/retry_grant.cpp
+++ b/gullstall/src/mesh/retry_grant.cpp
@@ -20,12 +20,16 @@
     return std::max<std::size_t>(1, static_cast<std::size_t>(count));
 }
 
-retry_quota_limit gate_limit(const mesh_node &n)
+retry_quota_limit gate_limit(const mesh_node &n, time_point now)
 {
     const auto &limits = n.settings.limits;
+    duration window = seconds(limits.retry_window_s);
     double share = 1 - entry_share(n);
-    double slack = limits.retry_slack * share / static_cast<double>(count_upstreams(n));
-    return retry_quota_limit{n.settings.retry_ratio * share, slack, seconds(limits.retry_window_s)};
+    // An earlier process may have granted all of the slack in the same window.
+    bool is_new = now - n.started_at < window;
+    double slack =
+        is_new ? 0 : limits.retry_slack * share / static_cast<double>(count_upstreams(n));
+    return retry_quota_limit{n.settings.retry_ratio * share, slack, window};
 }
 
 bool is_urgent(const mesh_wire::call_message &call)
@@ -63,7 +67,7 @@
 
 bool grant_retry(mesh_turn &t, const mesh_wire::call_message &call)
 {
-    bool granted = grant(t.n.gate_retries, gate_limit(t.n), is_urgent(call), t.now);
+    bool granted = grant(t.n.gate_retries, gate_limit(t.n, t.now), is_urgent(call), t.now);
     ++(granted ? t.n.counters.retries_granted : t.n.counters.retries_refused);
     return granted;
 }
--- a/test/unit/mesh_retry_grant.cpp
+++ b/test/unit/mesh_retry_grant.cpp
@@ -40,13 +40,19 @@
             world.add_node("deep-" + std::to_string(i), "a", {"deep", 200, milliseconds(10)});
         }
         for (auto &[name, node] : world.nodes) {
-            node.settings.retry_ratio = retry_ratio;
-            node.settings.limits.retry_slack = retry_slack;
-            node.settings.limits.retry_window_s = 10;
+            node.settings = limits_of(node.settings);
             node.features.gate_grants = gate_grants;
         }
     }
 
+    static mesh::mesh_settings limits_of(mesh::mesh_settings settings)
+    {
+        settings.retry_ratio = retry_ratio;
+        settings.limits.retry_slack = retry_slack;
+        settings.limits.retry_window_s = 10;
+        return settings;
+    }
+
     void set_lost(double share)
     {
         for (int i = 0; i < 3; ++i) {
@@ -148,7 +154,7 @@
 TEST_CASE_FIXTURE(lost_answers_fixture, "upstreams cut off, share of the limit, stays the same")
 {
     start(true);
-    world.run_for(seconds(1));
+    world.run_for(retry_window);
     world.break_links("deep-0", "deep-1");
     world.break_links("deep-0", "deep-2");
     mesh::mesh_actions out;
@@ -158,9 +164,28 @@
     while (grant_retry(turn, order)) {
         ++granted;
     }
+    CHECK(granted > 0);
     CHECK(granted <= retry_slack / 3);
 }
 
+// A node that is killed forgets its grants; its successor would grant them once more.
+TEST_CASE_FIXTURE(lost_answers_fixture, "gates restarted while answers are lost, keep to the limit")
+{
+    start(true);
+    for (int at_s : {21, 23}) {
+        world.schedule_after(seconds(at_s), [this] {
+            for (int i = 0; i < 3; ++i) {
+                std::string name = "deep-" + std::to_string(i);
+                world.start_node(name, "a");
+                world.nodes.at(name).settings = limits_of(world.nodes.at(name).settings);
+                world.send_heartbeat(name);
+            }
+        });
+    }
+    play();
+    CHECK(static_cast<double>(most_retries()) <= allowed_retries);
+}
+
 // A node of an earlier version runs each retry; the entry has to limit those itself.
 TEST_CASE_FIXTURE(lost_answers_fixture,
                   "gates of an earlier version, retries stay within the limit")
