Names of incoming links, policy sources and compression

incoming_link (was link_clock: it holds more than a clock), name_of(policy_source) in place of the same choice in two places, prepare_compression (was is_compressed: it makes the compressor). Behaviour unchanged.

--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -250,8 +250,7 @@
         log(write_line{write_line::severity::warning,
                        "policy",
                        "policy-unreadable",
-                       {{"source", source == mesh::policy_source::store ? "store" : "peer"},
-                        {"error", error_of(read).message}}});
+                       {{"source", name_of(source)}, {"error", error_of(read).message}}});
         return;
     }
     bool taken = false;
--- a/gullstall/src/edge/peer_connection.cpp
+++ b/gullstall/src/edge/peer_connection.cpp
@@ -139,7 +139,7 @@
     return true;
 }
 
-bool peer_connection::is_compressed(const queued_frame &frame)
+bool peer_connection::prepare_compression(const queued_frame &frame)
 {
     if (!compresses_ || frame.bytes.size() > max_compressed_frame_bytes) {
         return false;
@@ -164,7 +164,7 @@
     std::string batch;
     for (queued_frame &it : queued_) {
         n_queued += it.bytes.size();
-        if (is_compressed(it)) {
+        if (prepare_compression(it)) {
             batch += it.bytes;
             continue;
         }
--- a/gullstall/src/edge/peer_connection.hpp
+++ b/gullstall/src/edge/peer_connection.hpp
@@ -80,7 +80,8 @@
     };
 
     void write_queued();
-    bool is_compressed(const queued_frame &frame);
+    /// \returns whether the frame is compressed; makes the compressor when it is needed
+    bool prepare_compression(const queued_frame &frame);
     void flush_compressed(std::string &batch);
     bool parse_input();
     bool parse_compressed_block(std::string_view content);
--- a/gullstall/src/mesh/admission.cpp
+++ b/gullstall/src/mesh/admission.cpp
@@ -153,7 +153,7 @@
         return;
     }
     std::vector<link_ref> links;
-    for (const auto &[each, clock] : t.n.links) {
+    for (const auto &[each, peer] : t.n.links) {
         links.push_back(each);
     }
     if (!links.empty()) {
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -126,12 +126,12 @@
 
 void handle_hello(mesh_turn &t, link_ref link, const mesh_wire::hello_message &hello)
 {
-    link_clock &clock = t.n.links[link];
-    clock.node = hello.node;
-    clock.zone = hello.zone;
-    clock.relays_statuses = hello.relays_statuses;
-    clock.known = true;
-    clock.min_offset_us =
+    incoming_link &peer = t.n.links[link];
+    peer.node = hello.node;
+    peer.zone = hello.zone;
+    peer.relays_statuses = hello.relays_statuses;
+    peer.known = true;
+    peer.min_offset_us =
         static_cast<std::int64_t>(frame_time_us(t.now)) - static_cast<std::int64_t>(hello.sent_us);
     handle_address(t, node_address{hello.node, hello.zone, endpoint{hello.address, hello.port},
                                    hello.incarnation});
@@ -211,6 +211,11 @@
         write_line{write_line::severity::info, "members", "node-connected", {{"peer", node}}});
 }
 
+const char *name_of(policy_source source)
+{
+    return source == policy_source::store ? "store" : "peer";
+}
+
 bool apply_policy(mesh_turn &t, traffic_policy policy, std::string text, policy_source source)
 {
     std::uint64_t before = t.n.policy ? t.n.policy->version : 0;
@@ -220,7 +225,7 @@
                                   is_newer ? "policy-in-force" : "policy-not-newer",
                                   {{"version", std::to_string(policy.version)},
                                    {"before", std::to_string(before)},
-                                   {"source", source == policy_source::store ? "store" : "peer"},
+                                   {"source", name_of(source)},
                                    {"routes", std::to_string(policy.routes.size())}}});
     if (!is_newer) {
         return false;
@@ -242,10 +247,9 @@
 
 void set_store_lost(mesh_turn &t, bool lost)
 {
-    bool changed = t.n.store_lost != lost;
-    t.n.store_lost = lost;
-    if (changed) {
-        send_status_nearby(t);
+    if (t.n.store_lost != lost) {
+        t.n.store_lost = lost;
+        send_status_nearby(t);  // another node may have to watch the store
     }
 }
 
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -85,12 +85,12 @@
 
 /// A connection opened by a peer, with the peer's clock offset estimated from the
 /// timestamps of its frames.
-struct link_clock
+struct incoming_link
 {
     std::string node;
     std::string zone;
     bool relays_statuses = false;  ///< the peer accepts status_batch frames
-    time_point last_call_at{};
+    time_point last_call_at{};     ///< when the peer last sent a call
     bool known = false;
     std::int64_t min_offset_us = 0;  ///< minimum of arrival time minus send time
 };
@@ -160,7 +160,7 @@
     std::unordered_map<run_ref, local_run> runs;
     std::map<std::pair<link_ref, std::uint64_t>, run_ref> runs_by_correlation;  ///< by correlation
     expiry_queue<run_ref> run_expiry;
-    std::map<link_ref, link_clock> links;  ///< opened by peers
+    std::map<link_ref, incoming_link> links;  ///< opened by peers
 
     mesh_counters counters;
     node_latencies latencies;
@@ -250,6 +250,9 @@
     peer
 };
 
+/// \returns the name in log lines
+const char *name_of(policy_source source);
+
 // members.cpp: peers, their state and the policy
 void handle_address(mesh_turn &t, const node_address &address);
 void handle_hello(mesh_turn &t, link_ref link, const mesh_wire::hello_message &hello);
--- a/gullstall/src/mesh/status_relay.cpp
+++ b/gullstall/src/mesh/status_relay.cpp
@@ -92,8 +92,8 @@
 std::vector<link_ref> links_in_own_zone(const mesh_node &n)
 {
     std::vector<link_ref> out;
-    for (const auto &[link, clock] : n.links) {
-        if (clock.relays_statuses && clock.zone == n.settings.node.zone) {
+    for (const auto &[link, peer] : n.links) {
+        if (peer.relays_statuses && peer.zone == n.settings.node.zone) {
             out.push_back(link);
         }
     }
@@ -111,9 +111,9 @@
     }
     relays_by_zone.erase(t.n.settings.node.zone);
     std::map<std::string, link_ref> link_of;
-    for (const auto &[link, clock] : t.n.links) {
-        if (clock.relays_statuses) {
-            link_of[clock.node] = link;
+    for (const auto &[link, peer] : t.n.links) {
+        if (peer.relays_statuses) {
+            link_of[peer.node] = link;
         }
     }
     std::vector<link_ref> out;
@@ -127,7 +127,7 @@
     return out;
 }
 
-bool hears_directly(const mesh_node &n, const link_clock &it)
+bool hears_directly(const mesh_node &n, const incoming_link &it)
 {
     return !n.features.relayed_statuses || !it.relays_statuses || it.zone == n.settings.node.zone;
 }
@@ -137,8 +137,8 @@
 void send_own_status(mesh_turn &t, Predicate is_receiver)
 {
     std::vector<link_ref> links;
-    for (const auto &[link, clock] : t.n.links) {
-        if (is_receiver(clock)) {
+    for (const auto &[link, peer] : t.n.links) {
+        if (is_receiver(peer)) {
             links.push_back(link);
         }
     }
@@ -154,12 +154,12 @@
 void send_status_nearby(mesh_turn &t)
 {
     t.n.status_sent_at = t.now;
-    send_own_status(t, [&](const link_clock &it) { return hears_directly(t.n, it); });
+    send_own_status(t, [&](const incoming_link &it) { return hears_directly(t.n, it); });
 }
 
 void send_status_to_callers(mesh_turn &t)
 {
-    send_own_status(t, [&](const link_clock &it) {
+    send_own_status(t, [&](const incoming_link &it) {
         return hears_directly(t.n, it) || t.now - it.last_call_at <= caller_memory;
     });
 }
--- a/test/support/mesh_zones.hpp
+++ b/test/support/mesh_zones.hpp
@@ -47,8 +47,8 @@
     {
         for (auto &[name, node] : world.nodes) {
             node.features.relayed_statuses = false;
-            for (auto &[link, clock] : node.links) {
-                clock.relays_statuses = false;
+            for (auto &[link, peer] : node.links) {
+                peer.relays_statuses = false;
             }
         }
     }
--- a/test/unit/mesh_relay.cpp
+++ b/test/unit/mesh_relay.cpp
@@ -111,8 +111,8 @@
     start();
     std::string leaving = plain_node(2);
     std::string caller = plain_node(0);
-    for (auto &[link, clock] : world.nodes.at(leaving).links) {
-        clock.last_call_at = clock.node == caller ? world.now - seconds(5) : time_point{};
+    for (auto &[link, peer] : world.nodes.at(leaving).links) {
+        peer.last_call_at = peer.node == caller ? world.now - seconds(5) : time_point{};
     }
     world.run_node(leaving, [&](mesh::mesh_turn &t) { handle_leave(t, "u-" + leaving, 2000000); });
     world.run_for(milliseconds(2));
