Only nodes of a version with relays are taken for relays

In a rolling upgrade the first nodes of a zone by hash may be of the earlier version, which passes nothing on. The other zones then heard of the new nodes of that zone only by the ping after 1.5 s. A node says in its status that it relays. In a fleet of one version nothing changes.

--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -54,6 +54,7 @@
     out.stop_asked = t.n.stopping;
     out.store_lost = t.n.store_lost;
     out.grants_retries = t.n.features.gate_grants;
+    out.relays_statuses = t.n.features.relayed_statuses;
     if (t.n.upstream.latest) {
         out.service = t.n.upstream.latest->service;
         out.upstream = t.n.upstream.latest->upstream;
--- a/gullstall/src/mesh/zone_duty.cpp
+++ b/gullstall/src/mesh/zone_duty.cpp
@@ -44,7 +44,8 @@
 
 std::vector<std::string> choose_relays(const directory &it, const std::string &zone, time_point now)
 {
-    return choose_nodes(it, zone, now, [](const node_view &) { return true; });
+    return choose_nodes(it, zone, now,
+                        [](const node_view &view) { return view.status.relays_statuses; });
 }
 
 bool is_relay(const mesh_node &n, time_point now)
--- a/test/unit/mesh_relay.cpp
+++ b/test/unit/mesh_relay.cpp
@@ -205,3 +205,30 @@
                                   [](const auto &it) { return it.second.size() > 1; });
     CHECK(repeated == 0);
 }
+
+// During a rolling upgrade, nodes of the version without relays must be told directly, or they
+// would take the others for lost, and their statuses must reach all others.
+TEST_CASE_FIXTURE(zones_fixture, "nodes of an earlier version, beside relays, hear and are heard")
+{
+    std::set<std::string> earlier;
+    for (int zone = 0; zone < zone_count; ++zone) {
+        for (int i = 0; i < nodes_per_zone; ++i) {
+            std::string name = node_name(zone, i);
+            world.add_node(name, zone_name(zone), {"reads"});
+            if (i % 2 == 0) {
+                earlier.insert(name);
+                world.nodes.at(name).features.relayed_statuses = false;
+            }
+        }
+    }
+    int batches_to_earlier = 0;
+    world.on_send = [&](const std::string &, const std::string &to, const auto &frame) {
+        bool is_batch = frame.payload.Asstatus_batch() != nullptr;
+        batches_to_earlier += is_batch && earlier.count(to) > 0 ? 1 : 0;
+    };
+    world.run_for(seconds(3));
+    for (const char *at : {"node-0-0", "node-0-1"}) {
+        CHECK(highest_age(at, nodes_of(2), seconds(5)) <= max_relayed_age);
+    }
+    CHECK(batches_to_earlier == 0);
+}
