Settings: bounds with fractions are read, and an unreadable limit is not fatal

Required keys, unknown sections and gullstalld's settings stay strict.

Ruled out: other numbers of the template (ports and addresses are texts).

--- a/gullstall/src/core/time.hpp
+++ b/gullstall/src/core/time.hpp
@@ -34,6 +34,24 @@
     return duration_cast<milliseconds>(d).count();
 }
 
+/// \returns \a n seconds, rounded towards zero
+constexpr duration from_seconds(double n)
+{
+    return duration_cast<duration>(std::chrono::duration<double>(n));
+}
+
+/// \returns \a n milliseconds, rounded towards zero
+constexpr duration from_milliseconds(double n)
+{
+    return duration_cast<duration>(std::chrono::duration<double, std::milli>(n));
+}
+
+/// \returns \a d in seconds
+constexpr double to_seconds(duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
 }  // namespace gullstall
 
 #endif
--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -297,7 +297,6 @@
     for (mesh::mesh_settings *it : {&settings_, &node_.settings}) {
         it->limits = settings.limits;
         it->stop_time = settings.stop_time;
-        it->retry_ratio = settings.retry_ratio;
     }
 }
 
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -33,7 +33,7 @@
 retry_token_bucket &budget_of(mesh_turn &t, const std::string &service)
 {
     double retries = t.n.settings.limits.retry_slack * entry_share(t.n);
-    retry_slack slack{retries, seconds(t.n.settings.limits.retry_window_s), t.n.nodes.nodes.size()};
+    retry_slack slack{retries, from_seconds(t.n.settings.limits.retry_window_s), t.n.nodes.nodes.size()};
     retry_token_bucket &out = t.n.budgets[service];
     accrue_slack_tokens(out, slack, t.now);
     return out;
@@ -257,7 +257,7 @@
         call.due = t.now + route->latency_objective;
         call.call.priority = static_cast<std::uint16_t>(std::min(route->priority, max_priority));
         earn_retry_tokens(budget_of(t, call.call.service),
-                          t.n.settings.retry_ratio * entry_share(t.n));
+                          t.n.settings.limits.retry_ratio * entry_share(t.n));
     }
     t.n.call_expiry.emplace(call.expires, id);
     t.n.calls.emplace(id, std::move(call));
--- a/gullstall/src/mesh/entry_answers.cpp
+++ b/gullstall/src/mesh/entry_answers.cpp
@@ -23,7 +23,7 @@
         return left;  // an overload outlasts any early retry
     }
     bool is_missing = why == reason::no_upstream || why == reason::no_policy;
-    milliseconds interval(t.n.settings.upstream.heartbeat_interval_ms);
+    duration interval = from_milliseconds(t.n.settings.upstream.heartbeat_interval_ms);
     return is_missing ? t.n.started_at + interval - t.now : duration{};
 }
 
--- a/gullstall/src/mesh/mesh_settings.cpp
+++ b/gullstall/src/mesh/mesh_settings.cpp
@@ -1,8 +1,6 @@
 #include "gullstall/src/mesh/mesh_settings.hpp"
 
 #include <array>
-#include <boost/lexical_cast/try_lexical_convert.hpp>
-#include <cmath>
 
 namespace gullstall::mesh {
 
@@ -20,8 +18,9 @@
 constexpr std::array store_rules{field_rule{"endpoint", true},
                                  field_rule{"feed_wait_ms", false, 100, 30000},
                                  field_rule{"timeout_ms", false, 10, 60000}};
-constexpr std::array limits_rules{field_rule{"retry_slack", false, 0, 1000000},
-                                  field_rule{"retry_window_s", false, 1, 3600}};
+constexpr std::array limits_rules{
+    field_rule{"stop_s", false, 0.5, 600},        field_rule{"retry_ratio", false, 0, 1},
+    field_rule{"retry_slack", false, 0, 1000000}, field_rule{"retry_window_s", false, 0.1, 3600}};
 constexpr std::array log_rules{field_rule{"lines_per_second", false, 1, 100000}};
 
 /// Validates the value of an endpoint key.
@@ -39,53 +38,6 @@
     return done{};
 }
 
-/// Key of a decimal number and its allowed range.
-struct decimal_rule
-{
-    std::string key;  ///< in section limits
-    double min;
-    double max;
-};
-
-/// Parses a decimal number; a missing key keeps its default.
-/// \param text value in the file; replaced by the effective value
-result<done> read_decimal(const ini_document &document, const decimal_rule &rule, std::string &text,
-                          double &out)
-{
-    if (text.empty()) {
-        text = std::to_string(out);
-        return done{};
-    }
-    double n = 0;
-    bool is_number = boost::conversion::try_lexical_convert(text, n) && std::isfinite(n);
-    if (!is_number) {
-        return at_key(document, "limits", rule.key,
-                      error{error_code::wrong_type, "found '" + text + "', expected a number"});
-    }
-    if (n < rule.min || n > rule.max) {
-        return at_key(document, "limits", rule.key,
-                      error{error_code::out_of_range, "found " + text + ", allowed " +
-                                                          std::to_string(rule.min) + " to " +
-                                                          std::to_string(rule.max)});
-    }
-    out = n;
-    text = std::to_string(out);
-    return done{};
-}
-
-result<done> read_decimals(const ini_document &document, mesh_settings &it)
-{
-    double stop_s = std::chrono::duration<double>(it.stop_time).count();
-    result<done> stop =
-        read_decimal(document, decimal_rule{"stop_s", 0.5, 600}, it.limits.stop_s, stop_s);
-    if (!succeeded(stop)) {
-        return stop;
-    }
-    it.stop_time = std::chrono::duration_cast<duration>(std::chrono::duration<double>(stop_s));
-    return read_decimal(document, decimal_rule{"retry_ratio", 0, 1}, it.limits.retry_ratio,
-                        it.retry_ratio);
-}
-
 result<done> check_values(const ini_document &document, const mesh_settings &it)
 {
     for (const result<done> &checked :
@@ -103,16 +55,43 @@
     return done{};
 }
 
+/// Removes the entries of \a section that can't be read and adds their errors to \a errors.
+template <class Table>
+void drop_bad_entries(ini_document &document, const std::string &section,
+                      std::span<const field_rule> rules, std::vector<std::string> &errors)
+{
+    for (ini_section &it : document.sections) {
+        if (it.kind != section) {
+            continue;
+        }
+        std::erase_if(it.entries, [&](const ini_entry &entry) {
+            ini_section single = it;
+            single.entries = {entry};
+            auto read = read_section<Table>(document, single, rules);
+            if (!succeeded(read)) {
+                errors.push_back(error_of(read).message);
+            }
+            return !succeeded(read);
+        });
+    }
+}
+
 }  // namespace
 
-result<mesh_settings> parse_mesh_settings(const std::string &name, std::string_view text)
+result<mesh_settings> parse_mesh_settings(const std::string &name, std::string_view text,
+                                          bad_value_policy bad_values)
 {
     result<ini_document> parsed = parse_ini(name, text);
     if (!succeeded(parsed)) {
         return error_of(parsed);
     }
-    const ini_document &document = value_of(parsed);
+    ini_document document = value_of(std::move(parsed));
     mesh_settings out;
+    if (bad_values == bad_value_policy::use_defaults) {
+        drop_bad_entries<mesh_config::limits_section>(document, "limits", limits_rules,
+                                                      out.ignored_values);
+        drop_bad_entries<mesh_config::log_section>(document, "log", log_rules, out.ignored_values);
+    }
     namespace config = mesh_config;
     const std::array<result<done>, 7> steps{
         check_sections(document, sections),
@@ -127,11 +106,11 @@
             return error_of(it);
         }
     }
-    for (const result<done> &it : {check_values(document, out), read_decimals(document, out)}) {
-        if (!succeeded(it)) {
-            return error_of(it);
-        }
+    result<done> checked = check_values(document, out);
+    if (!succeeded(checked)) {
+        return error_of(checked);
     }
+    out.stop_time = from_seconds(out.limits.stop_s);
     return out;
 }
 
@@ -148,8 +127,8 @@
            "\n\n[store]\nendpoint = " + it.store.endpoint +
            "\nfeed_wait_ms = " + number(it.store.feed_wait_ms) +
            "\ntimeout_ms = " + number(it.store.timeout_ms) +
-           "\n\n[limits]\nstop_s = " + number(std::chrono::duration<double>(it.stop_time).count()) +
-           "\nretry_ratio = " + number(it.retry_ratio) +
+           "\n\n[limits]\nstop_s = " + number(it.limits.stop_s) +
+           "\nretry_ratio = " + number(it.limits.retry_ratio) +
            "\nretry_slack = " + number(it.limits.retry_slack) +
            "\nretry_window_s = " + number(it.limits.retry_window_s) +
            "\n\n[log]\nlevel = " + it.log.level +
--- a/gullstall/src/mesh/retry_grant.cpp
+++ b/gullstall/src/mesh/retry_grant.cpp
@@ -23,13 +23,13 @@
 retry_quota_limit gate_limit(const mesh_node &n, time_point now)
 {
     const auto &limits = n.settings.limits;
-    duration window = seconds(limits.retry_window_s);
+    duration window = from_seconds(limits.retry_window_s);
     double share = 1 - entry_share(n);
     // An earlier process may have granted all of the slack in the same window.
     bool is_new = now - n.started_at < window;
     double slack =
         is_new ? 0 : limits.retry_slack * share / static_cast<double>(count_upstreams(n));
-    return retry_quota_limit{n.settings.retry_ratio * share, slack, window};
+    return retry_quota_limit{limits.retry_ratio * share, slack, window};
 }
 
 bool is_urgent(const mesh_wire::call_message &call)
@@ -61,7 +61,7 @@
 void count_for_retries(mesh_turn &t, const mesh_wire::call_message &call)
 {
     if (!call.inner && !call.repeat) {
-        record_request(t.n.gate_retries, seconds(t.n.settings.limits.retry_window_s), t.now);
+        record_request(t.n.gate_retries, from_seconds(t.n.settings.limits.retry_window_s), t.now);
     }
 }
 
--- a/gullstall/src/mesh/waiting_calls.cpp
+++ b/gullstall/src/mesh/waiting_calls.cpp
@@ -42,7 +42,7 @@
     }
     if (!call.wait_deadline) {
         duration replacement_time =
-            milliseconds(t.n.settings.upstream.heartbeat_interval_ms) + process_restart_time;
+            from_milliseconds(t.n.settings.upstream.heartbeat_interval_ms) + process_restart_time;
         duration max_wait = std::min(replacement_time, (call.expires - t.now) / wait_time_divisor);
         call.wait_deadline = t.now + max_wait;
         log_wait(t, call, max_wait);
--- a/gullstall/src/settings/section_reader.cpp
+++ b/gullstall/src/settings/section_reader.cpp
@@ -2,15 +2,16 @@
 
 #include <algorithm>
 #include <boost/lexical_cast/try_lexical_convert.hpp>
+#include <cmath>
+#include <iomanip>
 #include <map>
 #include <optional>
+#include <sstream>
 
 namespace gullstall::internal {
 
 namespace {
 
-constexpr std::uint64_t no_limit = std::numeric_limits<std::uint64_t>::max();
-
 field_rule rule_for(std::span<const field_rule> rules, std::string_view key)
 {
     auto it = std::find_if(rules.begin(), rules.end(),
@@ -18,7 +19,7 @@
     return it == rules.end() ? field_rule{key} : *it;
 }
 
-std::uint64_t type_limit(flatbuffers::ElementaryType type)
+double type_limit(flatbuffers::ElementaryType type)
 {
     switch (type) {
         case flatbuffers::ET_UCHAR:
@@ -28,7 +29,7 @@
         case flatbuffers::ET_UINT:
             return std::numeric_limits<std::uint32_t>::max();
         default:
-            return no_limit;
+            return std::numeric_limits<double>::infinity();
     }
 }
 
@@ -51,6 +52,31 @@
     return out;
 }
 
+error wrong_type(const ini_document &document, const ini_entry &entry, const char *expected)
+{
+    return ini_error(error_code::wrong_type, document.name, entry.line,
+                     "key '" + entry.key + "': found '" + entry.value + "', expected " + expected);
+}
+
+/// \returns the limit without trailing zeros
+std::string print_limit(double limit)
+{
+    std::ostringstream out;
+    if (std::isinf(limit)) {
+        out << std::numeric_limits<std::uint64_t>::max();
+    } else {
+        out << std::setprecision(std::numeric_limits<double>::digits10) << limit;
+    }
+    return out.str();
+}
+
+error out_of_range(const ini_document &document, const ini_entry &entry, double min, double max)
+{
+    return ini_error(error_code::out_of_range, document.name, entry.line,
+                     "key '" + entry.key + "': found " + entry.value + ", allowed " +
+                         print_limit(min) + " to " + print_limit(max));
+}
+
 result<std::uint64_t> read_number(const ini_document &document, const ini_entry &entry,
                                   flatbuffers::ElementaryType type, const field_rule &rule)
 {
@@ -59,15 +85,26 @@
         !entry.value.empty() && std::all_of(entry.value.begin(), entry.value.end(),
                                             [](unsigned char c) { return c >= '0' && c <= '9'; });
     if (!digits) {
-        return ini_error(
-            error_code::wrong_type, document.name, entry.line,
-            "key '" + entry.key + "': found '" + entry.value + "', expected a whole number");
+        return wrong_type(document, entry, "a whole number");
     }
-    std::uint64_t max = std::min(rule.max, type_limit(type));
-    if (!boost::conversion::try_lexical_convert(entry.value, n) || n < rule.min || n > max) {
-        return ini_error(error_code::out_of_range, document.name, entry.line,
-                         "key '" + entry.key + "': found " + entry.value + ", allowed " +
-                             std::to_string(rule.min) + " to " + std::to_string(max));
+    double max = std::min(rule.max, type_limit(type));
+    bool converted = boost::conversion::try_lexical_convert(entry.value, n);
+    auto value = static_cast<double>(n);
+    if (!converted || value < rule.min || value > max) {
+        return out_of_range(document, entry, rule.min, max);
+    }
+    return n;
+}
+
+result<double> read_decimal(const ini_document &document, const ini_entry &entry,
+                            const field_rule &rule)
+{
+    double n = 0;
+    if (!boost::conversion::try_lexical_convert(entry.value, n) || !std::isfinite(n)) {
+        return wrong_type(document, entry, "a number");
+    }
+    if (n < rule.min || n > rule.max) {
+        return out_of_range(document, entry, rule.min, rule.max);
     }
     return n;
 }
@@ -80,9 +117,7 @@
     if (entry.value == "false") {
         return std::uint64_t{0};
     }
-    return ini_error(
-        error_code::wrong_type, document.name, entry.line,
-        "key '" + entry.key + "': found '" + entry.value + "', expected true or false");
+    return wrong_type(document, entry, "true or false");
 }
 
 void add_number(flatbuffers::FlatBufferBuilder &builder, flatbuffers::ElementaryType type,
@@ -123,6 +158,7 @@
 struct section_fields
 {
     std::map<std::size_t, std::uint64_t> numbers;
+    std::map<std::size_t, double> decimals;
     std::map<std::size_t, flatbuffers::Offset<flatbuffers::String>> strings;
 };
 
@@ -146,6 +182,14 @@
         fields.strings[*i] = builder.CreateString(entry.value);
         return done{};
     }
+    if (kind == flatbuffers::ET_DOUBLE) {
+        result<double> decimal = read_decimal(document, entry, rule);
+        if (!succeeded(decimal)) {
+            return error_of(decimal);
+        }
+        fields.decimals[*i] = value_of(decimal);
+        return done{};
+    }
     result<std::uint64_t> n = kind == flatbuffers::ET_BOOL
                                   ? read_bool(document, entry)
                                   : read_number(document, entry, kind, rule);
@@ -180,6 +224,10 @@
         add_number(builder, kind, flatbuffers::FieldIndexToOffset(static_cast<std::uint16_t>(i)),
                    n);
     }
+    for (auto [i, n] : fields.decimals) {
+        builder.AddElement<double>(flatbuffers::FieldIndexToOffset(static_cast<std::uint16_t>(i)),
+                                   n, 0);
+    }
     for (auto [i, text] : fields.strings) {
         builder.AddOffset(flatbuffers::FieldIndexToOffset(static_cast<std::uint16_t>(i)), text);
     }
--- a/gullstall/src/settings/section_reader.hpp
+++ b/gullstall/src/settings/section_reader.hpp
@@ -18,8 +18,8 @@
 {
     std::string_view key;
     bool required = false;
-    std::uint64_t min = 0;
-    std::uint64_t max = std::numeric_limits<std::uint64_t>::max();
+    double min = 0;
+    double max = std::numeric_limits<double>::infinity();
 };
 
 namespace internal {
