Customers: API keys are checked where a request enters

Cause: the node knew no customers; the adapter passed over the operator's entries of them.

Change: module customers: an index of customers by name and by a keyed SipHash of their keys (OpenSSL; the secret is drawn at each start), made with each version of the policy. A request on a route that is not public needs a bearer token that a customer holds, else 401. Authorization and the customer's header are taken out of what callers send; the upstream gets the name. The priority of the customer goes before that of the route, in admission, queues and retries of the whole chain. Calls made by runs carry no key: their routes are public here, and runs inherit the class of the request.

A class is a route and a priority now, so there may be many. Their weights fall by 0.45 a class, and the unlimited level of 6 admits all of three classes only: with ten, the least urgent was refused without any overload (test 'services, ten priority classes'). Weights no longer fall below the inverse of the unlimited level.

--- a/gullstall/src/edge/http_answer.cpp
+++ b/gullstall/src/edge/http_answer.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::uint16_t unauthorized = 401;
+
 /// \returns seconds with three decimals, the format used for Retry-After
 std::string format_seconds(duration it)
 {
@@ -21,8 +23,12 @@
     switch (status) {
         case 400:
             return "Bad Request";
+        case 401:
+            return "Unauthorized";
         case 404:
             return "Not Found";
+        case 429:
+            return "Too Many Requests";
         case 502:
             return "Bad Gateway";
         case 503:
@@ -48,8 +54,11 @@
                            std::move(it.body)};
     }
     edge_answer out = http_error(it.status);
+    if (it.status == unauthorized) {
+        out.header_lines = "WWW-Authenticate: Bearer\r\n";
+    }
     if (it.retry_after) {
-        out.header_lines = "Retry-After: " + format_seconds(*it.retry_after) + "\r\n";
+        out.header_lines += "Retry-After: " + format_seconds(*it.retry_after) + "\r\n";
     }
     return out;
 }
--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -41,6 +41,16 @@
 }
 
 std::string_view header_value(const boost::beast::http::fields &fields, const std::string &name)
+std::vector<std::string_view> authorization_fields(const boost::beast::http::fields &fields)
+{
+    std::vector<std::string_view> out;
+    auto range = fields.equal_range(boost::beast::http::field::authorization);
+    for (auto it = range.first; it != range.second; ++it) {
+        out.emplace_back(it->value().data(), it->value().size());
+    }
+    return out;
+}
+
 {
     auto value = fields[name];
     return {value.data(), value.size()};
@@ -192,6 +202,11 @@
     it.fields.erase(dialect_.names.expected_upstream);
     it.fields.erase(dialect_.names.caller_service);
     request.header_lines = end_to_end_lines(it.fields);
+    it.fields.erase(dialect_.names.customer);
+    if (node_.policy && has_customers(*node_.policy)) {
+        request.credentials = read_credentials(authorization_fields(it.fields));
+        it.fields.erase(boost::beast::http::field::authorization);
+    }
     step([&](mesh_turn &t) { handle_request(t, id, std::move(request)); });
 }
 
--- a/gullstall/src/edge/upstream_client.hpp
+++ b/gullstall/src/edge/upstream_client.hpp
@@ -23,6 +23,7 @@
     std::string expected_upstream;  ///< id of the upstream incarnation that is to run the request
     std::string caller_service;     ///< service of the instance that issued the request
     std::string not_executed;       ///< in responses: the upstream did not run the request
+    std::string customer;           ///< customer on whose behalf the request is made
 
     bool operator==(const header_names &) const = default;
 };
--- a/gullstall/src/edge/upstream_exchange.cpp
+++ b/gullstall/src/edge/upstream_exchange.cpp
@@ -110,6 +110,9 @@
             names.time_left_ms + ": " + std::to_string(to_ms(order_.left)) + "\r\n" +
             names.expected_upstream + ": " + order_.upstream + "\r\n" + names.caller_service +
             ": " + call.caller_service + "\r\n";
+    if (!call.customer.empty()) {
+        head_ += names.customer + ": " + call.customer + "\r\n";
+    }
     if (!call.body.empty() || call.method != "GET") {
         head_ += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
     }
--- a/gullstall/src/mesh/admission.cpp
+++ b/gullstall/src/mesh/admission.cpp
@@ -95,7 +95,8 @@
 
 }  // namespace
 
-admission_decision admit_request(mesh_turn &t, const std::string &route, double place)
+admission_decision admit_request(mesh_turn &t, const std::string &route, const std::string &root,
+                                 double place)
 {
     refresh_plan(t);
     if (t.now - t.n.states_at >= service_states_ttl) {
@@ -106,7 +107,7 @@
     if (t.n.features.chains_need_all && needs_unavailable_service(t.n.plan, route, t.n.states)) {
         return admission_decision{mesh_wire::reason::no_upstream, 0};
     }
-    admitted_shares shares = admitted_shares_for(t.n.plan, route, t.n.states, t.n.features);
+    admitted_shares shares = admitted_shares_for(t.n.plan, route, root, t.n.states, t.n.features);
     double share = admitted_share(shares);
     if (place >= share) {
         bool has_capacity = place < shares.by_capacity;
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -225,19 +225,30 @@
     entry_call call;
     inherit_from_run(t, call, request, route->name);
     call.deadline = t.now + request.time_left.value_or(route->timeout);
+    const customer *who = nullptr;
+    if (!call.call.inner && has_customers(*t.n.policy)) {
+        who = find_customer(t.n.policy->customers, request.credentials.api_key);
+        if (who == nullptr && !route->is_public) {
+            refuse_request(t, id, request, reason::bad_key);
+            return;
+        }
+        call.call.customer = who == nullptr ? "" : who->name;
+    }
     call.expires = std::min(call.deadline, t.now + route->timeout);
     if (!call.call.inner && !accepts_callers(t.n, t.now, call.expires)) {
         refuse_request(t, id, request, reason::stopping);
         return;
     }
     if (!call.call.inner) {
-        admission_decision verdict =
-            admit_request(t, route->name, sampling_position(request.request_id));
+        std::uint32_t priority = request_priority(*route, who);
+        call.call.priority = static_cast<std::uint16_t>(std::min(priority, max_priority));
+        call.call.root = traffic_class(*route, call.call.priority);
+        admission_decision verdict = admit_request(t, route->name, call.call.root,
+                                                   sampling_position(request.request_id));
         if (verdict.refused) {
             refuse_request(t, id, request, *verdict.refused);
             return;
         }
-        call.call.root = route->name;
         call.call.share_milli = static_cast<std::uint16_t>(verdict.admitted_share * share_scale);
     }
     call.id = id;
@@ -255,9 +266,6 @@
     call.call.idempotent = route->request_idempotency == idempotency::idempotent;
     if (!call.call.inner) {
         call.due = t.now + route->latency_objective;
-        call.call.priority = static_cast<std::uint16_t>(std::min(route->priority, max_priority));
-        earn_retry_tokens(budget_of(t, call.call.service),
-                          t.n.settings.limits.retry_ratio * entry_share(t.n));
     }
     t.n.call_expiry.emplace(call.expires, id);
     t.n.calls.emplace(id, std::move(call));
@@ -284,6 +292,7 @@
         record_call_result(t.n.nodes, current->node, call_end::refused, t.now);
         cancel_send(t, *current);
     }
+    found->second.may_have_run = found->second.may_have_run || current.has_value();
 }
 
 void handle_reply(mesh_turn &t, const std::string &from, mesh_wire::reply_message &reply)
--- a/gullstall/src/mesh/entry_answers.cpp
+++ b/gullstall/src/mesh/entry_answers.cpp
@@ -36,6 +36,8 @@
 std::uint16_t status_of(reason why, bool may_have_run)
 {
     constexpr std::uint16_t not_found = 404;
+    constexpr std::uint16_t unauthorized = 401;
+    constexpr std::uint16_t too_many_requests = 429;
     constexpr std::uint16_t bad_gateway = 502;
     constexpr std::uint16_t unavailable = 503;
     constexpr std::uint16_t gateway_timeout = 504;
@@ -43,6 +45,12 @@
         return not_found;
     }
     if (why == reason::timed_out) {
+    if (why == reason::bad_key) {
+        return unauthorized;
+    }
+    if (why == reason::over_quota) {
+        return too_many_requests;
+    }
         return gateway_timeout;
     }
     return may_have_run ? bad_gateway : unavailable;
@@ -91,7 +99,7 @@
     caller_answer answer;
     answer.status = status_of(why, false);
     answer.why = why;
-    if (why != reason::no_route) {
+    if (why != reason::no_route && why != reason::bad_key) {
         answer.retry_after = return_time(t, why, left);
     }
     count_answer(t, "", "refused", reason_name(why));
@@ -138,6 +146,7 @@
                     {"last_node", call.tried.empty() ? "" : call.tried.back()},
                     {"handed_over", std::to_string(call.dispatch_count)},
                     {"after_ms", std::to_string(to_ms(t.now - call.received_at))},
+                    {"customer", call.call.customer},
                     {"left_ms", std::to_string(to_ms(call.deadline - t.now))},
                     {"load", std::to_string(service_load(t.n.nodes, call.call.service, t.now))},
                     {"policy", std::to_string(t.n.policy ? t.n.policy->version : 0)}}});
--- a/gullstall/src/mesh/mesh_actions.hpp
+++ b/gullstall/src/mesh/mesh_actions.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gullstall/core.hpp"
+#include "gullstall/customers.hpp"
 #include "gullstall/generated/mesh_generated.h"
 #include "gullstall/src/mesh/call_chain.hpp"
 #include "gullstall/src/mesh/directory.hpp"
@@ -38,6 +39,7 @@
     std::string header_lines;  ///< end-to-end fields, each with its line terminator
     body_bytes body;
     std::optional<duration> time_left;  ///< unset if the caller set no deadline
+    caller_credentials credentials;
     bool inner = false;                 ///< made by a run on the local upstream
 };
 
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -217,7 +217,9 @@
     double admitted_share = 1;                 ///< admitted share of the route's requests
 };
 /// \param place sampling position of the request, uniform in [0, 1)
-admission_decision admit_request(mesh_turn &t, const std::string &route, double place);
+/// \param root traffic class of the request
+admission_decision admit_request(mesh_turn &t, const std::string &route, const std::string &root,
+                                 double place);
 /// Measures the demand on the local upstream and announces changes.
 void admission_tick(mesh_turn &t);
 /// Updates the learned call rates of local runs and announces changes to peers.
--- a/gullstall/src/mesh/service_levels.cpp
+++ b/gullstall/src/mesh/service_levels.cpp
@@ -66,9 +66,13 @@
 /// Share of such requests that is admitted anyway, to detect when the shedding ends.
 constexpr double probe_share = 0.05;
 
+/// Minimum weight of a class: at the unlimited level all of its requests are admitted,
+/// however many more urgent classes there are.
+constexpr double min_weight = 1 / unlimited_level;
+
 struct route_usage
 {
-    std::string route;
+    std::string root;  ///< traffic class
     std::uint32_t priority;
     double runs;
 };
@@ -95,9 +99,9 @@
             bound = next_bound;
         }
         double factor = on.needs_in_weights ? most_runs / users[i].runs : 1;
-        double weight = std::min(bound, step * factor);
+        double weight = std::max(min_weight, std::min(bound, step * factor));
         next_bound = std::min(next_bound, weight);
-        out[users[i].route] = weight;
+        out[users[i].root] = weight;
     }
     return out;
 }
@@ -117,7 +121,10 @@
         bool is_nested = called.count(route.name) > 0;
         for (const auto &[service, runs] : needs) {
             if (runs >= min_runs_per_request && !is_nested) {
-                users[service].push_back(route_usage{route.name, route.priority, runs});
+                for (std::uint32_t priority : priorities_of(policy, route)) {
+                    users[service].push_back(
+                        route_usage{traffic_class(route, priority), priority, runs});
+                }
             }
         }
         it.runs_per_request[route.name] = std::move(needs);
@@ -162,6 +169,7 @@
 }
 
 admitted_shares admitted_shares_for(const admission_plan &it, const std::string &route,
+                                    const std::string &root,
                                     const std::map<std::string, service_state> &states,
                                     const mesh_features &on)
 {
@@ -178,7 +186,7 @@
             continue;
         }
         chance *= std::pow(1 - state->second.shed_share, runs);
-        auto weight = weights->second.find(route);
+        auto weight = weights->second.find(root);
         if (on.admission && weight != weights->second.end()) {
             bool is_urgent = on.urgent_share && weight->second >= 1;
             double min_share = is_urgent ? state->second.min_urgent_share : 0;
--- a/gullstall/src/mesh/service_levels.hpp
+++ b/gullstall/src/mesh/service_levels.hpp
@@ -39,8 +39,8 @@
 {
     std::map<std::string, calls_per_run> calls;            ///< learned calls per run, by route
     std::map<std::string, service_runs> runs_per_request;  ///< runs per request, by route
-    /// By service, then by route: the share of the route's requests that is admitted
-    /// at level 1.
+    /// By service, then by traffic class: the share of the requests that is admitted at
+    /// level 1.
     std::map<std::string, std::map<std::string, double>> weights;
 };
 
@@ -75,8 +75,10 @@
     bool operator==(const admitted_shares &) const = default;
 };
 
+/// \param root traffic class of the requests
 /// \param states by service; a service without an entry sets no limit
 admitted_shares admitted_shares_for(const admission_plan &it, const std::string &route,
+                                    const std::string &root,
                                     const std::map<std::string, service_state> &states,
                                     const mesh_features &on = {});
 
--- a/gullstall/src/policy/traffic_policy.cpp
+++ b/gullstall/src/policy/traffic_policy.cpp
@@ -22,9 +22,10 @@
 
 result<traffic_policy> make_policy(std::uint64_t version, std::vector<traffic_route> routes,
                                    std::map<std::string, service_policy> services,
-                                   const caller_limits &limits)
+                                   const caller_limits &limits, customer_index customers)
 {
-    traffic_policy out{version, std::move(routes), std::move(services), limits, {}, {}};
+    traffic_policy out{
+        version, std::move(routes), std::move(services), limits, std::move(customers), {}, {}};
     for (std::size_t i = 0; i < out.routes.size(); ++i) {
         const traffic_route &route = out.routes[i];
         if (!is_prefix(route.prefix)) {
@@ -45,6 +46,33 @@
     return out;
 }
 
+bool has_customers(const traffic_policy &policy)
+{
+    return !policy.customers.by_name.empty();
+}
+
+std::uint32_t request_priority(const traffic_route &route, const customer *who)
+{
+    return who == nullptr ? route.priority : who->priority.value_or(route.priority);
+}
+
+std::string traffic_class(const traffic_route &route, std::uint32_t priority)
+{
+    return priority == route.priority ? route.name : route.name + "@" + std::to_string(priority);
+}
+
+std::set<std::uint32_t> priorities_of(const traffic_policy &policy, const traffic_route &route)
+{
+    std::set<std::uint32_t> out;
+    for (const auto &[name, who] : policy.customers.by_name) {
+        out.insert(request_priority(route, &who));
+    }
+    if (out.empty() || route.is_public) {
+        out.insert(route.priority);
+    }
+    return out;
+}
+
 const traffic_route *find_route(const traffic_policy &policy, std::string_view host,
                                 std::string_view target)
 {
--- a/gullstall/src/policy/traffic_policy.hpp
+++ b/gullstall/src/policy/traffic_policy.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -10,6 +11,7 @@
 
 #include "gullstall/src/core/result.hpp"
 #include "gullstall/src/core/time.hpp"
+#include "gullstall/src/customers/customer_index.hpp"
 
 namespace gullstall {
 
@@ -41,6 +43,7 @@
     std::uint32_t priority = 0;      ///< 0 is the most important
     std::uint32_t max_attempts = 1;  ///< maximum number of upstreams tried per request
     std::vector<weighted_service> services;
+    bool is_public = false;  ///< requests may come without an API key
 
     bool operator==(const traffic_route &) const = default;
 };
@@ -72,6 +75,7 @@
     std::vector<traffic_route> routes;
     std::map<std::string, service_policy> services;  ///< by name
     caller_limits limits;
+    customer_index customers;  ///< without customers no request needs a key
     /// Index in routes, by host and prefix.
     std::unordered_map<std::string, std::size_t> routes_by_prefix;
     std::unordered_map<std::string, std::size_t> routes_by_name;  ///< index in routes, by name
@@ -85,7 +89,21 @@
 /// with a slash
 result<traffic_policy> make_policy(std::uint64_t version, std::vector<traffic_route> routes,
                                    std::map<std::string, service_policy> services,
-                                   const caller_limits &limits);
+                                   const caller_limits &limits, customer_index customers = {});
+
+/// \returns whether requests carry API keys under this policy
+bool has_customers(const traffic_policy &policy);
+
+/// \param who customer that sends the request, nullptr if it needs no key
+/// \returns the priority of a request: that of the customer, else that of the route
+std::uint32_t request_priority(const traffic_route &route, const customer *who);
+
+/// \returns the name of the class of requests of one route and priority; the route's name
+/// for its own priority
+std::string traffic_class(const traffic_route &route, std::uint32_t priority);
+
+/// \returns the priorities that requests of \a route can have
+std::set<std::uint32_t> priorities_of(const traffic_policy &policy, const traffic_route &route);
 
 /// \param host as the caller sent it, with or without a port
 /// \param target path, with or without a query
--- a/test/platform/formats.cpp
+++ b/test/platform/formats.cpp
@@ -40,6 +40,11 @@
            R"({"resource-kind":"tenants","metadata":{"name":"t"},"spec":{}}]})";
 }
 
+result<traffic_policy> read_policy(std::string_view text)
+{
+    return platform::read_policy(text, digest_secret{});
+}
+
 const std::string route_spec =
     R"("host":"h.example","prefix":"/a/","kind":"upload","timeout-ms":5000,)"
     R"("target-latency-ms":1200,"priority":2,"max-attempts":2,"service":"books")";
@@ -82,7 +87,7 @@
 
 TEST_CASE("operator's row, routes, services and limits, become a policy")
 {
-    auto read = platform::read_policy(policy_with(route_spec));
+    auto read = read_policy(policy_with(route_spec));
     REQUIRE(succeeded(read));
     const traffic_policy &policy = value_of(read);
     CHECK(policy.version == 7);
@@ -102,7 +107,7 @@
     std::string split = with(
         route_spec, R"("service":"books")",
         R"("traffic-split":[{"service":"books","weight":90},{"service":"other","weight":10}])");
-    auto read = platform::read_policy(policy_with(split));
+    auto read = read_policy(policy_with(split));
     REQUIRE(succeeded(read));
     CHECK(value_of(read).routes.front().services ==
           std::vector<weighted_service>{{"books", 90}, {"other", 10}});
@@ -112,7 +117,7 @@
 {
     // What a user would see: nothing is served. One route of a kind that the adapter
     // cannot read makes the whole row unreadable, and every node stays without a policy.
-    auto read = platform::read_policy(
+    auto read = read_policy(
         policy_with(with(route_spec, R"("kind":"upload")", R"("kind":"download")")));
     REQUIRE(succeeded(read));
     CHECK(value_of(read).routes.front().request_idempotency == idempotency::idempotent);
@@ -126,13 +131,13 @@
              {R"("prefix":"/a/")", R"("prefix":"a")"},
              {R"(,"service":"books")", ""},
              {R"("host":"h.example",)", ""}}) {
-        auto read = platform::read_policy(policy_with(with(route_spec, from, to)));
+        auto read = read_policy(policy_with(with(route_spec, from, to)));
         REQUIRE_FALSE(succeeded(read));
         CHECK(error_of(read).message.find("'r'") != std::string::npos);
     }
-    CHECK_FALSE(succeeded(platform::read_policy("")));
-    CHECK_FALSE(succeeded(platform::read_policy(R"({"version":"7","resource-list":[]})")));
-    CHECK_FALSE(succeeded(platform::read_policy(R"({"version":"r7"})")));
+    CHECK_FALSE(succeeded(read_policy("")));
+    CHECK_FALSE(succeeded(read_policy(R"({"version":"7","resource-list":[]})")));
+    CHECK_FALSE(succeeded(read_policy(R"({"version":"r7"})")));
 }
 
 TEST_CASE("row of a node, printed and read, is the same")
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -49,6 +49,7 @@
     std::string node;
     std::string request_id;
     std::string upstream;
+    std::string customer;
     duration time_left{};
     time_point at{};
 };
@@ -77,6 +78,7 @@
     std::function<void(const std::string &, const std::string &, const mesh_wire::frame_message &)>
         on_send;
     traffic_policy policy;
+    std::string api_key;  ///< of the requests sent from now on; empty: none
     std::map<std::uint64_t, traffic_policy> published;  ///< that nodes may fetch, by version
 
     void schedule_at(time_point when, std::function<void()> action)
@@ -124,8 +126,10 @@
         for (auto &[other, n] : nodes) {
             mesh::node_address address = nodes.at(name).nodes.nodes.at(name).address;
             mesh::node_address other_address = n.nodes.nodes.at(other).address;
-            run_node(other, [&](mesh::mesh_turn &t) { handle_address(t, address); });
-            run_node(name, [&](mesh::mesh_turn &t) { handle_address(t, other_address); });
+            run_node(other, [address](mesh::mesh_turn &t) { handle_address(t, address); });
+            run_node(name, [other_address](mesh::mesh_turn &t) {
+                handle_address(t, other_address);
+            });
         }
         tick(name, incarnation);
     }
@@ -160,7 +164,7 @@
     void close_caller(const std::string &node, const std::string &id)
     {
         call_ref call = calls_.at(id);
-        run_node(node, [&](mesh::mesh_turn &t) { abandon_request(t, call); });
+        run_node(node, [call](mesh::mesh_turn &t) { abandon_request(t, call); });
     }
 
     /// Closes the links between two nodes in both directions.
@@ -196,7 +200,7 @@
     /// Ends a run on a node's upstream.
     void end_run(const std::string &node, run_ref run, mesh::run_end end, std::uint16_t status)
     {
-        run_node(node, [&](mesh::mesh_turn &t) {
+        run_node(node, [run, end, status](mesh::mesh_turn &t) {
             handle_run_result(t, run, mesh::run_result{end, status, "", "", {}});
         });
     }
@@ -232,13 +236,19 @@
         call_ref call{++last_id_};
         calls_[id] = call;
         answer_handlers_[call] = std::move(answered);
-        mesh::caller_request it;
+        auto shared = std::make_shared<mesh::caller_request>();
+        mesh::caller_request &it = *shared;
         it.request_id = id;
         it.host = "h";
         it.method = "GET";
         it.target = path;
         it.time_left = left;
-        run_node(node, [&](mesh::mesh_turn &t) { handle_request(t, call, std::move(it)); });
+        if (!api_key.empty()) {
+            it.credentials = {caller_credentials::state::present, api_key};
+        }
+        run_node(node, [call, shared](mesh::mesh_turn &t) {
+            handle_request(t, call, std::move(*shared));
+        });
     }
 
     void tick(const std::string &name, std::uint64_t incarnation)
@@ -276,7 +286,7 @@
                 return;
             }
             mesh_wire::hello_message hello = own_hello(nodes.at(name), now - link_delay);
-            run_node(to, [&](mesh::mesh_turn &t) { handle_hello(t, ref, hello); });
+            run_node(to, [ref, hello](mesh::mesh_turn &t) { handle_hello(t, ref, hello); });
         });
     }
 
@@ -322,16 +332,17 @@
         }
         deliver(from, to, [this, from, to, ref, shared, is_to_server] {
             if (links_.count(ref) > 0) {
-                is_to_server ? receive_at_server(to, ref, *shared)
-                             : receive_at_dialer(from, to, *shared);
+                is_to_server ? receive_at_server(to, ref, shared)
+                             : receive_at_dialer(from, to, shared);
             }
         });
     }
 
     void receive_at_server(const std::string &node, mesh::link_ref ref,
-                           mesh_wire::frame_message &frame)
+                           const std::shared_ptr<mesh_wire::frame_message> &shared)
     {
-        run_node(node, [&](mesh::mesh_turn &t) {
+        run_node(node, [ref, shared](mesh::mesh_turn &t) {
+            mesh_wire::frame_message &frame = *shared;
             if (mesh_wire::call_message *call = frame.payload.Ascall()) {
                 handle_call(t, ref, std::move(*call));
             } else if (const mesh_wire::cancel_message *it = frame.payload.Ascancel()) {
@@ -345,9 +356,10 @@
     }
 
     void receive_at_dialer(const std::string &from, const std::string &node,
-                           mesh_wire::frame_message &frame)
+                           const std::shared_ptr<mesh_wire::frame_message> &shared)
     {
-        run_node(node, [&](mesh::mesh_turn &t) {
+        run_node(node, [this, from, shared](mesh::mesh_turn &t) {
+            mesh_wire::frame_message &frame = *shared;
             if (mesh_wire::reply_message *reply = frame.payload.Asreply()) {
                 handle_reply(t, from, *reply);
             } else if (const mesh_wire::node_status_message *it = frame.payload.Asnode_status()) {
@@ -377,8 +389,9 @@
         mesh::link_ref ref = found->second;
         link_between_.erase(found);
         links_.erase(ref);
-        run_node(from, [&](mesh::mesh_turn &t) { handle_node_lost(t, to, {}); });
-        run_node(to, [&](mesh::mesh_turn &t) { handle_link_closed(t, ref); });
+        // A paused node handles it later.
+        run_node(from, [to](mesh::mesh_turn &t) { handle_node_lost(t, to, {}); });
+        run_node(to, [ref](mesh::mesh_turn &t) { handle_link_closed(t, ref); });
     }
 
     void lose_links_of(const std::string &name)
@@ -393,7 +406,8 @@
 
     void perform(const std::string &name, mesh::start_run &it)
     {
-        runs.push_back(upstream_run{name, it.call.request_id, it.upstream, it.left, now});
+        runs.push_back(
+            upstream_run{name, it.call.request_id, it.upstream, it.call.customer, it.left, now});
         const upstream_model &model = upstreams.at(name);
         if (draw_fraction(random) < model.shed) {
             schedule_after(milliseconds(1), [this, name, run = it.run] {
@@ -496,6 +510,15 @@
 inline traffic_policy policy_of(std::uint64_t version, std::vector<traffic_route> routes)
 {
     return value_of(make_policy(version, std::move(routes), {}, caller_limits{}));
+/// \returns a policy with the given routes and customers
+inline traffic_policy policy_of(std::uint64_t version, std::vector<traffic_route> routes,
+                                std::vector<customer_declaration> customers)
+{
+    return value_of(
+        make_policy(version, std::move(routes), {}, caller_limits{},
+                    value_of(make_customer_index(std::move(customers), digest_secret{}))));
+}
+
 }
 
 }  // namespace gullstall::test
--- a/test/unit/mesh_levels.cpp
+++ b/test/unit/mesh_levels.cpp
@@ -169,8 +169,36 @@
     CHECK(weights.at("list") ==
           doctest::Approx(mesh::class_weight_ratio * mesh::class_weight_ratio));
     CHECK(weights.count("deep-call") == 0);
-    CHECK(admitted_share(admitted_shares_for(plan, "list", {{"deep", {1.0, 0}}})) < 0.25);
-    CHECK(admitted_share(admitted_shares_for(plan, "order", {{"deep", {1.0, 0}}})) == 1);
+    CHECK(admitted_share(admitted_shares_for(plan, "list", "list", {{"deep", {1.0, 0}}})) < 0.25);
+    CHECK(admitted_share(admitted_shares_for(plan, "order", "order", {{"deep", {1.0, 0}}})) == 1);
+}
+
+// Guards against requests of the least urgent of many classes that are refused without an
+// overload: customers may have any number of priorities.
+TEST_CASE("services, ten priority classes, capacity for all, none is refused")
+{
+    constexpr std::uint32_t classes = 10;
+    std::vector<customer_declaration> customers;
+    for (std::uint32_t i = 0; i < classes; ++i) {
+        std::string name = "c" + std::to_string(i);
+        customers.push_back({customer{name, i, {}}, {name}});
+    }
+    traffic_policy policy = test::policy_of(
+        1, {test::route_of("read", "/read/", "reads", idempotency::idempotent, 0)}, customers);
+    mesh::admission_plan plan;
+    update_admission_plan(plan, policy);
+    mesh::weighted_demand demand;
+    for (const auto &[root, weight] : plan.weights.at("reads")) {
+        demand[weight] += 1;
+    }
+    CHECK(plan.weights.at("reads").size() == classes);
+    mesh::service_state state{mesh::admission_level_for(demand, 1.01 * classes), 0, 0};
+    const traffic_route &route = policy.routes.front();
+    for (std::uint32_t i = 0; i < classes; ++i) {
+        auto shares =
+            admitted_shares_for(plan, "read", traffic_class(route, i), {{"reads", state}});
+        CHECK(admitted_share(shares) == 1);
+    }
 }
 
 namespace {
