Quotas of customers hold over all nodes

Change: module quota, free of sockets and clocks. In each availability zone rendezvous hashing picks a keeper for each customer. It holds a token bucket of the zone's part of rate and burst; an entry node asks it for a token before it places a request, and returns tokens of requests that did not run. A keeper that runs short asks those of the other zones, which lend down to a quarter of their bucket. The parts are the reachable nodes over the known ones, so that islands behind any cuts sum up to one at most; a new keeper starts with an empty bucket. Beyond the quota: 429 with the time of the next token, the least urgent requests first. A request whose keeper does not answer for 0.9 s: 503. Requests beyond the quota reach no gate and earn no retries.

Tests: quota_tokens; mesh_quota in virtual time with 24 nodes: before the module, 3,659 runs in a window where 812 are allowed; cuts, pauses and restarts together stay within.

--- a/gullstall/mesh.hpp
+++ b/gullstall/mesh.hpp
@@ -10,6 +10,7 @@
 #include "gullstall/src/mesh/mesh_settings.hpp"
 #include "gullstall/src/mesh/own_upstream.hpp"
 #include "gullstall/src/mesh/placing.hpp"
+#include "gullstall/src/mesh/quota_control.hpp"
 #include "gullstall/src/mesh/repeat_budget.hpp"
 #include "gullstall/src/mesh/retry_grant.hpp"
 #include "gullstall/src/mesh/run_gate.hpp"
--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -5,6 +5,7 @@
 
 #include "gullstall/src/edge/clock.hpp"
 #include "gullstall/src/edge/http_answer.hpp"
+#include "gullstall/src/mesh/quota_control.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
 
 namespace gullstall::edge {
@@ -40,7 +41,6 @@
                                               : listen_endpoint(settings.upstream.endpoint);
 }
 
-std::string_view header_value(const boost::beast::http::fields &fields, const std::string &name)
 std::vector<std::string_view> authorization_fields(const boost::beast::http::fields &fields)
 {
     std::vector<std::string_view> out;
@@ -51,6 +51,7 @@
     return out;
 }
 
+std::string_view header_value(const boost::beast::http::fields &fields, const std::string &name)
 {
     auto value = fields[name];
     return {value.data(), value.size()};
@@ -201,12 +202,12 @@
     it.fields.erase(dialect_.names.time_left_ms);
     it.fields.erase(dialect_.names.expected_upstream);
     it.fields.erase(dialect_.names.caller_service);
-    request.header_lines = end_to_end_lines(it.fields);
     it.fields.erase(dialect_.names.customer);
     if (node_.policy && has_customers(*node_.policy)) {
         request.credentials = read_credentials(authorization_fields(it.fields));
         it.fields.erase(boost::beast::http::field::authorization);
     }
+    request.header_lines = end_to_end_lines(it.fields);
     step([&](mesh_turn &t) { handle_request(t, id, std::move(request)); });
 }
 
@@ -225,6 +226,8 @@
         step([&](mesh_turn &t) { handle_status_batch(t, node, *batch); });
     } else if (const mesh_wire::chain_news_message *news = frame.payload.Aschain_news()) {
         step([&](mesh_turn &t) { handle_chain_news(t, *news); });
+    } else if (const mesh_wire::quota_grant_message *grant = frame.payload.Asquota_grant()) {
+        step([&](mesh_turn &t) { handle_quota_grant(t, node, *grant); });
     } else if (const mesh_wire::policy_content_message *it = frame.payload.Aspolicy_content()) {
         update_policy(std::string(it->content.begin(), it->content.end()),
                       mesh::policy_source::peer);
@@ -239,6 +242,8 @@
         step([&](mesh_turn &t) { handle_cancel(t, link, it->correlation); });
     } else if (const mesh_wire::hello_message *hello = frame.payload.Ashello()) {
         step([&](mesh_turn &t) { handle_hello(t, link, *hello); });
+    } else if (const mesh_wire::quota_ask_message *ask = frame.payload.Asquota_ask()) {
+        step([&](mesh_turn &t) { handle_quota_ask(t, link, *ask); });
     } else if (frame.payload.Asping() != nullptr) {
         step([&](mesh_turn &t) { handle_ping(t, link); });
     } else if (frame.payload.Aspolicy_fetch() != nullptr) {
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -3,6 +3,7 @@
 
 #include "gullstall/src/mesh/entry_answers.hpp"
 #include "gullstall/src/mesh/retry_grant.hpp"
+#include "gullstall/src/mesh/quota_control.hpp"
 
 namespace gullstall::mesh {
 
@@ -224,7 +225,6 @@
     }
     entry_call call;
     inherit_from_run(t, call, request, route->name);
-    call.deadline = t.now + request.time_left.value_or(route->timeout);
     const customer *who = nullptr;
     if (!call.call.inner && has_customers(*t.n.policy)) {
         who = find_customer(t.n.policy->customers, request.credentials.api_key);
@@ -234,6 +234,7 @@
         }
         call.call.customer = who == nullptr ? "" : who->name;
     }
+    call.deadline = t.now + request.time_left.value_or(route->timeout);
     call.expires = std::min(call.deadline, t.now + route->timeout);
     if (!call.call.inner && !accepts_callers(t.n, t.now, call.expires)) {
         refuse_request(t, id, request, reason::stopping);
@@ -269,6 +270,18 @@
     }
     t.n.call_expiry.emplace(call.expires, id);
     t.n.calls.emplace(id, std::move(call));
+    if (obtain_token(t, id)) {
+        place_admitted_call(t, id);
+    }
+}
+
+void place_admitted_call(mesh_turn &t, call_ref id)
+{
+    const entry_call &call = t.n.calls.at(id);
+    if (!call.call.inner) {
+        earn_retry_tokens(budget_of(t, call.call.service),
+                          t.n.settings.limits.retry_ratio * entry_share(t.n));
+    }
     place_call(t, id);
 }
 
@@ -279,6 +292,7 @@
         return;
     }
     std::optional<sent_call> current = found->second.current;
+    found->second.may_have_run = found->second.may_have_run || current.has_value();
     count_answer(t, found->second.route, "abandoned", "none");
     t.out.emplace_back(
         write_line{write_line::severity::info,
@@ -292,7 +306,6 @@
         record_call_result(t.n.nodes, current->node, call_end::refused, t.now);
         cancel_send(t, *current);
     }
-    found->second.may_have_run = found->second.may_have_run || current.has_value();
 }
 
 void handle_reply(mesh_turn &t, const std::string &from, mesh_wire::reply_message &reply)
--- a/gullstall/src/mesh/entry_answers.cpp
+++ b/gullstall/src/mesh/entry_answers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "gullstall/src/mesh/return_time.hpp"
+#include "gullstall/src/mesh/quota_control.hpp"
 
 namespace gullstall::mesh {
 
@@ -35,22 +36,22 @@
 
 std::uint16_t status_of(reason why, bool may_have_run)
 {
-    constexpr std::uint16_t not_found = 404;
     constexpr std::uint16_t unauthorized = 401;
     constexpr std::uint16_t too_many_requests = 429;
+    constexpr std::uint16_t not_found = 404;
     constexpr std::uint16_t bad_gateway = 502;
     constexpr std::uint16_t unavailable = 503;
     constexpr std::uint16_t gateway_timeout = 504;
     if (why == reason::no_route) {
         return not_found;
     }
-    if (why == reason::timed_out) {
     if (why == reason::bad_key) {
         return unauthorized;
     }
     if (why == reason::over_quota) {
         return too_many_requests;
     }
+    if (why == reason::timed_out) {
         return gateway_timeout;
     }
     return may_have_run ? bad_gateway : unavailable;
@@ -130,7 +131,11 @@
     answer.status = status_of(why, call.may_have_run);
     bool is_refusal = !call.may_have_run && why != reason::timed_out;
     if (is_refusal) {
-        answer.retry_after = return_time(t, why, call.deadline - t.now);
+        return_token(t, call);
+        duration left = call.deadline - t.now;
+        refusal over_quota{left, call.quota_retry_after.value_or(duration{})};
+        answer.retry_after = call.quota_retry_after ? draw_retry_delay(over_quota, t.n.random)
+                                                    : return_time(t, why, left);
     }
     count_answer(t, call.route, is_refusal ? "refused" : "failed", reason_name(why));
     t.out.emplace_back(
@@ -141,12 +146,12 @@
                     {"reason", reason_name(why)},
                     {"status", std::to_string(answer.status)},
                     {"route", call.route},
+                    {"customer", call.call.customer},
                     {"service", call.call.service},
                     {"nodes", std::to_string(call.send_count)},
                     {"last_node", call.tried.empty() ? "" : call.tried.back()},
                     {"handed_over", std::to_string(call.dispatch_count)},
                     {"after_ms", std::to_string(to_ms(t.now - call.received_at))},
-                    {"customer", call.call.customer},
                     {"left_ms", std::to_string(to_ms(call.deadline - t.now))},
                     {"load", std::to_string(service_load(t.n.nodes, call.call.service, t.now))},
                     {"policy", std::to_string(t.n.policy ? t.n.policy->version : 0)}}});
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -2,6 +2,7 @@
 
 #include "gullstall/src/mesh/mesh_node.hpp"
 #include "gullstall/src/mesh/status_relay.hpp"
+#include "gullstall/src/mesh/quota_control.hpp"
 
 namespace gullstall::mesh {
 
@@ -55,6 +56,7 @@
     out.store_lost = t.n.store_lost;
     out.grants_retries = t.n.features.gate_grants;
     out.relays_statuses = t.n.features.relayed_statuses;
+    out.keeps_quotas = true;
     if (t.n.upstream.latest) {
         out.service = t.n.upstream.latest->service;
         out.upstream = t.n.upstream.latest->upstream;
@@ -310,6 +312,7 @@
         broadcast_chain_news(t);
     }
     relay_statuses(t);
+    quota_tick(t);
     admission_tick(t);
     stop_tick(t);
     dispatch_waiting_calls(t);
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -21,6 +21,7 @@
 #include "gullstall/src/mesh/mesh_settings.hpp"
 #include "gullstall/src/mesh/own_upstream.hpp"
 #include "gullstall/src/mesh/placing.hpp"
+#include "gullstall/src/mesh/quota_state.hpp"
 #include "gullstall/src/mesh/repeat_budget.hpp"
 #include "gullstall/src/mesh/retry_quota.hpp"
 #include "gullstall/src/mesh/run_gate.hpp"
@@ -57,6 +58,9 @@
     std::uint32_t send_count = 0;      ///< nodes the call was sent to
     std::uint32_t dispatch_count = 0;  ///< upstreams that received it, or may have
     bool may_have_run = false;
+    bool waits_for_token = false;  ///< of the customer's quota
+    bool has_token = false;
+    std::optional<duration> quota_retry_after;  ///< if refused because of the quota
     mesh_wire::reason last_reason = mesh_wire::reason::no_upstream;
     /// Upstream error response that triggered a retry. Returned to the caller if the retry
     /// gets no response.
@@ -152,6 +156,7 @@
     traffic_split split;
     std::map<std::string, retry_token_bucket> budgets;  ///< of this entry node, by service
     retry_quota gate_retries;                           ///< of the local upstream
+    quota_state quotas;                                 ///< of the customers
 
     std::unordered_map<call_ref, entry_call> calls;
     std::unordered_map<std::uint64_t, call_ref> calls_by_correlation;  ///< by correlation
@@ -196,6 +201,8 @@
 
 // entry.cpp: requests accepted by this node
 void handle_request(mesh_turn &t, call_ref id, caller_request &&request);
+/// Sends a request that has passed all limits to an upstream.
+void place_admitted_call(mesh_turn &t, call_ref id);
 void abandon_request(mesh_turn &t, call_ref id);
 void handle_reply(mesh_turn &t, const std::string &from, mesh_wire::reply_message &reply);
 void expire_calls(mesh_turn &t);
--- a/gullstall/src/mesh/zone_duty.cpp
+++ b/gullstall/src/mesh/zone_duty.cpp
@@ -13,11 +13,6 @@
 /// from the store.
 constexpr duration peer_policy_timeout = milliseconds(800);
 
-bool is_responsive(const node_view &it, time_point now)
-{
-    return it.linked && !is_silent(it, now) && !it.status.stopping && !it.status.stop_asked;
-}
-
 /// \returns the names of the first responsive nodes of \a zone by the hash of their names
 /// \param is_able whether a node can do the duty
 template <class Predicate>
@@ -42,6 +37,11 @@
 
 }  // namespace
 
+bool is_responsive(const node_view &it, time_point now)
+{
+    return it.linked && !is_silent(it, now) && !it.status.stopping && !it.status.stop_asked;
+}
+
 std::vector<std::string> choose_relays(const directory &it, const std::string &zone, time_point now)
 {
     return choose_nodes(it, zone, now,
--- a/gullstall/src/mesh/zone_duty.hpp
+++ b/gullstall/src/mesh/zone_duty.hpp
@@ -17,6 +17,9 @@
 /// is detected.
 inline constexpr std::size_t nodes_on_duty = 2;
 
+/// \returns whether the node is connected, answers and is not shutting down
+bool is_responsive(const node_view &it, time_point now);
+
 /// \returns the names of the nodes of \a zone that relay statuses between zones
 std::vector<std::string> choose_relays(const directory &it, const std::string &zone,
                                        time_point now);
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -347,6 +347,8 @@
                 handle_call(t, ref, std::move(*call));
             } else if (const mesh_wire::cancel_message *it = frame.payload.Ascancel()) {
                 handle_cancel(t, ref, it->correlation);
+            } else if (const mesh_wire::quota_ask_message *ask = frame.payload.Asquota_ask()) {
+                handle_quota_ask(t, ref, *ask);
             } else if (frame.payload.Asping() != nullptr) {
                 handle_ping(t, ref);
             } else if (frame.payload.Aspolicy_fetch() != nullptr) {
@@ -369,6 +371,8 @@
                 }
             } else if (const auto *batch = frame.payload.Asstatus_batch()) {
                 handle_status_batch(t, from, *batch);
+            } else if (const auto *grant = frame.payload.Asquota_grant()) {
+                handle_quota_grant(t, from, *grant);
             } else if (const auto *content = frame.payload.Aspolicy_content()) {
                 auto known = published.find(content->version);
                 if (known != published.end()) {
@@ -506,10 +510,6 @@
                          seconds(1), priority, 2,      {{service, 1}}};
 }
 
-/// \returns a policy with the given routes
-inline traffic_policy policy_of(std::uint64_t version, std::vector<traffic_route> routes)
-{
-    return value_of(make_policy(version, std::move(routes), {}, caller_limits{}));
 /// \returns a policy with the given routes and customers
 inline traffic_policy policy_of(std::uint64_t version, std::vector<traffic_route> routes,
                                 std::vector<customer_declaration> customers)
@@ -519,6 +519,10 @@
                     value_of(make_customer_index(std::move(customers), digest_secret{}))));
 }
 
+/// \returns a policy with the given routes
+inline traffic_policy policy_of(std::uint64_t version, std::vector<traffic_route> routes)
+{
+    return value_of(make_policy(version, std::move(routes), {}, caller_limits{}));
 }
 
 }  // namespace gullstall::test
