Quotas are counted in a sliding window, and spread over it

Cause: a bucket of rate and burst bounds a window of 5 s to 6 times the rate, but grants no more than the rate once the burst is used; the rule allows 1.32 times the rate at any time. The bound is on windows, so windows are counted: 50 slots and one for the part of the oldest. A bucket at the rate of a full window spreads the tokens, since a window alone grants all at once and then nothing for seconds: callers that come back would find none.

Loans and returned tokens are taken out of the current slot; tokens unused for more than half a second count as used. A new keeper assumes that the window was used up.

--- a/gullstall/src/mesh/quota_control.cpp
+++ b/gullstall/src/mesh/quota_control.cpp
@@ -21,16 +21,22 @@
 /// Time for which spare tokens are kept for the next request before they are returned.
 constexpr duration spare_time = milliseconds(200);
 
+/// Age up to which unused tokens are returned. Older ones count for the window in which
+/// they were granted.
+constexpr duration max_return_age = milliseconds(500);
+
 /// Interval between asks of a keeper to those of other zones for the same customer.
 constexpr duration borrow_interval = milliseconds(100);
 
-/// Fraction of the capacity below which a keeper asks those of other zones for tokens.
-constexpr double borrow_below = 0.3;
+/// Fraction of the burst below which a keeper asks those of other zones for tokens, and the
+/// fraction of the limit that it asks for.
+constexpr double borrow_below = 0.1;
+constexpr double borrowed_fraction = 0.1;
 
-/// Fraction of the capacity that a keeper retains when it lends tokens.
+/// Fraction of the burst that a keeper retains when it lends tokens.
 constexpr double lending_reserve = 0.25;
 
-/// Fraction of the capacity that is kept for each more urgent class, where the requests of a
+/// Fraction of the burst that is kept for each more urgent class, where the requests of a
 /// customer differ in priority.
 constexpr double class_reserve = 0.1;
 constexpr std::uint32_t max_reserved_classes = 3;
@@ -44,11 +50,13 @@
     return who != nullptr && who->quota.rate_per_s > 0 ? who : nullptr;
 }
 
-token_rate rate_of(const mesh_node &n, const customer &who)
+/// \returns the limits of this node as a keeper
+quota_limits limits_of(const mesh_node &n, const customer &who)
 {
     const auto &limits = n.settings.limits;
-    return token_rate_of(who.quota, quota_tolerance{limits.quota_overage, limits.quota_slack},
-                         quota_share(n.quotas.members));
+    quota_terms terms{from_seconds(limits.quota_window_s), limits.quota_overage,
+                      limits.quota_slack};
+    return keeper_limits(who.quota, terms, quota_share(n.quotas.members));
 }
 
 const std::string &own_name(const mesh_node &n)
@@ -62,17 +70,17 @@
 }
 
 /// \returns the tokens that a request of this priority leaves to more urgent ones
-double reserve_for(const customer &who, const token_rate &rate, std::uint32_t priority)
+double reserve_for(const customer &who, const quota_limits &limits, std::uint32_t priority)
 {
     if (who.priority) {
         return 0;  // all requests of the customer have the same priority
     }
-    return class_reserve * std::min(priority, max_reserved_classes) * rate.capacity;
+    return class_reserve * std::min(priority, max_reserved_classes) * limits.burst;
 }
 
 /// Asks the keeper of another zone for tokens, the zones in turn.
 void borrow_tokens(mesh_turn &t, const customer &who, quota_account &account,
-                   const token_rate &rate)
+                   const quota_limits &limits)
 {
     const auto &zones = t.n.quotas.other_zones;
     if (zones.empty() || t.now - account.borrowed_at < borrow_interval) {
@@ -83,7 +91,7 @@
     auto zone = std::next(zones.begin(), static_cast<std::ptrdiff_t>(turn));
     mesh_wire::quota_ask_message ask;
     ask.customer = who.name;
-    ask.tokens = static_cast<std::uint32_t>(std::ceil(rate.capacity));
+    ask.tokens = static_cast<std::uint32_t>(std::ceil(borrowed_fraction * limits.in_window));
     ask.limited = true;
     t.out.emplace_back(
         send_to_node{choose_quota_keeper(zone->second, who.name), mesh_frame(std::move(ask))});
@@ -91,19 +99,18 @@
 
 token_grant grant_tokens(mesh_turn &t, const customer &who, const token_request &request)
 {
-    token_rate rate = rate_of(t.n, who);
-    quota_account &account = refill_account(t.n.quotas.ledger, who.name, rate, t.now);
-    token_grant out = draw_tokens(account, rate, request);
-    if (account.tokens < borrow_below * rate.capacity) {
-        borrow_tokens(t, who, account, rate);
+    quota_limits limits = limits_of(t.n, who);
+    quota_account &account = open_account(t.n.quotas.ledger, who.name, limits, t.now);
+    token_grant out = draw_tokens(account, limits, request);
+    if (available_tokens(account, limits) < std::max(1.0, borrow_below * limits.burst)) {
+        borrow_tokens(t, who, account, limits);
     }
     return out;
 }
 
 void deposit_tokens(mesh_turn &t, const customer &who, std::uint32_t tokens)
 {
-    token_rate rate = rate_of(t.n, who);
-    add_tokens(refill_account(t.n.quotas.ledger, who.name, rate, t.now), tokens);
+    add_tokens(open_account(t.n.quotas.ledger, who.name, limits_of(t.n, who), t.now), tokens);
 }
 
 void refuse_over_quota(mesh_turn &t, call_ref id, duration retry_after)
@@ -136,7 +143,7 @@
 {
     entry_call &call = t.n.calls.at(id);
     call.waits_for_token = false;
-    call.has_token = true;
+    call.token_at = t.now;
     place_admitted_call(t, id);
 }
 
@@ -242,7 +249,7 @@
     quota_queue &queue = t.n.quotas.queues[name];
     if (queue.spare > 0 && queue.calls.empty()) {
         --queue.spare;
-        call.has_token = true;
+        call.token_at = t.now;
         return true;
     }
     call.waits_for_token = true;
@@ -255,7 +262,7 @@
 
 void return_token(mesh_turn &t, const entry_call &call)
 {
-    if (!call.has_token) {
+    if (!call.token_at || t.now - *call.token_at > max_return_age) {
         return;
     }
     quota_queue &queue = t.n.quotas.queues[call.call.customer];
@@ -275,9 +282,9 @@
         if (ask.returned > 0) {
             deposit_tokens(t, *who, ask.returned);
         }
-        token_rate rate = rate_of(t.n, *who);
-        double reserve = ask.limited ? lending_reserve * rate.capacity
-                                     : reserve_for(*who, rate, ask.priority);
+        quota_limits limits = limits_of(t.n, *who);
+        double reserve = ask.limited ? lending_reserve * limits.burst
+                                     : reserve_for(*who, limits, ask.priority);
         token_grant granted = grant_tokens(t, *who, token_request{ask.tokens, reserve});
         reply.known = true;
         reply.tokens = granted.tokens;
--- a/gullstall/src/quota/quota_ledger.hpp
+++ b/gullstall/src/quota/quota_ledger.hpp
@@ -1,6 +1,7 @@
 #ifndef GULLSTALL_QUOTA_QUOTA_LEDGER_HPP
 #define GULLSTALL_QUOTA_QUOTA_LEDGER_HPP
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
@@ -10,33 +11,46 @@
 
 namespace gullstall {
 
-/// What the sum over all nodes may exceed the quotas by.
-struct quota_tolerance
+/// How the sum of a customer's requests over all nodes is judged. In every window it may
+/// reach (rate x window + burst) x (1 + overage) + slack.
+struct quota_terms
 {
+    duration window = seconds(5);
     double overage = 0;  ///< as a share of the quota
-    double slack = 0;    ///< requests, in addition
+    double slack = 0;    ///< requests
+
+    bool operator==(const quota_terms &) const = default;
 };
 
-/// Rate and size of a token bucket.
-struct token_rate
+/// Limits on the tokens that a keeper hands out.
+struct quota_limits
 {
-    double per_s = 0;
-    double capacity = 0;
+    double in_window = 0;
+    double burst = 0;  ///< at once; after that as many per second as a window allows
+    duration window = seconds(5);
 
-    bool operator==(const token_rate &) const = default;
+    bool operator==(const quota_limits &) const = default;
 };
 
 /// \param share of the quota, see quota_share
-/// \returns the rate of the tokens that a keeper hands out. It uses half of the tolerance;
-/// the rest covers tokens that are used late and keepers that change.
-token_rate token_rate_of(const request_quota &quota, const quota_tolerance &tolerance,
-                         double share);
+/// \returns the limits of a keeper. They use a part of overage and slack; the rest covers
+/// tokens that are used late and keepers that change.
+quota_limits keeper_limits(const request_quota &quota, const quota_terms &terms, double share);
+
+/// Slots into which the account divides a window.
+constexpr std::size_t slots_per_window = 50;
 
-/// Tokens of one customer at its keeper. A token admits one request.
+/// Tokens of one customer at its keeper. A token admits one request. Counts the tokens handed
+/// out in the last window; a slot beyond those of a window covers the part of the oldest one.
+/// A token bucket spreads them over the window: callers that are told to come back would find
+/// none until its end if the first ones used them all.
 struct quota_account
 {
-    double tokens = 0;
+    double tokens = 0;  ///< in the bucket
     time_point refilled_at{};
+    std::array<double, slots_per_window + 1> used{};  ///< by slot, a ring
+    std::int64_t newest = 0;                          ///< number of the current slot
+    double sum = 0;
     time_point borrowed_at{};  ///< when tokens were last asked of another zone
 };
 
@@ -45,7 +59,7 @@
 {
     std::unordered_map<std::string, quota_account> accounts;  ///< by customer
     /// When the members of the zone last changed. An account opened since then has been kept
-    /// by another node before, whose tokens may be in use.
+    /// by another node before, which may have handed out all tokens of the window.
     time_point members_since{};
 };
 
@@ -67,14 +81,18 @@
     bool operator==(const token_grant &) const = default;
 };
 
-/// \returns the account of \a customer with the tokens accrued up to now; opens it if needed
-quota_account &refill_account(quota_ledger &it, const std::string &customer, const token_rate &rate,
-                              time_point now);
+/// \returns the account of \a customer as of now; opens it if needed
+quota_account &open_account(quota_ledger &it, const std::string &customer,
+                            const quota_limits &limits, time_point now);
 
 /// Takes up to the requested number of tokens.
-token_grant draw_tokens(quota_account &it, const token_rate &rate, const token_request &request);
+token_grant draw_tokens(quota_account &it, const quota_limits &limits,
+                        const token_request &request);
+
+/// \returns the number of tokens that may be handed out now
+double available_tokens(const quota_account &it, const quota_limits &limits);
 
-/// Adds tokens that were granted and not used, or lent by another zone.
+/// Gives back tokens that were granted and not used, or adds those lent by another zone.
 void add_tokens(quota_account &it, std::uint32_t tokens);
 
 }  // namespace gullstall
