--- a/bench/exp_quota.cpp
+++ b/bench/exp_quota.cpp
@@ -22,13 +22,12 @@
 constexpr duration report_interval = milliseconds(100);
 constexpr double lending_reserve = 0.25;
 
-
 enum class quota_way
 {
-    node_shares,     ///< each node holds an equal part of the quota
-    zone_keepers,    ///< a keeper a zone, without loans
-    lending_keepers, ///< a keeper a zone; short ones ask the others for tokens
-    reported_counts  ///< entry nodes admit by the sums that were last reported
+    node_shares,      ///< each node holds an equal part of the quota
+    zone_keepers,     ///< a keeper a zone, without loans
+    lending_keepers,  ///< a keeper a zone; short ones ask the others for tokens
+    reported_counts   ///< entry nodes admit by the sums that were last reported
 };
 
 constexpr std::array ways{quota_way::node_shares, quota_way::zone_keepers,
@@ -65,9 +64,9 @@
 
 struct quota_outcome
 {
-    double refused = 0;          ///< share of the requests
-    double sum_of_allowed = 0;   ///< highest sum in a window, as a share of the allowed one
-    double messages = 0;         ///< per request
+    double refused = 0;         ///< share of the requests
+    double sum_of_allowed = 0;  ///< highest sum in a window, as a share of the allowed one
+    double messages = 0;        ///< per request
 };
 
 /// One way at work for one customer.
@@ -165,8 +164,7 @@
 
 double allowed_sum(const request_quota &it)
 {
-    return (it.rate_per_s * to_seconds(window) + it.burst) * (1 + terms.overage) +
-           terms.slack;
+    return (it.rate_per_s * to_seconds(window) + it.burst) * (1 + terms.overage) + terms.slack;
 }
 
 quota_outcome play(quota_way way, const deployment &where, const quota_load &load)
@@ -193,8 +191,7 @@
         }
         highest = std::max(highest, static_cast<double>(admitted.size()));
     }
-    return quota_outcome{refused / all, highest / allowed_sum(load.quota),
-                         trial.messages() / all};
+    return quota_outcome{refused / all, highest / allowed_sum(load.quota), trial.messages() / all};
 }
 
 }  // namespace
--- a/gullstall/src/customers/customer_index.cpp
+++ b/gullstall/src/customers/customer_index.cpp
@@ -29,9 +29,9 @@
         }
         for (const std::string &key : it.api_keys) {
             if (key.empty() || key.size() > max_key_size) {
-                return in_customer(name, error_code::out_of_range,
-                                   "a key is empty or longer than " + std::to_string(max_key_size) +
-                                       " bytes");
+                return in_customer(
+                    name, error_code::out_of_range,
+                    "a key is empty or longer than " + std::to_string(max_key_size) + " bytes");
             }
             auto [known, is_new] = out.names_by_key.emplace(digest_of(secret, key), name);
             if (!is_new && known->second != name) {
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -2,8 +2,8 @@
 #include <utility>
 
 #include "gullstall/src/mesh/entry_answers.hpp"
-#include "gullstall/src/mesh/retry_grant.hpp"
 #include "gullstall/src/mesh/quota_control.hpp"
+#include "gullstall/src/mesh/retry_grant.hpp"
 
 namespace gullstall::mesh {
 
@@ -34,7 +34,8 @@
 retry_token_bucket &budget_of(mesh_turn &t, const std::string &service)
 {
     double retries = t.n.settings.limits.retry_slack * entry_share(t.n);
-    retry_slack slack{retries, from_seconds(t.n.settings.limits.retry_window_s), t.n.nodes.nodes.size()};
+    retry_slack slack{retries, from_seconds(t.n.settings.limits.retry_window_s),
+                      t.n.nodes.nodes.size()};
     retry_token_bucket &out = t.n.budgets[service];
     accrue_slack_tokens(out, slack, t.now);
     return out;
@@ -244,8 +245,8 @@
         std::uint32_t priority = request_priority(*route, who);
         call.call.priority = static_cast<std::uint16_t>(std::min(priority, max_priority));
         call.call.root = traffic_class(*route, call.call.priority);
-        admission_decision verdict = admit_request(t, route->name, call.call.root,
-                                                   sampling_position(request.request_id));
+        admission_decision verdict =
+            admit_request(t, route->name, call.call.root, sampling_position(request.request_id));
         if (verdict.refused) {
             refuse_request(t, id, request, *verdict.refused);
             return;
--- a/gullstall/src/mesh/entry_answers.cpp
+++ b/gullstall/src/mesh/entry_answers.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
-#include "gullstall/src/mesh/return_time.hpp"
 #include "gullstall/src/mesh/quota_control.hpp"
+#include "gullstall/src/mesh/return_time.hpp"
 
 namespace gullstall::mesh {
 
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -1,8 +1,8 @@
 #include <algorithm>
 
 #include "gullstall/src/mesh/mesh_node.hpp"
-#include "gullstall/src/mesh/status_relay.hpp"
 #include "gullstall/src/mesh/quota_control.hpp"
+#include "gullstall/src/mesh/status_relay.hpp"
 
 namespace gullstall::mesh {
 
--- a/gullstall/src/mesh/mesh_actions.hpp
+++ b/gullstall/src/mesh/mesh_actions.hpp
@@ -40,7 +40,7 @@
     body_bytes body;
     std::optional<duration> time_left;  ///< unset if the caller set no deadline
     caller_credentials credentials;
-    bool inner = false;                 ///< made by a run on the local upstream
+    bool inner = false;  ///< made by a run on the local upstream
 };
 
 /// Final response to a caller.
--- a/gullstall/src/mesh/quota_control.cpp
+++ b/gullstall/src/mesh/quota_control.cpp
@@ -41,6 +41,9 @@
 constexpr double class_reserve = 0.1;
 constexpr std::uint32_t max_reserved_classes = 3;
 
+/// Minimum interval of log lines about the same customer at its keeper.
+constexpr duration report_interval = seconds(1);
+
 /// Maximum number of customers that are counted by name.
 constexpr std::size_t max_counted_customers = 100;
 
@@ -97,6 +100,29 @@
         send_to_node{choose_quota_keeper(zone->second, who.name), mesh_frame(std::move(ask))});
 }
 
+/// Logs that a customer has used up its quota, with what the decision rests on.
+void report_exhaustion(mesh_turn &t, const customer &who, quota_account &account,
+                       const quota_limits &limits)
+{
+    if (t.now - account.reported_at < report_interval) {
+        return;
+    }
+    account.reported_at = t.now;
+    const quota_members &members = t.n.quotas.members;
+    t.out.emplace_back(write_line{write_line::severity::info,
+                                  "quota",
+                                  "quota-used-up",
+                                  {{"customer", who.name},
+                                   {"policy", std::to_string(t.n.policy->version)},
+                                   {"rate_per_s", std::to_string(who.quota.rate_per_s)},
+                                   {"burst", std::to_string(who.quota.burst)},
+                                   {"in_window", std::to_string(account.sum)},
+                                   {"limit", std::to_string(limits.in_window)},
+                                   {"tokens", std::to_string(account.tokens)},
+                                   {"reachable_in_zone", std::to_string(members.zone.size())},
+                                   {"known_nodes", std::to_string(members.known)}}});
+}
+
 token_grant grant_tokens(mesh_turn &t, const customer &who, const token_request &request)
 {
     quota_limits limits = limits_of(t.n, who);
@@ -105,6 +131,9 @@
     if (available_tokens(account, limits) < std::max(1.0, borrow_below * limits.burst)) {
         borrow_tokens(t, who, account, limits);
     }
+    if (out.tokens < request.tokens) {
+        report_exhaustion(t, who, account, limits);
+    }
     return out;
 }
 
@@ -197,8 +226,7 @@
         return;  // asked again on the next tick
     }
     std::uint32_t missing = asked - std::min(asked, grant.tokens);
-    refuse_calls(t, queue, missing,
-                 duration(static_cast<std::int64_t>(grant.retry_after_us)));
+    refuse_calls(t, queue, missing, duration(static_cast<std::int64_t>(grant.retry_after_us)));
     if (!queue.calls.empty()) {
         ask_keeper(t, customer_name, queue);
     }
@@ -275,7 +303,8 @@
     mesh_wire::quota_grant_message reply;
     reply.customer = ask.customer;
     const customer *who = find_limited_customer(t.n, ask.customer);
-    if (who == nullptr && t.n.policy && find_customer_by_name(t.n.policy->customers, ask.customer)) {
+    if (who == nullptr && t.n.policy &&
+        find_customer_by_name(t.n.policy->customers, ask.customer)) {
         reply.known = true;  // the limit has been lifted
         reply.tokens = ask.tokens;
     } else if (who != nullptr && is_keeper(t.n, ask.customer)) {
@@ -283,8 +312,8 @@
             deposit_tokens(t, *who, ask.returned);
         }
         quota_limits limits = limits_of(t.n, *who);
-        double reserve = ask.limited ? lending_reserve * limits.burst
-                                     : reserve_for(*who, limits, ask.priority);
+        double reserve =
+            ask.limited ? lending_reserve * limits.burst : reserve_for(*who, limits, ask.priority);
         token_grant granted = grant_tokens(t, *who, token_request{ask.tokens, reserve});
         reply.known = true;
         reply.tokens = granted.tokens;
--- a/gullstall/src/mesh/report.cpp
+++ b/gullstall/src/mesh/report.cpp
@@ -18,6 +18,11 @@
     for (const auto &[labels, count] : n.counters.answers) {
         out += "gullstall_requests_total{" + labels + "} " + std::to_string(count) + "\n";
     }
+    out += "# TYPE gullstall_quota_refused_total counter\n";
+    for (const auto &[name, count] : n.quotas.refused) {
+        out += "gullstall_quota_refused_total{customer=\"" + name + "\"} " + std::to_string(count) +
+               "\n";
+    }
     add(out, "gullstall_repeats_total", "counter", static_cast<double>(n.counters.repeats));
     add(out, "gullstall_repeats_denied_total", "counter",
         static_cast<double>(n.counters.repeats_denied));
--- a/gullstall/src/quota/quota_ledger.cpp
+++ b/gullstall/src/quota/quota_ledger.cpp
@@ -71,9 +71,8 @@
     double factor = 1 + used_tolerance * terms.overage;
     double slack = used_tolerance * terms.slack;
     double burst = quota.burst * factor + slack;
-    return quota_limits{
-        share * (quota.rate_per_s * to_seconds(terms.window) * factor + burst), share * burst,
-        terms.window};
+    return quota_limits{share * (quota.rate_per_s * to_seconds(terms.window) * factor + burst),
+                        share * burst, terms.window};
 }
 
 quota_account &open_account(quota_ledger &it, const std::string &customer,
@@ -101,11 +100,9 @@
     return std::max(0.0, std::min(it.tokens, limits.in_window - it.sum));
 }
 
-token_grant draw_tokens(quota_account &it, const quota_limits &limits,
-                        const token_request &request)
+token_grant draw_tokens(quota_account &it, const quota_limits &limits, const token_request &request)
 {
-    double available =
-        std::floor(std::max(0.0, available_tokens(it, limits) - request.reserve));
+    double available = std::floor(std::max(0.0, available_tokens(it, limits) - request.reserve));
     double granted = std::min(available, static_cast<double>(request.tokens));
     it.used[index_of(it.newest)] += granted;
     it.sum += granted;
--- a/gullstall/src/quota/quota_ledger.hpp
+++ b/gullstall/src/quota/quota_ledger.hpp
@@ -52,6 +52,7 @@
     std::int64_t newest = 0;                          ///< number of the current slot
     double sum = 0;
     time_point borrowed_at{};  ///< when tokens were last asked of another zone
+    time_point reported_at{};  ///< when its exhaustion was last logged
 };
 
 /// The accounts that a node keeps.
--- a/test/platform/formats.cpp
+++ b/test/platform/formats.cpp
@@ -117,8 +117,8 @@
 {
     // What a user would see: nothing is served. One route of a kind that the adapter
     // cannot read makes the whole row unreadable, and every node stays without a policy.
-    auto read = read_policy(
-        policy_with(with(route_spec, R"("kind":"upload")", R"("kind":"download")")));
+    auto read =
+        read_policy(policy_with(with(route_spec, R"("kind":"upload")", R"("kind":"download")")));
     REQUIRE(succeeded(read));
     CHECK(value_of(read).routes.front().request_idempotency == idempotency::idempotent);
 }
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -127,9 +127,8 @@
             mesh::node_address address = nodes.at(name).nodes.nodes.at(name).address;
             mesh::node_address other_address = n.nodes.nodes.at(other).address;
             run_node(other, [address](mesh::mesh_turn &t) { handle_address(t, address); });
-            run_node(name, [other_address](mesh::mesh_turn &t) {
-                handle_address(t, other_address);
-            });
+            run_node(name,
+                     [other_address](mesh::mesh_turn &t) { handle_address(t, other_address); });
         }
         tick(name, incarnation);
     }
--- a/test/unit/customer_keys.cpp
+++ b/test/unit/customer_keys.cpp
@@ -19,7 +19,7 @@
         make_customer_index({declared("north", {"n1", "n2"}), declared("south", {"s1"})}, secret));
 };
 
-caller_credentials read(std::vector<std::string_view> fields)
+caller_credentials read(const std::vector<std::string_view> &fields)
 {
     return read_credentials(fields);
 }
@@ -86,9 +86,16 @@
 {
     using state = caller_credentials::state;
     std::string long_value = "Bearer " + std::string(100000, 'x');
-    for (const std::vector<std::string_view> &fields : std::vector<std::vector<std::string_view>>{
-             {""}, {"Bearer"}, {"Bearer "}, {"abc"}, {"Basic abc"}, {"Bearer a b"},
-             {"Bearer a,b"}, {"Bearer a", "Bearer a"}, {long_value}}) {
+    for (const std::vector<std::string_view> &fields :
+         std::vector<std::vector<std::string_view>>{{""},
+                                                    {"Bearer"},
+                                                    {"Bearer "},
+                                                    {"abc"},
+                                                    {"Basic abc"},
+                                                    {"Bearer a b"},
+                                                    {"Bearer a,b"},
+                                                    {"Bearer a", "Bearer a"},
+                                                    {long_value}}) {
         CHECK(read(fields) == caller_credentials{state::malformed, {}});
     }
 }
--- a/test/unit/mesh_quota.cpp
+++ b/test/unit/mesh_quota.cpp
@@ -47,9 +47,9 @@
     {
         std::vector<traffic_route> routes{
             test::route_of("read", "/read/", "reads", idempotency::idempotent)};
-        world.policy = test::policy_of(version, routes,
-                                       {declared("big", rate, rate),
-                                        declared("small", small_rate, small_rate)});
+        world.policy = test::policy_of(
+            version, routes,
+            {declared("big", rate, rate), declared("small", small_rate, small_rate)});
         for (auto &[name, node] : world.nodes) {
             world.run_node(name, [&](mesh::mesh_turn &t) {
                 apply_policy(t, world.policy, "text", mesh::policy_source::store);
@@ -63,8 +63,8 @@
     {
         auto n = static_cast<int>(per_s * to_seconds(length));
         for (int i = 0; i < n; ++i) {
-            auto when = duration(static_cast<std::int64_t>(
-                draw_fraction(world.random) * static_cast<double>(length.count())));
+            auto when = duration(static_cast<std::int64_t>(draw_fraction(world.random) *
+                                                           static_cast<double>(length.count())));
             world.schedule_at(world.now + when, [this, customer, entries] {
                 const std::string &node = entries[draw_below(world.random, entries.size())];
                 world.api_key = customer + "-key";
@@ -147,9 +147,9 @@
 // Guards against a key that works after it was taken away.
 TEST_CASE_FIXTURE(quota_fixture, "request, key taken away by a new version, is answered 401")
 {
-    world.policy = test::policy_of(
-        2, {test::route_of("read", "/read/", "reads", idempotency::idempotent)},
-        {customer_declaration{customer{"small", std::nullopt, {}}, {}}});
+    world.policy =
+        test::policy_of(2, {test::route_of("read", "/read/", "reads", idempotency::idempotent)},
+                        {customer_declaration{customer{"small", std::nullopt, {}}, {}}});
     world.run_node(node_name(0, 0), [&](mesh::mesh_turn &t) {
         apply_policy(t, world.policy, "text", mesh::policy_source::store);
     });
@@ -205,12 +205,10 @@
     world.schedule_after(seconds(2), [&] { set_zone_cut(0, true); });
     world.schedule_after(seconds(10), [&] { set_zone_cut(0, false); });
     for (int i = 0; i < 3; ++i) {
-        world.schedule_after(seconds(4 + 6 * i), [this, i] {
-            world.paused_nodes.insert(node_name(1, i));
-        });
-        world.schedule_after(seconds(7 + 6 * i), [this, i] {
-            world.paused_nodes.erase(node_name(1, i));
-        });
+        world.schedule_after(seconds(4 + 6 * i),
+                             [this, i] { world.paused_nodes.insert(node_name(1, i)); });
+        world.schedule_after(seconds(7 + 6 * i),
+                             [this, i] { world.paused_nodes.erase(node_name(1, i)); });
         world.schedule_after(seconds(5 + 6 * i), [this, i] {
             world.start_node(node_name(2, i), zone_name(2));
             set_limits(world.nodes.at(node_name(2, i)));
--- a/test/unit/quota_tokens.cpp
+++ b/test/unit/quota_tokens.cpp
@@ -1,10 +1,10 @@
 #include <doctest/doctest.h>
 
+#include <rapidcheck.h>
 #include <algorithm>
 #include <cmath>
 #include <deque>
 #include <map>
-#include <rapidcheck.h>
 
 #include "gullstall/core.hpp"
 #include "gullstall/quota.hpp"
@@ -137,8 +137,8 @@
 {
     setenv("RC_PARAMS", random_inputs, 1);
     CHECK(rc::check("shares", [] {
-        auto islands = *rc::gen::nonEmpty(
-            rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 30)));
+        auto islands =
+            *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 30)));
         std::size_t known = 0;
         for (int size : islands) {
             known += static_cast<std::size_t>(size);
@@ -158,8 +158,8 @@
     setenv("RC_PARAMS", random_inputs, 1);
     CHECK(rc::check("grants in a window", [] {
         ledger_fixture it;
-        it.limits = quota_limits{*rc::gen::inRange(1, 300) * 1.0,
-                                 *rc::gen::inRange(1, 300) * 1.0, window};
+        it.limits =
+            quota_limits{*rc::gen::inRange(1, 300) * 1.0, *rc::gen::inRange(1, 300) * 1.0, window};
         std::deque<std::pair<time_point, std::uint32_t>> grants;
         time_point now = start;
         auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
