A restarted process does not take its predecessor for a successor

What callers saw: none of the node's requests were answered. Killed and started again after its clock was set back, gullstalld stopped at once with status 0.

Cause: an incarnation is the wall clock at the start. The others hold the killed process for alive for some seconds; this news has a higher incarnation than the new process, which concluded that a later process of its instance runs. News of suspicion and death were handled, those of an alive member not.

Evidence: member_frozen, 'restarted after its clock was set back, runs on': the node is stopping and seen by none of 8 before, runs on and is seen by all after. The case of a frozen process that wakes beside its successor (same file) holds.

--- a/gullstall/src/membership/gossip.cpp
+++ b/gullstall/src/membership/gossip.cpp
@@ -212,6 +212,7 @@
     gossip_turn t{it, view, random, now, out};
     bool first = it.last_tick == time_point{};
     if (first) {
+        it.started_at = now;
         auto interval = static_cast<std::uint64_t>(it.limits.probe_interval.count());
         it.next_probe = now + microseconds(draw_below(random, interval));
         it.next_sync = it.next_probe;
--- a/gullstall/src/membership/gossip.hpp
+++ b/gullstall/src/membership/gossip.hpp
@@ -125,6 +125,7 @@
     std::uint64_t deaths = 0;           ///< members that turned dead in this view
     std::uint64_t resync_sequence = 0;  ///< of the comparison asked for after a pause
     time_point stale_until{};           ///< the view is from before a pause
+    time_point started_at{};            ///< of the first tick
     bool superseded = false;            ///< a later process of this instance is alive
 };
 
--- a/gullstall/src/membership/gossip_view.cpp
+++ b/gullstall/src/membership/gossip_view.cpp
@@ -24,6 +24,15 @@
     return h ^ (h >> 32U);
 }
 
+/// Time after the start in which news of a later incarnation are of the process before: the
+/// others still take it for alive, and the clock was set back in between.
+constexpr duration predecessor_news_time = seconds(5);
+
+bool has_just_started(const gossip_turn &t)
+{
+    return t.g.started_at == time_point{} || t.now - t.g.started_at < predecessor_news_time;
+}
+
 /// Guard against a false death: a member that was paused or whose frames were
 /// lost hears that it is suspected, and answers with a version above the
 /// rumour's. Without it every rumour of a death would be final.
@@ -37,7 +46,7 @@
         return;
     }
     if (incarnation > own.incarnation) {
-        if (state == member_state::alive) {
+        if (state == member_state::alive && !has_just_started(t)) {
             t.g.superseded = true;
             return;
         }
--- a/test/support/world.hpp
+++ b/test/support/world.hpp
@@ -75,12 +75,15 @@
         run_until(now + d);
     }
 
+    duration clock_set_back{};  ///< by which the wall clock of nodes added from now on is behind
+
     /// Adds a node and starts its ticks. Its worker registers at once unless
     /// \a announce is false.
     node &add_node(const node_settings &settings, bool announce = true)
     {
         const std::string &name = settings.node.instance;
-        auto incarnation = static_cast<std::uint64_t>(now.time_since_epoch().count());
+        time_point wall_clock = now - clock_set_back;
+        auto incarnation = static_cast<std::uint64_t>(wall_clock.time_since_epoch().count());
         nodes.insert_or_assign(name, value_of(make_node(settings, incarnation, random())));
         ++generations_[name];
         paused_.erase(name);
--- a/test/unit/member_frozen.cpp
+++ b/test/unit/member_frozen.cpp
@@ -106,3 +106,21 @@
     CHECK(old.stopping);
     CHECK(count_seeing(names[0], member_state::alive) == w.nodes.size() - 1);
 }
+
+// Guards against a process that takes its own predecessor for its successor and stops: the
+// others still pass on news of the killed one, whose start the clock puts later.
+TEST_CASE_FIXTURE(member_frozen_fixture, "node, restarted after its clock was set back, runs on")
+{
+    start(9, {"faultbook", "dispatcher", "boxwatch"});
+    w.run_for(seconds(10));
+    const std::string restarted = names[0];
+    node_settings settings = w.nodes.at(restarted).settings;
+    w.kill(restarted);
+    w.run_for(milliseconds(300));
+    w.clock_set_back = seconds(60);
+    w.add_node(settings);
+    w.run_for(seconds(10));
+    REQUIRE(w.nodes.count(restarted) == 1);
+    CHECK_FALSE(w.nodes.at(restarted).stopping);
+    CHECK(count_seeing(restarted, member_state::alive) == w.nodes.size() - 1);
+}
