Within a customer class the route's priority ranks requests

Cause: a customer's priority goes before the route's, and replaced it. All requests of a customer were of one class then, and of one class those that need fewer runs of the tight service get the higher weight: lists need four runs, orders eight.

Change: requests are ranked by the priority of the customer and then of the route.

Load that it answers: a burst that asks twice what the tight service can run. Test: mesh_levels, 'customer class, routes, are ranked by their priority'.

--- a/gullstall/src/mesh/service_levels.cpp
+++ b/gullstall/src/mesh/service_levels.cpp
@@ -73,28 +73,23 @@
 struct route_usage
 {
     std::string root;  ///< traffic class
-    std::uint32_t priority;
+    std::uint32_t customer_priority;
+    std::uint32_t route_priority;
     double runs;
 };
 
-/// Computes the weights of the routes that use one service. A route that needs few runs
-/// of it gets a higher weight than its class alone gives, because refusing its requests
-/// frees little capacity. No weight exceeds that of a route of a more urgent class.
-std::map<std::string, double> route_weights(std::vector<route_usage> users, const mesh_features &on)
+/// Computes the weights of the routes of one customer class that use one service. A route
+/// that needs few runs of it gets a higher weight than its class alone gives, because
+/// refusing its requests frees little capacity. No weight exceeds that of a route of a more
+/// urgent class.
+void add_class_weights(const std::vector<route_usage> &users, double most_runs, double highest,
+                       const mesh_features &on, std::map<std::string, double> &out)
 {
-    std::map<std::string, double> out;
-    std::stable_sort(users.begin(), users.end(), [](const route_usage &a, const route_usage &b) {
-        return a.priority < b.priority;
-    });
-    double most_runs = 0;
-    for (const route_usage &user : users) {
-        most_runs = std::max(most_runs, user.runs);
-    }
-    double step = 1;
-    double bound = 1;       // upper bound for the current class
-    double next_bound = 1;  // upper bound for the next class
+    double step = highest;
+    double bound = highest;       // upper bound for the current class
+    double next_bound = highest;  // upper bound for the next class
     for (std::size_t i = 0; i < users.size(); ++i) {
-        if (i > 0 && users[i].priority != users[i - 1].priority) {
+        if (i > 0 && users[i].route_priority != users[i - 1].route_priority) {
             step *= class_weight_ratio;
             bound = next_bound;
         }
@@ -103,6 +98,33 @@
         next_bound = std::min(next_bound, weight);
         out[users[i].root] = weight;
     }
+}
+
+/// Computes the weights of the routes that use one service. The requests of a customer class
+/// are ranked by the priorities of their routes. No weight is below the highest one of a less
+/// urgent customer class.
+std::map<std::string, double> route_weights(const std::vector<route_usage> &all,
+                                            const mesh_features &on)
+{
+    std::map<std::uint32_t, std::vector<route_usage>> by_customer;
+    double most_runs = 0;
+    for (const route_usage &user : all) {
+        by_customer[user.customer_priority].push_back(user);
+        most_runs = std::max(most_runs, user.runs);
+    }
+    std::map<std::string, double> out;
+    double highest = 1;
+    for (auto &[priority, users] : by_customer) {
+        std::stable_sort(users.begin(), users.end(),
+                         [](const route_usage &a, const route_usage &b) {
+                             return a.route_priority < b.route_priority;
+                         });
+        for (auto &[root, weight] : out) {
+            weight = std::max(weight, highest);
+        }
+        add_class_weights(users, most_runs, highest, on, out);
+        highest *= class_weight_ratio;
+    }
     return out;
 }
 
@@ -122,15 +144,16 @@
         for (const auto &[service, runs] : needs) {
             if (runs >= min_runs_per_request && !is_nested) {
                 for (std::uint32_t priority : priorities_of(policy, route)) {
-                    users[service].push_back(
-                        route_usage{traffic_class(route, priority), priority, runs});
+                    std::uint32_t customer_priority = has_customers(policy) ? priority : 0;
+                    users[service].push_back(route_usage{traffic_class(route, priority),
+                                                         customer_priority, route.priority, runs});
                 }
             }
         }
         it.runs_per_request[route.name] = std::move(needs);
     }
-    for (auto &[service, all] : users) {
-        it.weights[service] = route_weights(std::move(all), on);
+    for (const auto &[service, all] : users) {
+        it.weights[service] = route_weights(all, on);
     }
 }
 
--- a/test/unit/mesh_levels.cpp
+++ b/test/unit/mesh_levels.cpp
@@ -203,6 +203,55 @@
 
 namespace {
 
+/// Orders that need eight runs of a service, lists that need four and are less urgent, and
+/// customers of two priorities.
+struct customer_classes_fixture
+{
+    std::map<std::string, double> weights;
+
+    customer_classes_fixture()
+    {
+        mesh::admission_plan plan;
+        plan.calls["order"] = {{"deep-call", 8.0}};
+        plan.calls["list"] = {{"deep-call", 4.0}};
+        traffic_policy policy = test::policy_of(
+            1,
+            {test::route_of("order", "/order/", "front", idempotency::non_idempotent, 0),
+             test::route_of("list", "/list/", "front", idempotency::idempotent, 2),
+             test::route_of("lookup", "/lookup/", "deep", idempotency::idempotent, 1),
+             test::route_of("deep-call", "/deep/", "deep", idempotency::idempotent, 1)},
+            {{customer{"first", 0, {}}, {"a"}}, {customer{"second", 3, {}}, {"b"}}});
+        update_admission_plan(plan, policy);
+        weights = plan.weights.at("deep");
+    }
+};
+
+}  // namespace
+
+// Guards against orders that are refused before lists of the same customers: all requests of
+// a customer have its priority, and lists, which need fewer runs, then got the higher weight.
+TEST_CASE_FIXTURE(customer_classes_fixture, "customer class, routes, are ranked by their priority")
+{
+    for (const char *suffix : {"@0", "@3"}) {
+        auto weight = [&](const std::string &route, const std::string &own) {
+            return weights.at(own == suffix ? route : route + suffix);
+        };
+        CHECK(weight("order", "@0") >= weight("lookup", "@1"));
+        CHECK(weight("lookup", "@1") >= weight("list", "@2"));
+        CHECK(weight("order", "@0") > 2 * weight("list", "@2"));
+    }
+}
+
+TEST_CASE_FIXTURE(customer_classes_fixture, "customer class, more urgent one, has no lower weight")
+{
+    double lowest = std::min({weights.at("order"), weights.at("lookup@0"), weights.at("list@0")});
+    for (const char *root : {"order@3", "lookup@3", "list@3"}) {
+        CHECK(weights.at(root) <= lowest);
+    }
+}
+
+namespace {
+
 /// The services of mesh_levels_fixture, with all upstreams of the deep service draining.
 struct deep_gone_fixture : mesh_levels_fixture
 {
