Quota control: one function sends to a keeper

Asking for tokens and returning them chose between the local keeper and another node each in their own words. Behaviour is unchanged; mesh_quota and quota_tokens pass.

--- a/gullstall/src/mesh/quota_control.cpp
+++ b/gullstall/src/mesh/quota_control.cpp
@@ -176,6 +176,15 @@
     place_admitted_call(t, id);
 }
 
+void send_to_keeper(mesh_turn &t, const std::string &keeper, mesh_wire::quota_ask_message &&ask)
+{
+    if (keeper == own_name(t.n)) {
+        handle_quota_ask(t, local_link, ask);
+        return;
+    }
+    t.out.emplace_back(send_to_node{keeper, mesh_frame(std::move(ask))});
+}
+
 /// Asks the keeper for a token for each waiting call.
 void ask_keeper(mesh_turn &t, const std::string &customer_name, quota_queue &queue)
 {
@@ -186,11 +195,8 @@
     ask.customer = customer_name;
     ask.tokens = queue.asked_tokens;
     ask.priority = static_cast<std::uint16_t>(t.n.calls.at(queue.calls.front()).call.priority);
-    if (queue.keeper == own_name(t.n)) {
-        handle_quota_ask(t, local_link, ask);
-        return;
-    }
-    t.out.emplace_back(send_to_node{queue.keeper, mesh_frame(std::move(ask))});
+    // The answer of the local keeper clears the name before the call returns.
+    send_to_keeper(t, std::string(queue.keeper), std::move(ask));
 }
 
 /// Refuses the calls of an answered ask that got no token: the least urgent, latest ones.
@@ -238,12 +244,7 @@
     mesh_wire::quota_ask_message ask;
     ask.customer = customer_name;
     ask.returned = std::exchange(queue.spare, 0);
-    std::string keeper = choose_quota_keeper(t.n.quotas.members.zone, customer_name);
-    if (keeper == own_name(t.n)) {
-        handle_quota_ask(t, local_link, ask);
-    } else {
-        t.out.emplace_back(send_to_node{keeper, mesh_frame(std::move(ask))});
-    }
+    send_to_keeper(t, choose_quota_keeper(t.n.quotas.members.zone, customer_name), std::move(ask));
 }
 
 /// Refuses calls that have waited too long. They may be within the quota: the keeper has
--- a/gullstall/src/quota/quota_ledger.hpp
+++ b/gullstall/src/quota/quota_ledger.hpp
@@ -40,10 +40,10 @@
 /// Slots into which the account divides a window.
 constexpr std::size_t slots_per_window = 50;
 
-/// Tokens of one customer at its keeper. A token admits one request. Counts the tokens handed
-/// out in the last window; a slot beyond those of a window covers the part of the oldest one.
-/// A token bucket spreads them over the window: callers that are told to come back would find
-/// none until its end if the first ones used them all.
+/// Tokens of one customer at its keeper. A token admits one request. The slots count the
+/// tokens handed out in the last window; the additional one covers the part of the oldest
+/// slot that is still in the window. A token bucket spreads the tokens over the window, since
+/// otherwise callers that come back find none until its end.
 struct quota_account
 {
     double tokens = 0;  ///< in the bucket
