Quota control: the keeper's part is a file of its own

quota_control keeps what an entry node does, quota_keeper what a node does that hands out tokens. Moved only; mesh_quota passes.

--- a/gullstall/mesh.hpp
+++ b/gullstall/mesh.hpp
@@ -11,6 +11,7 @@
 #include "gullstall/src/mesh/own_upstream.hpp"
 #include "gullstall/src/mesh/placing.hpp"
 #include "gullstall/src/mesh/quota_control.hpp"
+#include "gullstall/src/mesh/quota_keeper.hpp"
 #include "gullstall/src/mesh/repeat_budget.hpp"
 #include "gullstall/src/mesh/retry_grant.hpp"
 #include "gullstall/src/mesh/run_gate.hpp"
--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -6,6 +6,7 @@
 #include "gullstall/src/edge/clock.hpp"
 #include "gullstall/src/edge/http_answer.hpp"
 #include "gullstall/src/mesh/quota_control.hpp"
+#include "gullstall/src/mesh/quota_keeper.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
 
 namespace gullstall::edge {
--- a/gullstall/src/mesh/quota_control.hpp
+++ b/gullstall/src/mesh/quota_control.hpp
@@ -18,13 +18,9 @@
 /// Returns the token of a request that has not run and will not run.
 void return_token(mesh_turn &t, const entry_call &call);
 
-void handle_quota_ask(mesh_turn &t, link_ref link, const mesh_wire::quota_ask_message &ask);
 void handle_quota_grant(mesh_turn &t, const std::string &from,
                         const mesh_wire::quota_grant_message &grant);
 
-/// Updates the members among which the quotas are divided.
-void update_quota_members(mesh_turn &t);
-
 /// Asks again where an answer is overdue, refuses requests that have waited too long and
 /// returns spare tokens. To be called on each tick.
 void quota_tick(mesh_turn &t);
--- /dev/null
+++ b/gullstall/src/mesh/quota_keeper.cpp
@@ -0,0 +1,194 @@
+#include "gullstall/src/mesh/quota_keeper.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "gullstall/src/mesh/quota_control.hpp"
+#include "gullstall/src/mesh/zone_duty.hpp"
+
+namespace gullstall::mesh {
+
+namespace {
+
+/// Interval between asks of a keeper to those of other zones for the same customer.
+constexpr duration borrow_interval = milliseconds(100);
+
+/// Fraction of the burst below which a keeper asks those of other zones for tokens, and the
+/// fraction of the limit that it asks for.
+constexpr double borrow_below = 0.1;
+constexpr double borrowed_fraction = 0.1;
+
+/// Fraction of the burst that a keeper retains when it lends tokens.
+constexpr double lending_reserve = 0.25;
+
+/// Fraction of the burst that is kept for each more urgent class, where the requests of a
+/// customer differ in priority.
+constexpr double class_reserve = 0.1;
+constexpr std::uint32_t max_reserved_classes = 3;
+
+/// Minimum interval of log lines about the same customer at its keeper.
+constexpr duration report_interval = seconds(1);
+
+/// \returns the limits of this node as a keeper
+quota_limits limits_of(const mesh_node &n, const customer &who)
+{
+    const auto &limits = n.settings.limits;
+    quota_terms terms{from_seconds(limits.quota_window_s), limits.quota_overage,
+                      limits.quota_slack};
+    return keeper_limits(who.quota, terms, quota_share(n.quotas.members));
+}
+
+const std::string &own_name(const mesh_node &n)
+{
+    return n.settings.node.name;
+}
+
+bool is_keeper(const mesh_node &n, const std::string &customer_name)
+{
+    return choose_quota_keeper(n.quotas.members.zone, customer_name) == own_name(n);
+}
+
+/// \returns the tokens that a request of this priority leaves to more urgent ones
+double reserve_for(const customer &who, const quota_limits &limits, std::uint32_t priority)
+{
+    if (who.priority) {
+        return 0;  // all requests of the customer have the same priority
+    }
+    return class_reserve * std::min(priority, max_reserved_classes) * limits.burst;
+}
+
+/// Asks the keeper of another zone for tokens, the zones in turn.
+void borrow_tokens(mesh_turn &t, const customer &who, quota_account &account,
+                   const quota_limits &limits)
+{
+    const auto &zones = t.n.quotas.other_zones;
+    if (zones.empty() || t.now - account.borrowed_at < borrow_interval) {
+        return;
+    }
+    account.borrowed_at = t.now;
+    auto turn = static_cast<std::size_t>(t.now.time_since_epoch() / borrow_interval) % zones.size();
+    auto zone = std::next(zones.begin(), static_cast<std::ptrdiff_t>(turn));
+    mesh_wire::quota_ask_message ask;
+    ask.customer = who.name;
+    ask.tokens = static_cast<std::uint32_t>(std::ceil(borrowed_fraction * limits.in_window));
+    ask.limited = true;
+    t.out.emplace_back(
+        send_to_node{choose_quota_keeper(zone->second, who.name), mesh_frame(std::move(ask))});
+}
+
+/// Logs that a customer has used up its quota, with what the decision rests on.
+void report_exhaustion(mesh_turn &t, const customer &who, quota_account &account,
+                       const quota_limits &limits)
+{
+    if (t.now - account.reported_at < report_interval) {
+        return;
+    }
+    account.reported_at = t.now;
+    const quota_members &members = t.n.quotas.members;
+    t.out.emplace_back(write_line{write_line::severity::info,
+                                  "quota",
+                                  "quota-used-up",
+                                  {{"customer", who.name},
+                                   {"policy", std::to_string(t.n.policy->version)},
+                                   {"rate_per_s", std::to_string(who.quota.rate_per_s)},
+                                   {"burst", std::to_string(who.quota.burst)},
+                                   {"in_window", std::to_string(account.sum)},
+                                   {"limit", std::to_string(limits.in_window)},
+                                   {"tokens", std::to_string(account.tokens)},
+                                   {"reachable_in_zone", std::to_string(members.zone.size())},
+                                   {"known_nodes", std::to_string(members.known)}}});
+}
+
+token_grant grant_tokens(mesh_turn &t, const customer &who, const token_request &request)
+{
+    quota_limits limits = limits_of(t.n, who);
+    quota_account &account = open_account(t.n.quotas.ledger, who.name, limits, t.now);
+    token_grant out = draw_tokens(account, limits, request);
+    if (available_tokens(account, limits) < std::max(1.0, borrow_below * limits.burst)) {
+        borrow_tokens(t, who, account, limits);
+    }
+    if (out.tokens < request.tokens) {
+        report_exhaustion(t, who, account, limits);
+    }
+    return out;
+}
+
+bool takes_part(const node_view &it, time_point now)
+{
+    return is_responsive(it, now) && it.status.keeps_quotas;
+}
+
+}  // namespace
+
+const customer *find_limited_customer(const mesh_node &n, const std::string &name)
+{
+    const customer *who = n.policy ? find_customer_by_name(n.policy->customers, name) : nullptr;
+    return who != nullptr && who->quota.rate_per_s > 0 ? who : nullptr;
+}
+
+void deposit_tokens(mesh_turn &t, const customer &who, std::uint32_t tokens)
+{
+    add_tokens(open_account(t.n.quotas.ledger, who.name, limits_of(t.n, who), t.now), tokens);
+}
+
+void handle_quota_ask(mesh_turn &t, link_ref link, const mesh_wire::quota_ask_message &ask)
+{
+    mesh_wire::quota_grant_message reply;
+    reply.customer = ask.customer;
+    const customer *who = find_limited_customer(t.n, ask.customer);
+    if (who == nullptr && t.n.policy &&
+        find_customer_by_name(t.n.policy->customers, ask.customer)) {
+        reply.known = true;  // the limit has been lifted
+        reply.tokens = ask.tokens;
+    } else if (who != nullptr && is_keeper(t.n, ask.customer)) {
+        if (ask.returned > 0) {
+            deposit_tokens(t, *who, ask.returned);
+        }
+        quota_limits limits = limits_of(t.n, *who);
+        double reserve =
+            ask.limited ? lending_reserve * limits.burst : reserve_for(*who, limits, ask.priority);
+        token_grant granted = grant_tokens(t, *who, token_request{ask.tokens, reserve});
+        reply.known = true;
+        reply.tokens = granted.tokens;
+        reply.retry_after_us = static_cast<std::uint64_t>(granted.retry_after.count());
+    }
+    if (ask.tokens == 0) {
+        return;
+    }
+    if (link == local_link) {
+        handle_quota_grant(t, own_name(t.n), reply);
+        return;
+    }
+    t.out.emplace_back(send_to_link{link, mesh_frame(std::move(reply))});
+}
+
+void update_quota_members(mesh_turn &t)
+{
+    quota_members seen;
+    seen.known = 0;
+    std::map<std::string, std::vector<std::string>> others;
+    for (const auto &[name, view] : t.n.nodes.nodes) {
+        bool is_self = name == own_name(t.n);
+        bool has_left = view.status.stopping || view.status.stop_asked;
+        seen.known += is_self || !has_left ? 1 : 0;
+        if (is_self ? !t.n.stopping : takes_part(view, t.now)) {
+            bool is_own_zone = view.address.zone == t.n.settings.node.zone;
+            (is_own_zone ? seen.zone : others[view.address.zone]).push_back(name);
+        }
+    }
+    if (seen.zone.empty()) {
+        seen.zone.push_back(own_name(t.n));
+    }
+    quota_state &quotas = t.n.quotas;
+    quotas.other_zones = std::move(others);
+    bool is_same_zone = seen.zone == quotas.members.zone;
+    quotas.members = std::move(seen);
+    if (is_same_zone) {
+        return;
+    }
+    quotas.ledger.members_since = t.now;
+    std::erase_if(quotas.ledger.accounts,
+                  [&](const auto &entry) { return !is_keeper(t.n, entry.first); });
+}
+
+}  // namespace gullstall::mesh
