The log tells a crash of the upstream from a lost connection

What operators saw: all runs of an upstream that crashed were logged as connection-lost, like a run whose answer alone was lost.

Each run has a signature now: the SipHash of its content without id and deadline. After a lost run the node opens a connection to its upstream. If that is refused, the process has ended: one line upstream-crashed with the evidence and the number of runs, and two counters. If it is accepted, only an answer was lost, and the connection is kept for the next request. An upstream that restarts sooner is told by the heartbeat of a successor whose predecessor announced no end.

Weighed: the next dispatch as the probe (none may come, and a timeout looks the same); the time since the last heartbeat (seconds late).

No decision depends on it yet. Test: mesh_crash_watch (a crash, lost answers, a restart before the probe, an end while draining).

--- a/gullstall/core.hpp
+++ b/gullstall/core.hpp
@@ -10,6 +10,7 @@
 #include "gullstall/src/core/ids.hpp"
 #include "gullstall/src/core/random.hpp"
 #include "gullstall/src/core/result.hpp"
+#include "gullstall/src/core/siphash.hpp"
 #include "gullstall/src/core/time.hpp"
 
 #endif
--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -149,6 +149,10 @@
                 upstream_.cancel(it.run);
             } else if constexpr (std::is_same_v<kind, mesh::upstream_replaced>) {
                 upstream_.discard_connections();
+            } else if constexpr (std::is_same_v<kind, mesh::probe_upstream>) {
+                upstream_.probe([this](mesh::upstream_probe seen) {
+                    step([&](mesh_turn &t) { handle_upstream_probe(t, seen); });
+                });
             } else if constexpr (std::is_same_v<kind, mesh::connect_node>) {
                 peers_.connect(it.address);
             } else if constexpr (std::is_same_v<kind, mesh::store_chain>) {
--- a/gullstall/src/edge/upstream_client.cpp
+++ b/gullstall/src/edge/upstream_client.cpp
@@ -4,12 +4,14 @@
 #include <boost/asio/detached.hpp>
 
 #include "gullstall/src/edge/clock.hpp"
+#include "gullstall/src/edge/upstream_connect.hpp"
 #include "gullstall/src/edge/upstream_exchange.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
 
 namespace gullstall::edge {
 
 namespace asio = boost::asio;
+using boost::system::error_code;
 
 upstream_client::upstream_client(asio::io_context &io, asio::ip::tcp::endpoint to,
                                  header_names names, completion_handler on_complete)
@@ -53,6 +55,34 @@
     exchange->cancel();
 }
 
+void upstream_client::probe(std::function<void(mesh::upstream_probe)> on_result)
+{
+    asio::co_spawn(
+        io_,
+        [this, on_result = std::move(on_result)]() -> asio::awaitable<void> {
+            on_result(co_await open_probe());
+        },
+        asio::detached);
+}
+
+asio::awaitable<mesh::upstream_probe> upstream_client::open_probe()
+{
+    ++connections_opened_;
+    auto socket = std::make_shared<asio::ip::tcp::socket>(io_);
+    std::uint64_t generation = generation_;
+    error_code ec = co_await connect_upstream(*socket, endpoint_, socket);
+    if (ec == asio::error::connection_refused) {
+        co_return mesh::upstream_probe::refused;
+    }
+    if (ec || !runtime::set_tcp_options(*socket)) {
+        co_return mesh::upstream_probe::unknown;
+    }
+    if (generation == generation_) {
+        idle_.push_back({std::move(*socket), now(), default_keep_alive_time});
+    }
+    co_return mesh::upstream_probe::accepted;
+}
+
 void upstream_client::discard_connections()
 {
     ++generation_;
--- a/gullstall/src/edge/upstream_client.hpp
+++ b/gullstall/src/edge/upstream_client.hpp
@@ -46,6 +46,10 @@
     /// Aborts the exchange by closing its connection, which the upstream can detect.
     void cancel(run_ref run);
 
+    /// Opens a connection and keeps it for the next request.
+    /// \param on_result receives what the attempt says about the upstream's process
+    void probe(std::function<void(mesh::upstream_probe)> on_result);
+
     /// Closes the idle connections; those in use are closed after their exchange.
     void discard_connections();
 
@@ -70,6 +74,7 @@
     };
 
     std::optional<boost::asio::ip::tcp::socket> take_idle_connection();
+    boost::asio::awaitable<mesh::upstream_probe> open_probe();
 
     boost::asio::io_context &io_;
     boost::asio::ip::tcp::endpoint endpoint_;
--- a/gullstall/src/edge/upstream_exchange.cpp
+++ b/gullstall/src/edge/upstream_exchange.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
@@ -10,6 +9,7 @@
 
 #include "gullstall/src/edge/clock.hpp"
 #include "gullstall/src/edge/http_edge.hpp"
+#include "gullstall/src/edge/upstream_connect.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
 
 namespace gullstall::edge {
@@ -29,14 +29,6 @@
 /// one: an upstream may send a second response to a request.
 constexpr int max_stale_responses = 4;
 
-/// The upstream runs on the same instance and accepts a connection within about 1 ms,
-/// so that one that exceeds this timeout is not accepting connections.
-constexpr std::chrono::milliseconds connect_timeout(500);
-
-/// Longest idle time before reuse of a connection when the upstream sends no
-/// keep-alive timeout.
-constexpr duration default_keep_alive_time = seconds(2);
-
 /// Fraction of the upstream's keep-alive timeout during which a connection is reused.
 /// The upstream counts whole seconds from its own last byte, and a request sent while
 /// it closes the connection is lost.
@@ -89,16 +81,7 @@
 asio::awaitable<bool> upstream_exchange::connect()
 {
     ++owner_.connections_opened_;
-    asio::steady_timer limit(owner_.io_, connect_timeout);
-    limit.async_wait([self = shared_from_this()](const error_code &ec) {
-        error_code ignored;
-        if (!ec) {
-            self->socket_.close(ignored);
-        }
-    });
-    error_code ec;
-    co_await socket_.async_connect(owner_.endpoint_, asio::redirect_error(asio::use_awaitable, ec));
-    limit.cancel();
+    error_code ec = co_await connect_upstream(socket_, owner_.endpoint_, shared_from_this());
     co_return !ec && runtime::set_tcp_options(socket_);
 }
 
--- a/gullstall/src/mesh/mesh_actions.hpp
+++ b/gullstall/src/mesh/mesh_actions.hpp
@@ -123,6 +123,11 @@
 {
 };
 
+/// Opens a connection to the local upstream to find out whether its process exists.
+struct probe_upstream
+{
+};
+
 /// Opens a connection to a node unless one exists.
 struct connect_node
 {
@@ -160,7 +165,7 @@
 /// Any effect that a node requests of its runtime.
 using mesh_action =
     std::variant<answer_caller, send_to_node, send_to_link, send_to_links, start_run, cancel_run,
-                 upstream_replaced, connect_node, store_chain, write_line>;
+                 upstream_replaced, probe_upstream, connect_node, store_chain, write_line>;
 
 /// Actions in execution order.
 using mesh_actions = std::vector<mesh_action>;
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -15,6 +15,7 @@
 #include "gullstall/metrics.hpp"
 #include "gullstall/policy.hpp"
 #include "gullstall/src/mesh/call_chain.hpp"
+#include "gullstall/src/mesh/crash_watch.hpp"
 #include "gullstall/src/mesh/directory.hpp"
 #include "gullstall/src/mesh/gate_demand.hpp"
 #include "gullstall/src/mesh/mesh_actions.hpp"
@@ -31,6 +32,7 @@
 #include "gullstall/src/mesh/switches.hpp"
 #include "gullstall/src/mesh/traffic_split.hpp"
 #include "gullstall/src/mesh/zone_plan.hpp"
+#include "gullstall/suspects.hpp"
 
 namespace gullstall::mesh {
 
@@ -79,6 +81,7 @@
     link_ref link{};
     std::string from;  ///< name of the entry node
     mesh_wire::call_message call;
+    request_signature signature{};
     time_point arrived_at{};
     time_point deadline{};
     time_point expires{};  ///< just before the deadline; once started, a grace period after it
@@ -110,6 +113,8 @@
     std::uint64_t retries_refused = 0;  ///< at the gate
     std::uint64_t runs_started = 0;
     std::uint64_t stale_frames = 0;
+    std::uint64_t upstream_crashes = 0;      ///< of the local upstream
+    std::uint64_t runs_lost_in_crashes = 0;  ///< of the local upstream
 };
 
 /// State of one node, free of sockets, threads and clocks.
@@ -138,6 +143,7 @@
     time_point policy_at{};
     directory nodes;
     own_upstream upstream;
+    crash_watch crashes;
     run_gate gate;
     gate_demand demand;
     gate_capacity capacity;                            ///< of the local upstream in the last window
@@ -248,6 +254,13 @@
 /// Refuses all queued calls; none of them has run.
 void refuse_queued(mesh_turn &t, mesh_wire::reason why);
 
+// crash_watch.cpp: crashes of the local upstream
+/// Records a run whose connection to the local upstream broke.
+void record_lost_run(mesh_turn &t, const local_run &run);
+void handle_upstream_probe(mesh_turn &t, upstream_probe result);
+/// Handles the end of an upstream that did not announce it and has a successor.
+void handle_unannounced_end(mesh_turn &t, const upstream_heartbeat &ended);
+
 // upstream_news.cpp: state reported by the local upstream
 heartbeat_verdict handle_heartbeat(mesh_turn &t, const upstream_heartbeat &beat);
 void handle_leave(mesh_turn &t, const std::string &upstream, std::uint64_t unix_ms);
--- a/gullstall/src/mesh/report.cpp
+++ b/gullstall/src/mesh/report.cpp
@@ -34,6 +34,10 @@
         static_cast<double>(n.counters.runs_started));
     add(out, "gullstall_stale_calls_total", "counter",
         static_cast<double>(n.counters.stale_frames));
+    add(out, "gullstall_upstream_crashes_total", "counter",
+        static_cast<double>(n.counters.upstream_crashes));
+    add(out, "gullstall_runs_lost_in_crashes_total", "counter",
+        static_cast<double>(n.counters.runs_lost_in_crashes));
     add(out, "gullstall_calls_in_flight", "gauge", static_cast<double>(n.calls.size()));
     add(out, "gullstall_slots", "gauge", n.gate.slots);
     add(out, "gullstall_slots_in_use", "gauge", n.gate.running);
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -87,6 +87,14 @@
     run.call.share_milli = moved.share_milli;
 }
 
+request_content content_of(const mesh_wire::call_message &call)
+{
+    std::string_view body(reinterpret_cast<const char *>(call.body.data()), call.body.size());
+    return request_content{call.service,  call.route,  call.caller_service,
+                           call.customer, call.method, call.target,
+                           body};
+}
+
 /// \returns the reason to refuse the call regardless of load, if any
 std::optional<reason> refusal_reason(const mesh_turn &t, const mesh_wire::call_message &call)
 {
@@ -256,6 +264,7 @@
     run.expires = run.deadline - min_time_left;
     run.due = due;
     run.call = std::move(call);
+    run.signature = signature_of(content_of(run.call));
     t.n.runs_by_correlation[{link, run.call.correlation}] = id;
     t.n.run_expiry.emplace(run.expires, id);
     t.n.runs.emplace(id, std::move(run));
@@ -296,6 +305,7 @@
                                       "serve",
                                       "run-without-answer",
                                       {{"request", run.call.request_id},
+                                       {"signature", print_signature(run.signature)},
                                        {"end", result.end == run_end::not_executed ? "not-executed"
                                                : result.end == run_end::not_sent   ? "not-sent"
                                                : result.end == run_end::lost ? "connection-lost"
@@ -305,6 +315,9 @@
                                        {"running", std::to_string(t.n.gate.running)},
                                        {"slots", std::to_string(t.n.gate.slots)}}});
     }
+    if (result.end == run_end::lost || result.end == run_end::bad_answer) {
+        record_lost_run(t, run);
+    }
     if (!run.abandoned) {
         send_reply(t, run.link, make_reply(run, result));
     }
--- a/gullstall/src/mesh/upstream_news.cpp
+++ b/gullstall/src/mesh/upstream_news.cpp
@@ -30,6 +30,9 @@
     bool is_new =
         !before || before->upstream != beat.upstream || before->started_ms != beat.started_ms;
     bool has_changed = is_new || before->state != beat.state;
+    if (is_new && before && before->state == mesh_wire::upstream_state::ready) {
+        handle_unannounced_end(t, *before);
+    }
     t.n.upstream_backoff_until = time_point{};
     if (is_new) {
         t.n.gate.mean_run_us = 0;
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -31,6 +31,22 @@
     double shed = 0;                              ///< share of the calls that it sheds
     double lost = 0;                              ///< share of the calls whose answer is lost
     std::map<std::string, nested_calls> calls{};  ///< by the path of the run
+    duration restart_time = seconds(3);           ///< from a crash to the successor's heartbeat
+};
+
+/// A request that crashes each upstream that runs it.
+struct crashing_request
+{
+    std::string path;
+    duration crash_delay = milliseconds(40);  ///< from the start of its run
+};
+
+/// Crash of an upstream.
+struct upstream_crash
+{
+    std::string node;
+    std::string path;  ///< of the run that caused it, empty if none did
+    time_point at{};
 };
 
 /// Outcome of a caller's request.
@@ -50,6 +66,7 @@
     std::string request_id;
     std::string upstream;
     std::string customer;
+    std::string path;
     duration time_left{};
     time_point at{};
 };
@@ -68,6 +85,8 @@
     std::map<std::string, upstream_model> upstreams;  ///< by node
     std::map<std::string, caller_result> results;     ///< by request id
     std::vector<upstream_run> runs;
+    std::vector<crashing_request> crashing;
+    std::vector<upstream_crash> crashes;
     std::vector<mesh::write_line> log_lines;
     std::map<std::string, mesh::calls_per_run>
         stored_calls;  ///< calls per run in the store, by route
@@ -137,9 +156,11 @@
     mesh::heartbeat_verdict send_heartbeat(
         const std::string &name, mesh_wire::upstream_state state = mesh_wire::upstream_state::ready)
     {
+        std::uint64_t started_ms = 1 + restarts_[name];
+        std::string upstream = "u-" + name + (started_ms > 1 ? std::to_string(started_ms) : "");
         mesh::upstream_heartbeat it{
-            "u-" + name, upstreams[name].service, "",        1, ++heartbeats_,
-            state,       upstreams[name].slots,   duration{}};
+            upstream, upstreams[name].service, "",        started_ms, ++heartbeats_,
+            state,    upstreams[name].slots,   duration{}};
         mesh::heartbeat_verdict verdict{};
         run_node(name, [&](mesh::mesh_turn &t) { verdict = handle_heartbeat(t, it); });
         return verdict;
@@ -204,6 +225,28 @@
         });
     }
 
+    /// Ends a node's upstream with all of its runs. A successor starts later.
+    void crash_upstream(const std::string &node, const std::string &path = "")
+    {
+        crashes.push_back(upstream_crash{node, path, now});
+        dead_upstreams_.insert(node);
+        ++restarts_[node];
+        std::vector<run_ref> lost;
+        for (auto it = open_runs_.lower_bound({node, run_ref{}});
+             it != open_runs_.end() && it->first == node;) {
+            lost.push_back(it->second);
+            it = open_runs_.erase(it);
+        }
+        for (run_ref run : lost) {
+            schedule_after(duration(0),
+                           [this, node, run] { end_run(node, run, mesh::run_end::lost, 0); });
+        }
+        schedule_after(upstreams.at(node).restart_time, [this, node] {
+            dead_upstreams_.erase(node);
+            send_heartbeat(node);
+        });
+    }
+
     std::size_t runs_of(const std::string &id) const
     {
         return static_cast<std::size_t>(std::count_if(
@@ -409,8 +452,14 @@
 
     void perform(const std::string &name, mesh::start_run &it)
     {
-        runs.push_back(
-            upstream_run{name, it.call.request_id, it.upstream, it.call.customer, it.left, now});
+        if (dead_upstreams_.count(name) > 0) {
+            schedule_after(connect_time, [this, name, run = it.run] {
+                end_run(name, run, mesh::run_end::not_sent, 0);
+            });
+            return;
+        }
+        runs.push_back(upstream_run{name, it.call.request_id, it.upstream, it.call.customer,
+                                    it.call.target, it.left, now});
         const upstream_model &model = upstreams.at(name);
         if (draw_fraction(random) < model.shed) {
             schedule_after(milliseconds(1), [this, name, run = it.run] {
@@ -425,6 +474,17 @@
             return;
         }
         open_runs_.insert({name, it.run});
+        auto crasher =
+            std::find_if(crashing.begin(), crashing.end(),
+                         [&](const crashing_request &each) { return each.path == it.call.target; });
+        if (crasher != crashing.end()) {
+            schedule_after(crasher->crash_delay, [this, name, run = it.run, path = crasher->path] {
+                if (open_runs_.count({name, run}) > 0) {
+                    crash_upstream(name, path);
+                }
+            });
+            return;
+        }
         auto calls = model.calls.find(it.call.target);
         nested_calls inner = calls == model.calls.end() ? nested_calls{} : calls->second;
         time_point expires = now + it.left;
@@ -484,14 +544,29 @@
 
     void perform(const std::string &, mesh::upstream_replaced &) {}
 
+    void perform(const std::string &name, mesh::probe_upstream &)
+    {
+        schedule_after(connect_time, [this, name] {
+            bool is_dead = dead_upstreams_.count(name) > 0;
+            run_node(name, [is_dead](mesh::mesh_turn &t) {
+                handle_upstream_probe(
+                    t, is_dead ? mesh::upstream_probe::refused : mesh::upstream_probe::accepted);
+            });
+        });
+    }
+
     void perform(const std::string &, mesh::store_chain &it)
     {
         stored_calls[it.route] = it.calls;
     }
 
+    static constexpr duration connect_time = microseconds(100);
+
     std::priority_queue<event> queue_;
     std::uint64_t last_id_ = 0;
     std::uint64_t heartbeats_ = 0;
+    std::set<std::string> dead_upstreams_;  ///< by node
+    std::map<std::string, std::uint64_t> restarts_;
     std::uint16_t last_port_ = 1000;
     std::map<mesh::link_ref, link> links_;
     std::map<std::pair<std::string, std::string>, mesh::link_ref> link_between_;  ///< from, to
