Failing test: a request that crashes upstreams is run again and again

Five upstreams, ten calling nodes, 200 lookups a second, and one request every 0.7 s under new ids that crashes each upstream 40 ms after its run begins; its client repeats it once; upstreams are back after 3 s.

--- /dev/null
+++ b/test/support/crash_load.hpp
@@ -0,0 +1,177 @@
+#ifndef GULLSTALL_TEST_SUPPORT_CRASH_LOAD_HPP
+#define GULLSTALL_TEST_SUPPORT_CRASH_LOAD_HPP
+
+#include <string>
+#include <vector>
+
+#include "test/support/mesh_world.hpp"
+
+namespace gullstall::test {
+
+/// Requests that come again and again from the nodes of one service, each repeated once by its
+/// client if it fails.
+struct repeated_request
+{
+    std::string path;
+    duration interval = milliseconds(700);
+    duration time_left = seconds(5);
+};
+
+/// Shape of a deployment and its load.
+struct crash_experiment
+{
+    std::uint64_t seed = 1;
+    int zones = 3;
+    int upstreams = 5;  ///< of the service that is called
+    int callers = 10;   ///< nodes of the service that calls
+    double lookups_per_s = 200;
+    duration length = seconds(25);
+    std::vector<repeated_request> repeated{{"/read/crash"}};
+    /// Upstreams that end at the same time with no request at fault.
+    std::vector<std::pair<duration, int>> herds{};
+};
+
+/// What an experiment has shown.
+struct crash_outcome
+{
+    std::size_t crashes = 0;           ///< caused by requests
+    std::size_t runs_after_limit = 0;  ///< of crashing requests, most of one of them
+    std::size_t lookups = 0;           ///< requests that crash nothing
+    std::size_t refused = 0;           ///< of these, refused as if they did
+    std::size_t served = 0;
+    double longest_refused_s = 0;  ///< time between first and last refusal of one path
+};
+
+/// A deployment with requests that crash its upstreams.
+class crash_world
+{
+public:
+    explicit crash_world(const crash_experiment &what) : world(what.seed), what_(what)
+    {
+        world.policy =
+            policy_of(1, {route_of("read", "/read/", "books", idempotency::idempotent, 1)});
+        world.link_delay = milliseconds(1);
+        for (int i = 0; i < what.upstreams; ++i) {
+            world.add_node("books-" + std::to_string(i), zone(i),
+                           upstream_model{"books", 100, milliseconds(60)});
+        }
+        for (int i = 0; i < what.callers; ++i) {
+            callers_.push_back("shop-" + std::to_string(i));
+            world.add_node(callers_.back(), zone(i), upstream_model{"shop"});
+        }
+        world.run_for(seconds(2));
+    }
+
+    /// Plays the load and the herds, then waits until all requests have ended.
+    crash_outcome play()
+    {
+        start_ = world.now;
+        for (const repeated_request &it : what_.repeated) {
+            for (duration at{}; at < what_.length; at += it.interval) {
+                world.schedule_after(at, [this, it] { send_repeated(it, true); });
+            }
+        }
+        auto lookups = static_cast<int>(what_.lookups_per_s *
+                                        std::chrono::duration<double>(what_.length).count());
+        for (int i = 0; i < lookups; ++i) {
+            auto at = static_cast<std::int64_t>(draw_fraction(world.random) *
+                                                static_cast<double>(what_.length.count()));
+            std::string path = "/read/" + std::to_string(i);
+            world.schedule_after(duration(at), [this, path] { send(path, seconds(5)); });
+        }
+        for (const auto &[at, n] : what_.herds) {
+            world.schedule_after(at, [this, n = n] {
+                for (int i = 0; i < n; ++i) {
+                    world.crash_upstream("books-" + std::to_string(i));
+                }
+            });
+        }
+        world.run_for(what_.length + seconds(6));
+        return measure();
+    }
+
+    mesh_simulation world;
+
+private:
+    static std::string zone(int i)
+    {
+        return std::string(1, static_cast<char>('a' + i % 3));
+    }
+
+    const std::string &send(const std::string &path, duration left)
+    {
+        std::string id = "r" + std::to_string(++sent_);
+        auto at = static_cast<std::size_t>(draw_fraction(world.random) *
+                                           static_cast<double>(callers_.size()));
+        world.send_request(callers_[at], id, path, left);
+        return path_of_.emplace(id, path).first->first;
+    }
+
+    void send_repeated(const repeated_request &it, bool may_repeat)
+    {
+        const std::string &id = send(it.path, it.time_left);
+        constexpr duration client_check = milliseconds(300);
+        world.schedule_after(client_check, [this, it, id, may_repeat] {
+            if (may_repeat && world.results.at(id).status >= 500) {
+                send_repeated(it, false);
+            }
+        });
+    }
+
+    bool is_crashing(const std::string &path) const
+    {
+        return std::any_of(world.crashing.begin(), world.crashing.end(),
+                           [&](const crashing_request &it) { return it.path == path; });
+    }
+
+    /// \returns the runs of a crashing request that started when all nodes could have known for
+    /// `contact_time` that it had crashed three upstreams
+    std::size_t runs_after_limit(const std::string &path) const
+    {
+        constexpr duration contact_time = seconds(3);
+        constexpr std::size_t allowed_crashes = 3;
+        std::vector<time_point> own;
+        for (const upstream_crash &it : world.crashes) {
+            if (it.path == path) {
+                own.push_back(it.at);
+            }
+        }
+        if (own.size() < allowed_crashes) {
+            return 0;
+        }
+        time_point limit = own[allowed_crashes - 1] + contact_time;
+        return static_cast<std::size_t>(std::count_if(
+            world.runs.begin(), world.runs.end(),
+            [&](const upstream_run &it) { return it.path == path && it.at > limit; }));
+    }
+
+    crash_outcome measure() const
+    {
+        crash_outcome out;
+        for (const upstream_crash &it : world.crashes) {
+            out.crashes += it.path.empty() ? 0 : 1;
+        }
+        for (const crashing_request &it : world.crashing) {
+            out.runs_after_limit = std::max(out.runs_after_limit, runs_after_limit(it.path));
+        }
+        for (const auto &[id, path] : path_of_) {
+            if (is_crashing(path)) {
+                continue;
+            }
+            const caller_result &result = world.results.at(id);
+            ++out.lookups;
+            out.served += result.status == 200 ? 1 : 0;
+        }
+        return out;
+    }
+
+    crash_experiment what_;
+    std::vector<std::string> callers_;
+    std::map<std::string, std::string> path_of_;  ///< by request id
+    time_point start_{};
+    int sent_ = 0;
+};
+
+}  // namespace gullstall::test
+
+#endif
