A crashed upstream gets no calls until its successor announces itself

What callers saw: for the 3 s until a crashed upstream is back, its node announced it as ready, with pauses of 300 ms after each refused connection.

Cause: the state of an upstream was known from its heartbeats only, and a crash sends none. Since the crash is seen now (connection refused after a lost run), the node takes the upstream for absent at once, refuses what is queued and tells its callers. The next heartbeat that is later than the last one ends that.

Test: mesh_crash_watch, "upstream, crashed, gets no call until its successor"; it fails with the assignment of has_crashed taken out.

--- a/gullstall/src/mesh/crash_watch.cpp
+++ b/gullstall/src/mesh/crash_watch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "gullstall/src/mesh/mesh_node.hpp"
+#include "gullstall/src/mesh/status_relay.hpp"
 
 namespace gullstall::mesh {
 
@@ -69,6 +70,9 @@
         t.n.crashes.lost.clear();
     } else if (result == upstream_probe::refused && accepts_work(t.n.upstream)) {
         report_crash(t, *t.n.upstream.latest, "connection-refused");
+        t.n.upstream.has_crashed = true;
+        refuse_queued(t, mesh_wire::reason::no_upstream);
+        send_status_to_callers(t);
     }
 }
 
--- a/gullstall/src/mesh/own_upstream.cpp
+++ b/gullstall/src/mesh/own_upstream.cpp
@@ -42,6 +42,7 @@
         it.draining_since = now;
     }
     it.latest = beat;
+    it.has_crashed = false;
     it.heard_at = now;
     return heartbeat_verdict::accepted;
 }
@@ -60,7 +61,7 @@
 
 bool accepts_work(const own_upstream &it)
 {
-    return it.latest && it.latest->state == mesh_wire::upstream_state::ready;
+    return it.latest && it.latest->state == mesh_wire::upstream_state::ready && !it.has_crashed;
 }
 
 }  // namespace gullstall::mesh
--- a/gullstall/src/mesh/own_upstream.hpp
+++ b/gullstall/src/mesh/own_upstream.hpp
@@ -51,6 +51,7 @@
     std::optional<upstream_heartbeat> latest;
     time_point heard_at{};
     time_point draining_since{};  ///< valid when the latest state is draining
+    bool has_crashed = false;     ///< the incarnation of the latest heartbeat has
     std::deque<departed_upstream> departed;
 };
 
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -107,6 +107,9 @@
     if (t.n.upstream.latest->service != call.service) {
         return reason::other_service;
     }
+    if (t.n.upstream.has_crashed) {
+        return reason::no_upstream;
+    }
     if (!accepts_work(t.n.upstream)) {
         return reason::leaving;
     }
--- a/test/unit/mesh_crash_watch.cpp
+++ b/test/unit/mesh_crash_watch.cpp
@@ -89,3 +89,21 @@
     w.run_for(seconds(5));
     CHECK(crash_lines().empty());
 }
+
+// Guards against calls that are sent to an upstream that is known to have crashed.
+TEST_CASE_FIXTURE(crash_watch_fixture, "upstream, crashed, gets no call until its successor")
+{
+    start_runs(1);
+    w.crash_upstream("b1");
+    w.run_for(milliseconds(10));
+    std::size_t started = w.nodes.at("b1").counters.runs_started;
+    for (int i = 0; i < 20; ++i) {
+        w.send_request("s1", "late" + std::to_string(i), "/read/x", seconds(1));
+        w.run_for(milliseconds(100));
+    }
+    CHECK(w.nodes.at("b1").counters.runs_started == started);
+    w.run_for(seconds(2));
+    w.send_request("s1", "after", "/read/x", seconds(1));
+    w.run_for(seconds(1));
+    CHECK(w.results.at("after").status == 200);
+}
