A request that crashes upstreams is quarantined after its third crash

The record: a request under which three upstreams had ended was sent 18 times more.

Cause: a run whose upstream ended was one with a lost answer. The entry node sent it to the next upstream, and the same request under a new id began anew at any node. No node remembered what an upstream was running when it crashed, or knew equal requests.

Change: the node of an upstream that crashes tells all others the signatures of the runs under way (frame crash_news). An upstream runs one of equal suspects at a time; after two crashes it runs no other such suspect beside it, and only while half of the service's upstreams are there. If it crashes then, the request is quarantined for 30 s, four times as long at each further crash: entry nodes and gates refuse it with 503, which holds, since it has not run. A run that ends with a response clears its request everywhere, so frequent requests are free again after one run. Nodes that connect are told the suspects of two crashes or more. The table is bounded; so is what a frame can add.

Why it works: a crashing request is present at each of its crashes and never ends; any other request ends as soon as it gets to run without a crash beside it.

--- a/gullstall/mesh.hpp
+++ b/gullstall/mesh.hpp
@@ -4,6 +4,7 @@
 /// Mesh module: decision logic of a node that discovers its peers through the platform's
 /// store. It covers admission control, load balancing, queueing, retries and the responses
 /// to callers.
+#include "gullstall/src/mesh/crash_guard.hpp"
 #include "gullstall/src/mesh/directory.hpp"
 #include "gullstall/src/mesh/mesh_actions.hpp"
 #include "gullstall/src/mesh/mesh_node.hpp"
--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -5,6 +5,7 @@
 
 #include "gullstall/src/edge/clock.hpp"
 #include "gullstall/src/edge/http_answer.hpp"
+#include "gullstall/src/mesh/crash_guard.hpp"
 #include "gullstall/src/mesh/quota_control.hpp"
 #include "gullstall/src/mesh/quota_keeper.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
@@ -231,6 +232,8 @@
         step([&](mesh_turn &t) { handle_status_batch(t, node, *batch); });
     } else if (const mesh_wire::chain_news_message *news = frame.payload.Aschain_news()) {
         step([&](mesh_turn &t) { handle_chain_news(t, *news); });
+    } else if (const mesh_wire::crash_news_message *crash = frame.payload.Ascrash_news()) {
+        step([&](mesh_turn &t) { handle_crash_news(t, node, *crash); });
     } else if (const mesh_wire::quota_grant_message *grant = frame.payload.Asquota_grant()) {
         step([&](mesh_turn &t) { handle_quota_grant(t, node, *grant); });
     } else if (const mesh_wire::policy_content_message *it = frame.payload.Aspolicy_content()) {
--- a/gullstall/src/mesh/crash_watch.cpp
+++ b/gullstall/src/mesh/crash_watch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "gullstall/src/mesh/crash_guard.hpp"
 #include "gullstall/src/mesh/mesh_node.hpp"
 #include "gullstall/src/mesh/status_relay.hpp"
 
@@ -12,6 +13,13 @@
 /// Time within which a lost run belongs to a crash that is seen later.
 constexpr duration lost_run_memory = seconds(5);
 
+/// \returns whether the run had started when the first connection broke. Later ones were sent
+/// to an upstream that had already crashed.
+bool had_started(const crash_watch &it, const local_run &run)
+{
+    return run.started_at && (it.lost.empty() || *run.started_at < it.lost.front().at);
+}
+
 /// \returns the signatures of the runs that the upstream was running when it crashed
 std::vector<request_signature> signatures_at_crash(const mesh_node &n)
 {
@@ -20,7 +28,7 @@
         out.push_back(it.signature);
     }
     for (const auto &[id, run] : n.runs) {
-        if (run.started_at) {
+        if (had_started(n.crashes, run)) {
             out.push_back(run.signature);
         }
     }
@@ -38,13 +46,15 @@
     t.n.crashes.lost.clear();
     ++t.n.counters.upstream_crashes;
     t.n.counters.runs_lost_in_crashes += running.size();
+    std::optional<request_signature> blamed = report_running_requests(t, running);
     t.out.emplace_back(write_line{write_line::severity::warning,
                                   "upstream",
                                   "upstream-crashed",
                                   {{"upstream", upstream.upstream},
                                    {"service", upstream.service},
                                    {"evidence", evidence},
-                                   {"runs", std::to_string(running.size())}}});
+                                   {"runs", std::to_string(running.size())},
+                                   {"blamed", blamed ? print_signature(*blamed) : ""}}});
 }
 
 }  // namespace
@@ -56,7 +66,9 @@
     }
     std::erase_if(t.n.crashes.lost,
                   [&](const crash_watch::lost_run &it) { return t.now - it.at > lost_run_memory; });
-    t.n.crashes.lost.push_back(crash_watch::lost_run{run.signature, t.now});
+    if (had_started(t.n.crashes, run)) {
+        t.n.crashes.lost.push_back(crash_watch::lost_run{run.signature, t.now});
+    }
     if (!t.n.crashes.probing) {
         t.n.crashes.probing = true;
         t.out.emplace_back(probe_upstream{});
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gullstall/src/mesh/crash_guard.hpp"
 #include "gullstall/src/mesh/entry_answers.hpp"
 #include "gullstall/src/mesh/quota_control.hpp"
 #include "gullstall/src/mesh/retry_grant.hpp"
@@ -68,6 +69,10 @@
         fail_call(t, id, timeout_reason(call));
         return;
     }
+    if (judge_call(t.n, call, t.now) == suspicion::quarantined) {
+        fail_call(t, id, reason::crashes_upstreams);
+        return;
+    }
     update_own_status(t);
     placement_request wanted{call.call.service, t.n.settings.node.zone, call.tried, call.route};
     std::string node =
@@ -113,7 +118,8 @@
 {
     entry_call &call = t.n.calls.at(id);
     bool allowed = t.n.features.repeats && call.dispatch_count < call.max_attempts &&
-                   (call.call.idempotent || !call.may_have_run) && has_time_to_run(call, t.now);
+                   (call.call.idempotent || !call.may_have_run) && has_time_to_run(call, t.now) &&
+                   judge_call(t.n, call, t.now) != suspicion::quarantined;
     if (!allowed) {
         return false;
     }
@@ -174,6 +180,10 @@
     }
     call.dispatch_count += reached ? 1 : 0;
     call.may_have_run = call.may_have_run || how == outcome::unknown;
+    if (why == reason::crashes_upstreams) {
+        fail_call(t, id, why);  // any other node refuses it as well
+        return;
+    }
     if (!reached) {
         place_call(t, id);
         return;
--- a/gullstall/src/mesh/entry_answers.cpp
+++ b/gullstall/src/mesh/entry_answers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "gullstall/src/mesh/crash_guard.hpp"
 #include "gullstall/src/mesh/quota_control.hpp"
 #include "gullstall/src/mesh/return_time.hpp"
 
@@ -20,8 +21,8 @@
 /// \returns the time after which a retry may succeed
 duration retry_delay(const mesh_turn &t, reason why, duration left)
 {
-    if (why == reason::shed) {
-        return left;  // an overload outlasts any early retry
+    if (why == reason::shed || why == reason::crashes_upstreams) {
+        return left;  // it outlasts any early retry
     }
     bool is_missing = why == reason::no_upstream || why == reason::no_policy;
     duration interval = from_milliseconds(t.n.settings.upstream.heartbeat_interval_ms);
@@ -138,6 +139,9 @@
                                                     : return_time(t, why, left);
     }
     count_answer(t, call.route, is_refusal ? "refused" : "failed", reason_name(why));
+    if (why == reason::crashes_upstreams) {
+        log_quarantined_call(t, call);
+    }
     t.out.emplace_back(
         write_line{write_line::severity::info,
                    "entry",
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "gullstall/src/mesh/crash_guard.hpp"
 #include "gullstall/src/mesh/mesh_node.hpp"
 #include "gullstall/src/mesh/quota_control.hpp"
 #include "gullstall/src/mesh/status_relay.hpp"
@@ -104,6 +105,7 @@
     out.incarnation = n.incarnation;
     out.sent_us = frame_time_us(now);
     out.relays_statuses = n.features.relayed_statuses;
+    out.reads_crash_news = n.features.crash_guard;
     return out;
 }
 
@@ -133,6 +135,7 @@
     peer.node = hello.node;
     peer.zone = hello.zone;
     peer.relays_statuses = hello.relays_statuses;
+    peer.reads_crash_news = hello.reads_crash_news;
     peer.known = true;
     peer.min_offset_us =
         static_cast<std::int64_t>(frame_time_us(t.now)) - static_cast<std::int64_t>(hello.sent_us);
@@ -140,6 +143,7 @@
                                    hello.incarnation});
     t.out.emplace_back(send_to_link{link, mesh_frame(own_status(t))});
     greet_with_chains(t, link);
+    greet_with_suspects(t, link);
 }
 
 namespace {
@@ -313,6 +317,7 @@
     }
     relay_statuses(t);
     quota_tick(t);
+    crash_guard_tick(t);
     admission_tick(t);
     stop_tick(t);
     dispatch_waiting_calls(t);
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -69,6 +69,7 @@
     std::optional<mesh_wire::reply_message> error_answer;
     /// End of the wait for an upstream of the service; only calls made by a run wait.
     std::optional<time_point> wait_deadline;
+    std::optional<request_signature> signature;  ///< computed when there are suspects
 };
 
 /// Minimum time left for a request to be dispatched.
@@ -97,7 +98,8 @@
     std::string node;
     std::string zone;
     bool relays_statuses = false;  ///< the peer accepts status_batch frames
-    time_point last_call_at{};     ///< when the peer last sent a call
+    bool reads_crash_news = false;
+    time_point last_call_at{};  ///< when the peer last sent a call
     bool known = false;
     std::int64_t min_offset_us = 0;  ///< minimum of arrival time minus send time
 };
@@ -144,6 +146,9 @@
     directory nodes;
     own_upstream upstream;
     crash_watch crashes;
+    crash_suspects suspects;
+    std::vector<request_signature> cleared_suspects;  ///< not yet reported to the others
+    std::vector<run_ref> held_runs;  ///< suspects that wait for others; may contain ended runs
     run_gate gate;
     gate_demand demand;
     gate_capacity capacity;                            ///< of the local upstream in the last window
@@ -253,6 +258,8 @@
 void dispatch_queued(mesh_turn &t);
 /// Refuses all queued calls; none of them has run.
 void refuse_queued(mesh_turn &t, mesh_wire::reason why);
+/// Starts held runs that need not wait any more and refuses those of quarantined requests.
+void resume_held_runs(mesh_turn &t);
 
 // crash_watch.cpp: crashes of the local upstream
 /// Records a run whose connection to the local upstream broke.
--- a/gullstall/src/mesh/report.cpp
+++ b/gullstall/src/mesh/report.cpp
@@ -38,6 +38,11 @@
         static_cast<double>(n.counters.upstream_crashes));
     add(out, "gullstall_runs_lost_in_crashes_total", "counter",
         static_cast<double>(n.counters.runs_lost_in_crashes));
+    add(out, "gullstall_crash_suspects", "gauge",
+        static_cast<double>(n.suspects.by_signature.size()));
+    add(out, "gullstall_quarantined_requests", "gauge",
+        static_cast<double>(count_quarantined(n.suspects, now)));
+    add(out, "gullstall_held_runs", "gauge", static_cast<double>(n.held_runs.size()));
     add(out, "gullstall_calls_in_flight", "gauge", static_cast<double>(n.calls.size()));
     add(out, "gullstall_slots", "gauge", n.gate.slots);
     add(out, "gullstall_slots_in_use", "gauge", n.gate.running);
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
+#include <utility>
 
+#include "gullstall/src/mesh/crash_guard.hpp"
 #include "gullstall/src/mesh/mesh_node.hpp"
 #include "gullstall/src/mesh/retry_grant.hpp"
 #include "gullstall/src/mesh/status_relay.hpp"
@@ -87,14 +89,6 @@
     run.call.share_milli = moved.share_milli;
 }
 
-request_content content_of(const mesh_wire::call_message &call)
-{
-    std::string_view body(reinterpret_cast<const char *>(call.body.data()), call.body.size());
-    return request_content{call.service,  call.route,  call.caller_service,
-                           call.customer, call.method, call.target,
-                           body};
-}
-
 /// \returns the reason to refuse the call regardless of load, if any
 std::optional<reason> refusal_reason(const mesh_turn &t, const mesh_wire::call_message &call)
 {
@@ -119,6 +113,43 @@
     return std::nullopt;
 }
 
+slot_request slot_request_of(const mesh_turn &t, const local_run &run)
+{
+    bool is_late = run.due <= t.now;
+    slot_request out{run.id, run.call.priority, run.call.inner, run.deadline - t.now, run.due,
+                     is_late};
+    if (!t.n.features.gate_order) {
+        out.priority = 0;
+        out.late = false;
+        out.due = time_point{};
+    }
+    out.limited_by_queue_length = !out.inner || !t.n.features.patient_calls;
+    return out;
+}
+
+/// Removes a run that has not started and refuses its call.
+void refuse_run(mesh_turn &t, run_ref id, reason why)
+{
+    local_run run = forget_run(t, id);
+    refuse(t, run.link, run.call, why);
+}
+
+/// Starts a run that has a slot, unless its request may crash the upstream.
+void start_or_hold(mesh_turn &t, run_ref id)
+{
+    suspect_verdict verdict = judge_run(t.n, t.n.runs.at(id), t.now);
+    if (verdict == suspect_verdict::start) {
+        dispatch_run(t, id);
+        return;
+    }
+    release_slot(t.n.gate, std::nullopt);
+    if (verdict == suspect_verdict::refuse) {
+        refuse_run(t, id, reason::crashes_upstreams);
+        return;
+    }
+    t.n.held_runs.push_back(id);
+}
+
 /// \returns the time left, less the transit time of the frame. A network cut can delay a
 /// frame by seconds. The caller has timed out by then, and the upstream would run the
 /// request with time that has already passed.
@@ -191,14 +222,40 @@
 
 void dispatch_queued(mesh_turn &t)
 {
+    resume_held_runs(t);
     while (std::optional<run_ref> next = dequeue_run(t.n.gate)) {
         if (t.n.runs.at(*next).deadline - t.now >= min_time_left) {
-            dispatch_run(t, *next);
+            start_or_hold(t, *next);
             continue;
         }
         release_slot(t.n.gate, std::nullopt);
-        local_run late = forget_run(t, *next);
-        refuse(t, late.link, late.call, reason::too_late);
+        refuse_run(t, *next, reason::too_late);
+    }
+}
+
+void resume_held_runs(mesh_turn &t)
+{
+    std::vector<run_ref> held = std::exchange(t.n.held_runs, {});
+    for (run_ref id : held) {
+        auto found = t.n.runs.find(id);
+        if (found == t.n.runs.end()) {
+            continue;
+        }
+        suspect_verdict verdict = judge_run(t.n, found->second, t.now);
+        if (verdict == suspect_verdict::hold) {
+            t.n.held_runs.push_back(id);
+            continue;
+        }
+        if (verdict == suspect_verdict::refuse) {
+            refuse_run(t, id, reason::crashes_upstreams);
+            continue;
+        }
+        gate_verdict slot = request_slot(t.n.gate, slot_request_of(t, found->second));
+        if (slot == gate_verdict::granted) {
+            dispatch_run(t, id);
+        } else if (slot == gate_verdict::refused) {
+            refuse_run(t, id, reason::queue_full);
+        }
     }
 }
 
@@ -209,9 +266,13 @@
         waiting.push_back(run);
     }
     t.n.gate.waiting.clear();
+    for (run_ref id : std::exchange(t.n.held_runs, {})) {
+        if (t.n.runs.count(id) > 0) {
+            waiting.push_back(id);
+        }
+    }
     for (run_ref id : waiting) {
-        local_run run = forget_run(t, id);
-        refuse(t, run.link, run.call, why);
+        refuse_run(t, id, why);
     }
 }
 
@@ -243,21 +304,6 @@
     run_ref id{++t.n.last_id};
     // The transit time is deducted here too.
     time_point due = t.now + duration(call.due_us) + (left - duration(call.left_us));
-    slot_request request{id, call.priority, call.inner, left, due, due <= t.now};
-    if (!t.n.features.gate_order) {
-        request.priority = 0;
-        request.late = false;
-        request.due = time_point{};
-    }
-    request.limited_by_queue_length = !request.inner || !t.n.features.patient_calls;
-    gate_verdict verdict = request_slot(t.n.gate, request);
-    if (verdict == gate_verdict::refused) {
-        if (call.asks_grant) {
-            return_grant(t, call);
-        }
-        refuse(t, link, call, reason::queue_full);
-        return;
-    }
     local_run run;
     run.id = id;
     run.link = link;
@@ -268,11 +314,19 @@
     run.due = due;
     run.call = std::move(call);
     run.signature = signature_of(content_of(run.call));
+    gate_verdict verdict = request_slot(t.n.gate, slot_request_of(t, run));
+    if (verdict == gate_verdict::refused) {
+        if (run.call.asks_grant) {
+            return_grant(t, run.call);
+        }
+        refuse(t, link, run.call, reason::queue_full);
+        return;
+    }
     t.n.runs_by_correlation[{link, run.call.correlation}] = id;
     t.n.run_expiry.emplace(run.expires, id);
     t.n.runs.emplace(id, std::move(run));
     if (verdict == gate_verdict::granted) {
-        dispatch_run(t, id);
+        start_or_hold(t, id);
     }
 }
 
@@ -295,6 +349,7 @@
     duration held = t.now - found->second.started_at.value_or(t.now);
     bool answered = result.end == run_end::answered;
     constexpr std::uint16_t first_error = 400;
+    constexpr std::uint16_t timeout_status = 504;
     local_run run =
         forget_run(t, id, !t.n.features.whole_runs || (answered && result.status < first_error));
     release_slot(t.n.gate, answered ? std::optional(held) : std::nullopt);
@@ -320,6 +375,8 @@
     }
     if (result.end == run_end::lost || result.end == run_end::bad_answer) {
         record_lost_run(t, run);
+    } else if (answered && result.status != timeout_status) {
+        record_completed_run(t, run.signature);
     }
     if (!run.abandoned) {
         send_reply(t, run.link, make_reply(run, result));
@@ -333,8 +390,7 @@
         run_ref id = t.n.run_expiry.begin()->second;
         if (!t.n.runs.at(id).started_at) {
             remove_from_queue(t.n.gate, id);
-            local_run run = forget_run(t, id);
-            refuse(t, run.link, run.call, reason::too_late);
+            refuse_run(t, id, reason::too_late);
             continue;
         }
         t.out.emplace_back(cancel_run{id});
--- a/gullstall/src/mesh/switches.cpp
+++ b/gullstall/src/mesh/switches.cpp
@@ -39,6 +39,7 @@
     named_flag{"relayed_statuses", &mesh_features::relayed_statuses},
     named_flag{"store_watchers", &mesh_features::store_watchers},
     named_flag{"gate_grants", &mesh_features::gate_grants},
+    named_flag{"crash_guard", &mesh_features::crash_guard},
 };
 
 }  // namespace
--- a/gullstall/src/mesh/switches.hpp
+++ b/gullstall/src/mesh/switches.hpp
@@ -35,6 +35,7 @@
     bool relayed_statuses = true;  ///< off: each node sends its status to all other nodes
     bool store_watchers = true;    ///< off: each node watches the store
     bool gate_grants = true;       ///< off: entry nodes limit all retries by themselves
+    bool crash_guard = true;       ///< off: requests that crash upstreams are run again
 
     bool operator==(const mesh_features &) const = default;
 };
--- a/test/support/crash_load.hpp
+++ b/test/support/crash_load.hpp
@@ -14,32 +14,35 @@
 {
     std::string path;
     duration interval = milliseconds(700);
-    duration time_left = seconds(5);
 };
 
 /// Shape of a deployment and its load.
 struct crash_experiment
 {
     std::uint64_t seed = 1;
-    int zones = 3;
-    int upstreams = 5;  ///< of the service that is called
-    int callers = 10;   ///< nodes of the service that calls
-    double lookups_per_s = 200;
+    int upstreams = 5;           ///< of the service that is called, in three zones
+    int callers = 10;            ///< nodes of the service that calls
+    double lookups_per_s = 200;  ///< each of another path
+    double polls_per_s = 20;     ///< all of the path "/read/poll"
     duration length = seconds(25);
-    std::vector<repeated_request> repeated{{"/read/crash"}};
-    /// Upstreams that end at the same time with no request at fault.
+    std::vector<repeated_request> crashing{};
+    /// When upstreams end with no request at fault, and how many; one every \c herd_gap.
     std::vector<std::pair<duration, int>> herds{};
+    duration herd_gap{};
+    mesh::mesh_features features;
+    suspicion_rules rules;
 };
 
 /// What an experiment has shown.
 struct crash_outcome
 {
     std::size_t crashes = 0;           ///< caused by requests
-    std::size_t runs_after_limit = 0;  ///< of crashing requests, most of one of them
-    std::size_t lookups = 0;           ///< requests that crash nothing
-    std::size_t refused = 0;           ///< of these, refused as if they did
-    std::size_t served = 0;
-    double longest_refused_s = 0;  ///< time between first and last refusal of one path
+    std::size_t runs_after_limit = 0;  ///< of the crashing request with the most of them
+    std::size_t innocent = 0;          ///< requests that crash nothing
+    std::size_t served = 0;            ///< of these
+    std::size_t refused = 0;           ///< of these, because they were taken for crashing ones
+    double refused_s = 0;              ///< from the first to the last of these refusals
+    double slowest_s = 0;              ///< longest time to the answer of a served one
 };
 
 /// A deployment with requests that crash its upstreams.
@@ -51,6 +54,9 @@
         world.policy =
             policy_of(1, {route_of("read", "/read/", "books", idempotency::idempotent, 1)});
         world.link_delay = milliseconds(1);
+        for (const repeated_request &it : what.crashing) {
+            world.crashing.push_back(crashing_request{it.path});
+        }
         for (int i = 0; i < what.upstreams; ++i) {
             world.add_node("books-" + std::to_string(i), zone(i),
                            upstream_model{"books", 100, milliseconds(60)});
@@ -59,40 +65,63 @@
             callers_.push_back("shop-" + std::to_string(i));
             world.add_node(callers_.back(), zone(i), upstream_model{"shop"});
         }
+        for (auto &[name, node] : world.nodes) {
+            node.features = what.features;
+            node.suspects.rules = what.rules;
+        }
         world.run_for(seconds(2));
     }
 
     /// Plays the load and the herds, then waits until all requests have ended.
     crash_outcome play()
     {
-        start_ = world.now;
-        for (const repeated_request &it : what_.repeated) {
+        for (const repeated_request &it : what_.crashing) {
             for (duration at{}; at < what_.length; at += it.interval) {
                 world.schedule_after(at, [this, it] { send_repeated(it, true); });
             }
         }
-        auto lookups = static_cast<int>(what_.lookups_per_s *
-                                        std::chrono::duration<double>(what_.length).count());
-        for (int i = 0; i < lookups; ++i) {
-            auto at = static_cast<std::int64_t>(draw_fraction(world.random) *
-                                                static_cast<double>(what_.length.count()));
-            std::string path = "/read/" + std::to_string(i);
-            world.schedule_after(duration(at), [this, path] { send(path, seconds(5)); });
-        }
+        schedule_lookups();
+        schedule_polls();
         for (const auto &[at, n] : what_.herds) {
-            world.schedule_after(at, [this, n = n] {
-                for (int i = 0; i < n; ++i) {
+            for (int i = 0; i < n; ++i) {
+                world.schedule_after(at + i * what_.herd_gap, [this, i] {
                     world.crash_upstream("books-" + std::to_string(i));
-                }
-            });
+                });
+            }
         }
-        world.run_for(what_.length + seconds(6));
+        world.run_for(what_.length + time_left + seconds(1));
         return measure();
     }
 
     mesh_simulation world;
 
 private:
+    static constexpr duration time_left = seconds(5);  ///< of a request
+
+    void schedule_lookups()
+    {
+        auto n = static_cast<int>(what_.lookups_per_s * to_seconds(what_.length));
+        for (int i = 0; i < n; ++i) {
+            auto at = static_cast<std::int64_t>(draw_fraction(world.random) *
+                                                static_cast<double>(what_.length.count()));
+            world.schedule_after(duration(at),
+                                 [this, i] { send("/read/" + std::to_string(i), time_left); });
+        }
+    }
+
+    void schedule_polls()
+    {
+        auto n = static_cast<int>(what_.polls_per_s * to_seconds(what_.length));
+        for (int i = 0; i < n; ++i) {
+            world.schedule_after(what_.length / n * i, [this] { send("/read/poll", time_left); });
+        }
+    }
+
+    static double to_seconds(duration it)
+    {
+        return std::chrono::duration<double>(it).count();
+    }
+
     static std::string zone(int i)
     {
         return std::string(1, static_cast<char>('a' + i % 3));
@@ -109,7 +138,7 @@
 
     void send_repeated(const repeated_request &it, bool may_repeat)
     {
-        const std::string &id = send(it.path, it.time_left);
+        const std::string &id = send(it.path, time_left);
         constexpr duration client_check = milliseconds(300);
         world.schedule_after(client_check, [this, it, id, may_repeat] {
             if (may_repeat && world.results.at(id).status >= 500) {
@@ -154,21 +183,35 @@
         for (const crashing_request &it : world.crashing) {
             out.runs_after_limit = std::max(out.runs_after_limit, runs_after_limit(it.path));
         }
+        std::vector<time_point> refusals;
         for (const auto &[id, path] : path_of_) {
-            if (is_crashing(path)) {
-                continue;
+            if (!is_crashing(path)) {
+                count_innocent(out, refusals, world.results.at(id));
             }
-            const caller_result &result = world.results.at(id);
-            ++out.lookups;
-            out.served += result.status == 200 ? 1 : 0;
         }
+        std::sort(refusals.begin(), refusals.end());
+        out.refused_s = refusals.empty() ? 0 : to_seconds(refusals.back() - refusals.front());
         return out;
     }
 
+    static void count_innocent(crash_outcome &out, std::vector<time_point> &refusals,
+                               const caller_result &result)
+    {
+        ++out.innocent;
+        if (result.status == 200) {
+            ++out.served;
+            out.slowest_s =
+                std::max(out.slowest_s, to_seconds(result.answered_at - result.sent_at));
+        }
+        if (result.refusal_reason == mesh_wire::reason::crashes_upstreams) {
+            ++out.refused;
+            refusals.push_back(result.answered_at);
+        }
+    }
+
     crash_experiment what_;
     std::vector<std::string> callers_;
     std::map<std::string, std::string> path_of_;  ///< by request id
-    time_point start_{};
     int sent_ = 0;
 };
 
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -413,6 +413,8 @@
                 }
             } else if (const auto *batch = frame.payload.Asstatus_batch()) {
                 handle_status_batch(t, from, *batch);
+            } else if (const auto *crash = frame.payload.Ascrash_news()) {
+                handle_crash_news(t, from, *crash);
             } else if (const auto *grant = frame.payload.Asquota_grant()) {
                 handle_quota_grant(t, from, *grant);
             } else if (const auto *content = frame.payload.Aspolicy_content()) {
--- a/test/unit/mesh_crash_guard.cpp
+++ b/test/unit/mesh_crash_guard.cpp
@@ -14,15 +14,13 @@
 {
     test::crash_experiment what;
 
-    test::crash_outcome play()
+    test::crash_outcome play() const
     {
         test::crash_world site(what);
-        for (const test::repeated_request &it : what.repeated) {
-            site.world.crashing.push_back({it.path});
-        }
         test::crash_outcome out = site.play();
         MESSAGE("upstreams crashed ", out.crashes, ", runs beyond the limit ", out.runs_after_limit,
-                ", lookups served ", out.served, " of ", out.lookups);
+                ", served ", out.served, " of ", out.innocent, ", refused ", out.refused, " in ",
+                out.refused_s, " s, slowest ", out.slowest_s, " s");
         return out;
     }
 };
@@ -32,8 +30,80 @@
 // Guards against a request that crashes each upstream it reaches, again and again.
 TEST_CASE_FIXTURE(small_site_fixture, "request, three upstreams crashed, is not run again")
 {
+    what.crashing = {{"/read/crash"}};
     for (std::uint64_t seed : {1, 2, 3, 4, 5}) {
         what.seed = seed;
         CHECK(play().runs_after_limit <= allowed_runs);
     }
 }
+
+// Guards against several crashing requests of one service that hide each other.
+TEST_CASE_FIXTURE(small_site_fixture, "requests, three that crash often, are not run again")
+{
+    for (const char *path : {"/read/crash0", "/read/crash1", "/read/crash2"}) {
+        what.crashing.push_back({path, milliseconds(50)});
+    }
+    for (std::uint64_t seed : {1, 2, 3, 4, 5}) {
+        what.seed = seed;
+        test::crash_outcome out = play();
+        CHECK(out.runs_after_limit <= allowed_runs);
+        CHECK(out.refused == 0);
+    }
+}
+
+// Guards against frequent requests that are refused because they run at each crash.
+TEST_CASE_FIXTURE(small_site_fixture, "polls, all upstreams crashed three times, are not refused")
+{
+    what.polls_per_s = 200;
+    what.herds = {{seconds(3), 5}, {seconds(9), 5}, {seconds(15), 5}};
+    for (std::uint64_t seed : {1, 2, 3, 4, 5}) {
+        what.seed = seed;
+        CHECK(play().refused == 0);
+    }
+}
+
+// Guards against a node that has just started and lets a quarantined request through.
+TEST_CASE_FIXTURE(small_site_fixture, "node, restarted during a quarantine, refuses the request")
+{
+    test::crash_world site(what);
+    test::mesh_simulation &w = site.world;
+    w.crashing = {{"/read/crash"}};
+    for (int i = 0; i < 12; ++i) {
+        w.send_request("shop-0", "before" + std::to_string(i), "/read/crash", seconds(2));
+        w.run_for(milliseconds(500));
+    }
+    std::size_t crashes = w.crashes.size();
+    CHECK(crashes == 3);
+    for (const char *name : {"shop-1", "books-0"}) {
+        w.start_node(name, name[0] == 's' ? "b" : "a");
+    }
+    w.send_heartbeat("books-0");
+    w.run_for(seconds(1));
+    for (int i = 0; i < 5; ++i) {
+        w.send_request("shop-1", "after" + std::to_string(i), "/read/crash", seconds(2));
+        w.run_for(milliseconds(500));
+    }
+    CHECK(w.crashes.size() == crashes);
+    CHECK(w.results.at("after4").status == 503);
+    CHECK(w.results.at("after4").refusal_reason == mesh_wire::reason::crashes_upstreams);
+}
+
+// Guards against a frame of a faulty peer that fills the table or ends the process.
+TEST_CASE_FIXTURE(small_site_fixture, "news, far too long, is cut to the bound")
+{
+    test::crash_world site(what);
+    mesh_wire::crash_news_message news;
+    for (std::uint64_t i = 1; i <= 10 * max_crash_suspects; ++i) {
+        news.running.push_back(i);
+        news.cleared.push_back(i);
+        auto known = std::make_unique<mesh_wire::known_suspect_message>();
+        known->signature = i;
+        known->blamed = 1000000;
+        known->age_us = ~0ULL;
+        news.known.push_back(std::move(known));
+    }
+    news.blamed = 77777777;
+    site.world.run_node("shop-0", [&](mesh::mesh_turn &t) { handle_crash_news(t, "x", news); });
+    CHECK(site.world.nodes.at("shop-0").suspects.by_signature.size() <= max_crash_suspects);
+    CHECK(site.play().served > 0);
+}
