A frequent request is not blamed for the crash of a less suspicious one

What callers would see: equal requests that are sent often (polls) were refused for 30 s because a request that had crashed fewer upstreams ran beside one of them.

Cause: a request under suspicion of two crashes ran beside those of one crash, and was blamed alone for the third.

Change: an isolated request runs beside no other suspect, whatever its crashes, and is blamed only if it was the only one. Test "suspect, crashed beside another suspect, is not quarantined"; the test of the third crash has another bystander that is no suspect yet, since the rule that it pinned down was this fault.

--- a/gullstall/src/mesh/crash_guard.cpp
+++ b/gullstall/src/mesh/crash_guard.cpp
@@ -91,15 +91,17 @@
     }
 }
 
-/// \returns whether a run that has started keeps \a waiting from starting
-bool blocks(const mesh_node &n, const local_run &started, const local_run &waiting,
-            bool is_isolated, time_point now)
+/// \returns whether a run that has started keeps a suspect from starting: an isolated one runs
+/// beside no other suspect
+bool blocks(const mesh_node &n, const local_run &started, const local_run &waiting, suspicion level,
+            time_point now)
 {
     if (!started.started_at) {
         return false;
     }
-    return started.signature == waiting.signature ||
-           (is_isolated && suspicion_of(n.suspects, started.signature, now) == suspicion::isolated);
+    suspicion other = suspicion_of(n.suspects, started.signature, now);
+    return started.signature == waiting.signature || other == suspicion::isolated ||
+           (level == suspicion::isolated && other != suspicion::none);
 }
 
 /// \returns whether the loss of one more upstream would leave too few of the service: those
@@ -138,7 +140,7 @@
         return suspect_verdict::hold;
     }
     bool is_blocked = std::any_of(n.runs.begin(), n.runs.end(), [&](const auto &entry) {
-        return blocks(n, entry.second, run, level == suspicion::isolated, now);
+        return blocks(n, entry.second, run, level, now);
     });
     return is_blocked ? suspect_verdict::hold : suspect_verdict::start;
 }
--- a/gullstall/src/suspects/crash_suspects.cpp
+++ b/gullstall/src/suspects/crash_suspects.cpp
@@ -109,10 +109,11 @@
 {
     std::optional<request_signature> out;
     for (request_signature signature : running) {
-        if (suspicion_of(it, signature, now) != suspicion::isolated || out == signature) {
+        suspicion level = suspicion_of(it, signature, now);
+        if (level == suspicion::none || out == signature) {
             continue;
         }
-        if (out) {
+        if (out || level != suspicion::isolated) {
             return std::nullopt;
         }
         out = signature;
--- a/gullstall/src/suspects/crash_suspects.hpp
+++ b/gullstall/src/suspects/crash_suspects.hpp
@@ -16,7 +16,7 @@
 struct crash_suspect
 {
     std::uint32_t crashes = 0;  ///< upstreams that crashed while they ran it
-    std::uint32_t blamed = 0;   ///< of these, the ones that no other isolated request ran on
+    std::uint32_t blamed = 0;   ///< of these, the ones that no other suspect ran on
     time_point last_crash_at{};
 
     bool operator==(const crash_suspect &) const = default;
@@ -27,7 +27,7 @@
 {
     none,
     suspected,   ///< an upstream runs one of equal requests at a time
-    isolated,    ///< and no other isolated request beside it, so that a crash blames one
+    isolated,    ///< and no other suspect beside it, so that a crash blames one
     quarantined  ///< not run
 };
 
@@ -53,7 +53,7 @@
 
 /// Records the crash of an upstream.
 /// \param running signatures of the requests that it was running
-/// \param blamed the one of them that was isolated, if exactly one was
+/// \param blamed the one of them that was isolated and the only suspect, if any
 void record_crash(crash_suspects &it, const std::vector<request_signature> &running,
                   std::optional<request_signature> blamed, time_point now);
 
@@ -66,7 +66,7 @@
 
 suspicion suspicion_of(const crash_suspects &it, request_signature signature, time_point now);
 
-/// \returns the isolated request among \a running if there is exactly one
+/// \returns the isolated request among \a running if it was the only suspect
 std::optional<request_signature> sole_isolated(const crash_suspects &it,
                                                const std::vector<request_signature> &running,
                                                time_point now);
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -247,6 +247,12 @@
         });
     }
 
+    /// \returns whether the upstream of a node has crashed and not started again
+    bool is_dead(const std::string &node) const
+    {
+        return dead_upstreams_.count(node) > 0;
+    }
+
     std::size_t runs_of(const std::string &id) const
     {
         return static_cast<std::size_t>(std::count_if(
--- a/test/unit/crash_suspects.cpp
+++ b/test/unit/crash_suspects.cpp
@@ -8,6 +8,7 @@
 
 constexpr request_signature first{1};
 constexpr request_signature second{2};
+constexpr request_signature unknown{3};
 
 /// A table and the time of its last change.
 struct suspects_fixture
@@ -34,8 +35,19 @@
     CHECK(of(first) == suspicion::suspected);
     crash({first});
     CHECK(of(first) == suspicion::isolated);
-    crash({first, second});
+    crash({first, unknown});
     CHECK(of(first) == suspicion::quarantined);
+    CHECK(of(second) == suspicion::suspected);
+    CHECK(of(unknown) == suspicion::suspected);
+}
+
+// Guards against an innocent request that is blamed for a crash by one that is less suspicious.
+TEST_CASE_FIXTURE(suspects_fixture, "suspect, crashed beside another suspect, is not quarantined")
+{
+    crash({first});
+    crash({first, second});
+    crash({first, second});
+    CHECK(of(first) == suspicion::isolated);
     CHECK(of(second) == suspicion::isolated);
 }
 
