Setting quarantine_s: operators can lift the quarantine of requests

A request that has been mended, or was blamed by coincidence, stayed refused until its quarantine ended. limits.quarantine_s (default 30 s, 0 to 3600) is the first quarantine; 0 lifts all at the next tick after the file was read again.

Tests in mesh_crash_guard: quarantine lifted, ten minutes of a crashing request cost six upstreams at most, a restarted node refuses, a node of an earlier version is sent no crash_news.

--- a/gullstall/src/mesh/crash_guard.cpp
+++ b/gullstall/src/mesh/crash_guard.cpp
@@ -224,6 +224,7 @@
         news.cleared = to_wire(std::exchange(t.n.cleared_suspects, {}));
         broadcast(t, std::move(news));
     }
+    t.n.suspects.rules.first_quarantine = from_seconds(t.n.settings.limits.quarantine_s);
     expire_suspects(t.n.suspects, t.now);
     if (!t.n.held_runs.empty()) {
         dispatch_queued(t);
--- a/gullstall/src/mesh/mesh_settings.cpp
+++ b/gullstall/src/mesh/mesh_settings.cpp
@@ -19,10 +19,10 @@
                                  field_rule{"feed_wait_ms", false, 100, 30000},
                                  field_rule{"timeout_ms", false, 10, 60000}};
 constexpr std::array limits_rules{
-    field_rule{"stop_s", false, 0.5, 600},          field_rule{"retry_ratio", false, 0, 1},
-    field_rule{"retry_slack", false, 0, 1000000},   field_rule{"retry_window_s", false, 0.1, 3600},
-    field_rule{"quota_window_s", false, 0.1, 3600}, field_rule{"quota_overage", false, 0, 10},
-    field_rule{"quota_slack", false, 0, 1000000}};
+    field_rule{"stop_s", false, 0.5, 600},        field_rule{"retry_ratio", false, 0, 1},
+    field_rule{"retry_slack", false, 0, 1000000}, field_rule{"retry_window_s", false, 0.1, 3600},
+    field_rule{"quarantine_s", false, 0, 3600},   field_rule{"quota_window_s", false, 0.1, 3600},
+    field_rule{"quota_overage", false, 0, 10},    field_rule{"quota_slack", false, 0, 1000000}};
 constexpr std::array log_rules{field_rule{"lines_per_second", false, 1, 100000}};
 
 /// Validates the value of an endpoint key.
@@ -132,6 +132,7 @@
            "\n\n[limits]\nstop_s = " + number(it.limits.stop_s) +
            "\nretry_ratio = " + number(it.limits.retry_ratio) +
            "\nretry_slack = " + number(it.limits.retry_slack) +
+           "\nquarantine_s = " + number(it.limits.quarantine_s) +
            "\nretry_window_s = " + number(it.limits.retry_window_s) +
            "\nquota_window_s = " + number(it.limits.quota_window_s) +
            "\nquota_overage = " + number(it.limits.quota_overage) +
--- a/gullstall/src/suspects/crash_suspects.cpp
+++ b/gullstall/src/suspects/crash_suspects.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr duration first_quarantine = seconds(30);
 constexpr duration max_quarantine = seconds(3600);
 constexpr int quarantine_growth = 4;
 
@@ -16,21 +15,21 @@
 
 /// \returns the duration of the quarantine after the last crash: each trial after one costs
 /// an upstream
-duration quarantine_of(const crash_suspect &it)
+duration quarantine_of(const crash_suspect &it, const suspicion_rules &rules)
 {
     if (it.blamed == 0) {
         return duration{};
     }
-    duration out = first_quarantine;
+    duration out = rules.first_quarantine;
     for (std::uint32_t i = 1; i < it.blamed && out < max_quarantine; ++i) {
         out *= quarantine_growth;
     }
     return std::min(out, max_quarantine);
 }
 
-bool has_expired(const crash_suspect &it, time_point now)
+bool has_expired(const crash_suspect &it, const suspicion_rules &rules, time_point now)
 {
-    return now - it.last_crash_at >= quarantine_of(it) + suspect_lifetime;
+    return now - it.last_crash_at >= quarantine_of(it, rules) + suspect_lifetime;
 }
 
 /// Makes room for one more suspect by removing the least suspicious one.
@@ -89,7 +88,7 @@
 suspicion suspicion_of(const crash_suspects &it, request_signature signature, time_point now)
 {
     auto found = it.by_signature.find(signature);
-    if (found == it.by_signature.end() || has_expired(found->second, now)) {
+    if (found == it.by_signature.end() || has_expired(found->second, it.rules, now)) {
         return suspicion::none;
     }
     const crash_suspect &each = found->second;
@@ -97,7 +96,7 @@
         return each.crashes >= it.rules.crashes_to_quarantine ? suspicion::quarantined
                                                               : suspicion::none;
     }
-    if (each.blamed > 0 && now < each.last_crash_at + quarantine_of(each)) {
+    if (each.blamed > 0 && now < each.last_crash_at + quarantine_of(each, it.rules)) {
         return suspicion::quarantined;
     }
     return each.crashes >= it.rules.crashes_to_isolate ? suspicion::isolated : suspicion::suspected;
@@ -127,7 +126,8 @@
     if (found == it.by_signature.end()) {
         return duration{};
     }
-    return std::max(duration{}, found->second.last_crash_at + quarantine_of(found->second) - now);
+    return std::max(duration{},
+                    found->second.last_crash_at + quarantine_of(found->second, it.rules) - now);
 }
 
 std::size_t count_quarantined(const crash_suspects &it, time_point now)
@@ -141,7 +141,7 @@
 void expire_suspects(crash_suspects &it, time_point now)
 {
     std::erase_if(it.by_signature,
-                  [now](const auto &entry) { return has_expired(entry.second, now); });
+                  [&](const auto &entry) { return has_expired(entry.second, it.rules, now); });
 }
 
 }  // namespace gullstall
--- a/gullstall/src/suspects/crash_suspects.hpp
+++ b/gullstall/src/suspects/crash_suspects.hpp
@@ -37,6 +37,7 @@
     std::uint32_t crashes_to_isolate = 2;
     /// Quarantines by the number of crashes alone; 0: only a crash in isolation does.
     std::uint32_t crashes_to_quarantine = 0;
+    duration first_quarantine = seconds(30);  ///< 0: none is quarantined
 
     bool operator==(const suspicion_rules &) const = default;
 };
--- a/test/unit/mesh_crash_guard.cpp
+++ b/test/unit/mesh_crash_guard.cpp
@@ -62,30 +62,92 @@
     }
 }
 
-// Guards against a node that has just started and lets a quarantined request through.
-TEST_CASE_FIXTURE(small_site_fixture, "node, restarted during a quarantine, refuses the request")
+/// A site at which one request has been quarantined.
+struct quarantine_fixture
 {
-    test::crash_world site(what);
+    test::crash_world site{test::crash_experiment{}};
     test::mesh_simulation &w = site.world;
-    w.crashing = {{"/read/crash"}};
-    for (int i = 0; i < 12; ++i) {
-        w.send_request("shop-0", "before" + std::to_string(i), "/read/crash", seconds(2));
-        w.run_for(milliseconds(500));
+
+    quarantine_fixture()
+    {
+        w.crashing = {{"/read/crash"}};
+        send_crashing("shop-0", 12);
+    }
+
+    void send_crashing(const std::string &node, int times)
+    {
+        for (int i = 0; i < times; ++i) {
+            last_id = node + "-" + std::to_string(++sent);
+            w.send_request(node, last_id, "/read/crash", seconds(2));
+            w.run_for(milliseconds(500));
+        }
     }
-    std::size_t crashes = w.crashes.size();
-    CHECK(crashes == 3);
+
+    std::string last_id;
+    int sent = 0;
+};
+
+// Guards against a node that has just started and lets a quarantined request through.
+TEST_CASE_FIXTURE(quarantine_fixture, "node, restarted during a quarantine, refuses the request")
+{
+    CHECK(w.crashes.size() == 3);
     for (const char *name : {"shop-1", "books-0"}) {
-        w.start_node(name, name[0] == 's' ? "b" : "a");
+        w.start_node(name, w.nodes.at(name).settings.node.zone);
     }
     w.send_heartbeat("books-0");
     w.run_for(seconds(1));
+    send_crashing("shop-1", 5);
+    CHECK(w.crashes.size() == 3);
+    CHECK(w.results.at(last_id).status == 503);
+    CHECK(w.results.at(last_id).refusal_reason == mesh_wire::reason::crashes_upstreams);
+}
+
+// Guards against a quarantine that an operator can't lift.
+TEST_CASE_FIXTURE(quarantine_fixture, "request, mended and its quarantine lifted, is served")
+{
+    w.crashing.clear();
+    send_crashing("shop-2", 1);
+    CHECK(w.results.at(last_id).status == 503);
+    for (auto &[name, node] : w.nodes) {
+        node.settings.limits.quarantine_s = 0;
+    }
+    w.run_for(milliseconds(200));
+    send_crashing("shop-2", 1);
+    CHECK(w.results.at(last_id).status == 200);
+}
+
+// Guards against trials that cost more upstreams the longer a request goes on crashing them.
+TEST_CASE_FIXTURE(quarantine_fixture, "request, crashed for ten minutes, costs few upstreams")
+{
+    send_crashing("shop-3", 1200);
+    CHECK(w.crashes.size() <= 6);
+}
+
+// Guards against a frame that ends the connection to a node of an earlier version.
+TEST_CASE_FIXTURE(quarantine_fixture, "news, node of an earlier version, is not sent")
+{
+    std::set<std::string> told;
+    w.on_send = [&](const std::string &, const std::string &to,
+                    const mesh_wire::frame_message &frame) {
+        if (frame.payload.Ascrash_news() != nullptr) {
+            told.insert(to);
+        }
+    };
+    w.nodes.at("shop-4").features.crash_guard = false;
+    w.start_node("shop-5", "a");
+    for (auto &[name, node] : w.nodes) {
+        for (auto &[link, peer] : node.links) {
+            peer.reads_crash_news = peer.reads_crash_news && peer.node != "shop-4";
+        }
+    }
+    w.send_request("shop-0", "other", "/read/other", seconds(2));
+    w.run_for(milliseconds(20));
     for (int i = 0; i < 5; ++i) {
-        w.send_request("shop-1", "after" + std::to_string(i), "/read/crash", seconds(2));
-        w.run_for(milliseconds(500));
+        w.crash_upstream("books-" + std::to_string(i));
     }
-    CHECK(w.crashes.size() == crashes);
-    CHECK(w.results.at("after4").status == 503);
-    CHECK(w.results.at("after4").refusal_reason == mesh_wire::reason::crashes_upstreams);
+    w.run_for(seconds(5));
+    CHECK(told.count("shop-5") == 1);
+    CHECK(told.count("shop-4") == 0);
 }
 
 // Guards against a frame of a faulty peer that fills the table or ends the process.
