--- a/gullstall/src/node/suspect_control.cpp
+++ b/gullstall/src/node/suspect_control.cpp
@@ -42,7 +42,6 @@
 std::vector<std::uint64_t> to_wire(const std::vector<request_signature> &signatures)
 {
     std::vector<std::uint64_t> out;
-    out.reserve(signatures.size());
     for (request_signature it : signatures) {
         out.push_back(static_cast<std::uint64_t>(it));
     }
