--- a/gullstall/src/node/internal.hpp
+++ b/gullstall/src/node/internal.hpp
@@ -114,7 +114,6 @@
 
 // suspect_control.cpp: requests suspected of crashing workers
 std::string suspect_id_of(const call_request &asked);
-request_signature signature_of_call(const wire::call_message &call);
 bool is_refused_suspect(step_context &t, wire::call_message &request);
 void on_run_lost(step_context &t, const active_run &run);
 void on_run_answered(step_context &t, const active_run &run);
--- a/gullstall/src/node/node.hpp
+++ b/gullstall/src/node/node.hpp
@@ -62,7 +62,6 @@
     run_ref id{};
     std::string origin;  ///< instance of the node that sent the call
     wire::call_message call;
-    request_signature signature{};
     time_point deadline{};
     time_point expires{};  ///< just before the deadline; the deadline once started
     time_point queued_at{};
@@ -72,16 +71,6 @@
     std::map<std::string, admission_level> reached_levels;  ///< services reached by the run's calls
 };
 
-/// Suspects known by their content: copies of a request under other ids are recognised by it.
-struct content_suspects
-{
-    // A suspect has the worker for itself after its first crash already.
-    crash_suspects table{{}, suspicion_rules{1, 0}};
-    std::vector<request_signature> running;  ///< at crashes not reported yet
-    std::vector<request_signature> blamed;   ///< of these, with the worker for themselves
-    std::vector<request_signature> cleared;  ///< not reported yet
-};
-
 /// Batch of claims that was sent to the claim writer of the zone.
 struct forwarded_claims
 {
@@ -148,7 +137,6 @@
     node_latencies latencies;
     once_book idempotency;
     suspect_table suspects;
-    content_suspects suspects_by_content;
     std::deque<run_ref> exclusive_waiting;  ///< queued runs that need the worker exclusively
     std::optional<run_ref> exclusive_run;   ///< run that currently has the worker exclusively
     claim_group claims;  ///< claims of the zone's nodes, when this node is the writer
--- a/gullstall/src/node/serve.cpp
+++ b/gullstall/src/node/serve.cpp
@@ -240,7 +240,6 @@
     run.queued_at = t.now;
     run.retries.left = call.allowance;
     run.call = std::move(call);
-    run.signature = signature_of_call(run.call);
     waiting_run waiting = make_waiting_run(t.n, run);
     t.n.runs_by_origin[{from, run.call.correlation}] = id;
     t.n.run_expiry.emplace(run.expires, id);
--- a/gullstall/src/node/suspect_control.cpp
+++ b/gullstall/src/node/suspect_control.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <utility>
 
 #include "gullstall/src/node/internal.hpp"
 
@@ -39,59 +38,8 @@
     }
 }
 
-std::vector<std::uint64_t> to_wire(const std::vector<request_signature> &signatures)
-{
-    std::vector<std::uint64_t> out;
-    for (request_signature it : signatures) {
-        out.push_back(static_cast<std::uint64_t>(it));
-    }
-    return out;
-}
-
-/// Records in \a table that a request was running at a crash.
-void record_content(step_context &t, request_signature signature, bool is_blamed)
-{
-    record_crash(t.n.suspects_by_content.table, {signature},
-                 is_blamed ? std::optional(signature) : std::nullopt, t.now);
-}
-
-/// Tells all members of the contents of requests that were lost or have run to their end.
-void report_contents(step_context &t)
-{
-    content_suspects &own = t.n.suspects_by_content;
-    if (own.running.empty() && own.cleared.empty()) {
-        return;
-    }
-    wire::suspect_news_message news;
-    news.signatures = to_wire(std::exchange(own.running, {}));
-    news.blamed = to_wire(std::exchange(own.blamed, {}));
-    news.cleared_signatures = to_wire(std::exchange(own.cleared, {}));
-    broadcast(t, news);
-}
-
-void apply_content_news(step_context &t, const wire::suspect_news_message &news)
-{
-    for (std::uint64_t it : news.signatures) {
-        bool is_blamed = std::find(news.blamed.begin(), news.blamed.end(), it) != news.blamed.end();
-        record_content(t, request_signature{it}, is_blamed);
-    }
-    for (std::uint64_t it : news.cleared_signatures) {
-        clear_suspect(t.n.suspects_by_content.table, request_signature{it});
-    }
-}
-
 }  // namespace
 
-request_signature signature_of_call(const wire::call_message &call)
-{
-    std::string_view body(reinterpret_cast<const char *>(call.body.data()), call.body.size());
-    request_content content;
-    content.service = call.service;
-    content.method = call.operation;
-    content.body = body;
-    return signature_of(content);
-}
-
 std::string suspect_id_of(const call_request &asked)
 {
     if (!asked.request_id.empty()) {
@@ -110,28 +58,13 @@
 {
     std::size_t known = crashes_of(t.n.suspects, request.suspect_id);
     request.suspicion = std::max(request.suspicion, static_cast<std::uint8_t>(known));
-    suspicion by_content = suspicion::none;
-    if (!t.n.suspects_by_content.table.by_signature.empty()) {
-        by_content = suspicion_of(t.n.suspects_by_content.table, signature_of_call(request), t.now);
-    }
-    if (by_content != suspicion::none) {
-        request.suspicion = std::max<std::uint8_t>(request.suspicion, 1);
-    }
-    bool is_refused =
-        request.suspicion >= crashes_to_refuse || by_content == suspicion::quarantined;
-    return t.n.suspects.refuse_suspects && is_refused;
+    return t.n.suspects.refuse_suspects && request.suspicion >= crashes_to_refuse;
 }
 
 void on_run_lost(step_context &t, const active_run &run)
 {
     mark_suspect(t, run.call.suspect_id,
                  local_crash(t.n.suspects, t.n.settings.node.instance, t.n.incarnation, t.now));
-    bool is_blamed = requires_exclusive_worker(t.n, run.call);
-    record_content(t, run.signature, is_blamed);
-    t.n.suspects_by_content.running.push_back(run.signature);
-    if (is_blamed) {
-        t.n.suspects_by_content.blamed.push_back(run.signature);
-    }
 }
 
 void on_run_answered(step_context &t, const active_run &run)
@@ -140,9 +73,6 @@
     if (was_suspect || run.call.suspicion > 0) {
         t.n.suspects.pending_clearances.push_back(run.call.suspect_id);
     }
-    if (clear_suspect(t.n.suspects_by_content.table, run.signature)) {
-        t.n.suspects_by_content.cleared.push_back(run.signature);
-    }
 }
 
 void on_attempt_lost(step_context &t, pending_call &call, const std::string &instance)
@@ -171,8 +101,6 @@
         t.n.suspects.pending_clearances.clear();
         broadcast(t, news);
     }
-    report_contents(t);
-    expire_suspects(t.n.suspects_by_content.table, t.now);
     prune_suspects(t.n.suspects, t.now, [&](const std::string &instance) {
         return has_live_zone_member(t.n, instance);
     });
@@ -184,7 +112,6 @@
     if (news == nullptr) {
         return;
     }
-    apply_content_news(t, *news);
     for (const std::string &request : news->request_ids) {
         record_suspect(t.n.suspects, request,
                        crash{news->crash, news->lost_peer, news->lost_incarnation}, t.now);
