A count told by a faulty peer does not keep a node busy

With quarantine_s = 0 the duration of a quarantine was computed by a loop over the count of blamed crashes, which a peer's crash_news sets: up to 4 billion steps each time a request is judged, so a node would have stood still.

Without a first quarantine the duration is zero at once. Test "suspect, absurd count and no quarantine, is judged at once": not ended after 30 s without the change (stopped by its time limit), all nine cases of crash_suspects in 0.09 s with it.

--- a/gullstall/src/suspects/crash_suspects.cpp
+++ b/gullstall/src/suspects/crash_suspects.cpp
@@ -17,7 +17,7 @@
 /// an upstream
 duration quarantine_of(const crash_suspect &it, const suspicion_rules &rules)
 {
-    if (it.blamed == 0) {
+    if (it.blamed == 0 || rules.first_quarantine <= duration{}) {
         return duration{};
     }
     duration out = rules.first_quarantine;
--- a/test/unit/crash_suspects.cpp
+++ b/test/unit/crash_suspects.cpp
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <limits>
+
 #include "gullstall/suspects.hpp"
 
 using namespace gullstall;
@@ -113,6 +115,17 @@
     CHECK(of(first) == suspicion::quarantined);
 }
 
+// Guards against a count of a faulty peer that keeps a node busy while quarantines are off.
+TEST_CASE_FIXTURE(suspects_fixture, "suspect, absurd count and no quarantine, is judged at once")
+{
+    table.rules.first_quarantine = duration{};
+    std::uint32_t absurd = std::numeric_limits<std::uint32_t>::max();
+    merge_suspect(table, first, crash_suspect{absurd, absurd, now});
+    for (int i = 0; i < 100; ++i) {
+        CHECK(of(first) == suspicion::isolated);
+    }
+}
+
 TEST_CASE("signature, fields moved across their border, differs")
 {
     request_content a{"s", "r", "c", "", "GET", "/x", "yz"};
