--- a/gullstall/src/mesh/crash_guard.cpp
+++ b/gullstall/src/mesh/crash_guard.cpp
@@ -202,7 +202,8 @@
     }
     mesh_wire::crash_news_message news;
     for (const auto &[signature, known] : t.n.suspects.by_signature) {
-        if (known.crashes < 2 || news.known.size() >= max_signatures_in_frame) {
+        if (known.crashes < t.n.suspects.rules.crashes_to_isolate ||
+            news.known.size() >= max_signatures_in_frame) {
             continue;
         }
         auto entry = std::make_unique<mesh_wire::known_suspect_message>();
--- a/gullstall/src/mesh/crash_guard.hpp
+++ b/gullstall/src/mesh/crash_guard.hpp
@@ -38,8 +38,8 @@
 void handle_crash_news(mesh_turn &t, const std::string &from,
                        const mesh_wire::crash_news_message &news);
 
-/// Sends the suspects of more than one crash to a node that has just opened the connection
-/// \a link: to nodes of this zone, and from relays to those of other zones.
+/// Sends the suspects that are isolated or quarantined to a node that has just opened the
+/// connection \a link: to nodes of this zone, and from relays to those of other zones.
 void greet_with_suspects(mesh_turn &t, link_ref link);
 
 /// Tells the other nodes of cleared suspects. To be called on each tick.
--- a/gullstall/src/mesh/crash_watch.cpp
+++ b/gullstall/src/mesh/crash_watch.cpp
@@ -1,7 +1,5 @@
 #include "gullstall/src/mesh/crash_watch.hpp"
 
-#include <algorithm>
-
 #include "gullstall/src/mesh/crash_guard.hpp"
 #include "gullstall/src/mesh/mesh_node.hpp"
 #include "gullstall/src/mesh/status_relay.hpp"
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -258,8 +258,6 @@
 void dispatch_queued(mesh_turn &t);
 /// Refuses all queued calls; none of them has run.
 void refuse_queued(mesh_turn &t, mesh_wire::reason why);
-/// Starts held runs that need not wait any more and refuses those of quarantined requests.
-void resume_held_runs(mesh_turn &t);
 
 // crash_watch.cpp: crashes of the local upstream
 /// Records a run whose connection to the local upstream broke.
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -150,6 +150,33 @@
     t.n.held_runs.push_back(id);
 }
 
+/// Starts held runs that need not wait any more and refuses those of quarantined requests.
+void resume_held_runs(mesh_turn &t)
+{
+    std::vector<run_ref> held = std::exchange(t.n.held_runs, {});
+    for (run_ref id : held) {
+        auto found = t.n.runs.find(id);
+        if (found == t.n.runs.end()) {
+            continue;
+        }
+        suspect_verdict verdict = judge_run(t.n, found->second, t.now);
+        if (verdict == suspect_verdict::hold) {
+            t.n.held_runs.push_back(id);
+            continue;
+        }
+        if (verdict == suspect_verdict::refuse) {
+            refuse_run(t, id, reason::crashes_upstreams);
+            continue;
+        }
+        gate_verdict slot = request_slot(t.n.gate, slot_request_of(t, found->second));
+        if (slot == gate_verdict::granted) {
+            dispatch_run(t, id);
+        } else if (slot == gate_verdict::refused) {
+            refuse_run(t, id, reason::queue_full);
+        }
+    }
+}
+
 /// \returns the time left, less the transit time of the frame. A network cut can delay a
 /// frame by seconds. The caller has timed out by then, and the upstream would run the
 /// request with time that has already passed.
@@ -233,32 +260,6 @@
     }
 }
 
-void resume_held_runs(mesh_turn &t)
-{
-    std::vector<run_ref> held = std::exchange(t.n.held_runs, {});
-    for (run_ref id : held) {
-        auto found = t.n.runs.find(id);
-        if (found == t.n.runs.end()) {
-            continue;
-        }
-        suspect_verdict verdict = judge_run(t.n, found->second, t.now);
-        if (verdict == suspect_verdict::hold) {
-            t.n.held_runs.push_back(id);
-            continue;
-        }
-        if (verdict == suspect_verdict::refuse) {
-            refuse_run(t, id, reason::crashes_upstreams);
-            continue;
-        }
-        gate_verdict slot = request_slot(t.n.gate, slot_request_of(t, found->second));
-        if (slot == gate_verdict::granted) {
-            dispatch_run(t, id);
-        } else if (slot == gate_verdict::refused) {
-            refuse_run(t, id, reason::queue_full);
-        }
-    }
-}
-
 void refuse_queued(mesh_turn &t, reason why)
 {
     std::vector<run_ref> waiting;
