The log tells what an upstream says of itself: limit and leave

Nothing acts on it yet.

The node beside an upstream reads the limit and the leave from the header of each response, before its body: also of those that were not executed, late or cut off; not of 421 and of connections to an earlier incarnation, which speak for another one. The lowest of several limits counts; a text that is no decimal number is logged and changes nothing. A higher limit, or none, counts only in the response to a request sent after the limit was last named, so that an answer that overtakes a newer one lifts nothing.

--- a/gullstall/mesh.hpp
+++ b/gullstall/mesh.hpp
@@ -19,6 +19,7 @@
 #include "gullstall/src/mesh/status_relay.hpp"
 #include "gullstall/src/mesh/switches.hpp"
 #include "gullstall/src/mesh/traffic_split.hpp"
+#include "gullstall/src/mesh/upstream_notice.hpp"
 #include "gullstall/src/mesh/zone_duty.hpp"
 
 #endif
--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -86,10 +86,14 @@
                                                                   {text.begin(), text.end()}});
                              },
                              [](call_ref) {}}),
-      upstream_(io, upstream_endpoint(settings), dialect_.names,
-                [this](run_ref id, mesh::run_result &&result) {
-                    step([&](mesh_turn &t) { handle_run_result(t, id, std::move(result)); });
-                }),
+      upstream_(
+          io, upstream_endpoint(settings), dialect_.names,
+          [this](run_ref id, mesh::run_result &&result) {
+              step([&](mesh_turn &t) { handle_run_result(t, id, std::move(result)); });
+          },
+          [this](std::optional<run_ref> id, const mesh::upstream_notice &notice) {
+              step([&](mesh_turn &t) { handle_upstream_notice(t, id, notice); });
+          }),
       peers_(io, listen_endpoint(settings.listen.peers),
              peer_link_handlers{[this] { return own_hello(node_, now()); },
                                 [this](const std::string &node) {
--- a/gullstall/src/edge/upstream_client.cpp
+++ b/gullstall/src/edge/upstream_client.cpp
@@ -14,11 +14,13 @@
 using boost::system::error_code;
 
 upstream_client::upstream_client(asio::io_context &io, asio::ip::tcp::endpoint to,
-                                 header_names names, completion_handler on_complete)
+                                 header_names names, completion_handler on_complete,
+                                 notice_handler on_notice)
     : io_(io),
       endpoint_(std::move(to)),
       names_(std::move(names)),
-      on_complete_(std::move(on_complete))
+      on_complete_(std::move(on_complete)),
+      on_notice_(std::move(on_notice))
 {
 }
 
--- a/gullstall/src/edge/upstream_client.hpp
+++ b/gullstall/src/edge/upstream_client.hpp
@@ -24,6 +24,8 @@
     std::string caller_service;     ///< service of the instance that issued the request
     std::string not_executed;       ///< in responses: the upstream did not run the request
     std::string customer;           ///< customer on whose behalf the request is made
+    std::string request_limit;      ///< in responses: requests per second that the upstream takes
+    std::string leaving;            ///< in responses: the upstream is shutting down if "1"
 
     bool operator==(const header_names &) const = default;
 };
@@ -35,9 +37,13 @@
 {
 public:
     using completion_handler = std::function<void(run_ref, mesh::run_result &&)>;
+    /// Receives what the upstream says of itself, before the body of the response has been
+    /// read. The run is none if the response is a late one to an earlier request.
+    using notice_handler =
+        std::function<void(std::optional<run_ref>, const mesh::upstream_notice &)>;
 
     upstream_client(boost::asio::io_context &io, boost::asio::ip::tcp::endpoint to,
-                    header_names names, completion_handler on_complete);
+                    header_names names, completion_handler on_complete, notice_handler on_notice);
 
     /// Sends a request. The completion handler is called when it ends, unless cancel()
     /// is called first.
@@ -80,6 +86,7 @@
     boost::asio::ip::tcp::endpoint endpoint_;
     header_names names_;
     completion_handler on_complete_;
+    notice_handler on_notice_;
     std::unordered_map<run_ref, std::shared_ptr<upstream_exchange>> exchanges_;
     std::vector<idle_connection> idle_;
     std::uint64_t generation_ = 0;  ///< connections of an earlier generation are not reused
--- a/gullstall/src/edge/upstream_exchange.cpp
+++ b/gullstall/src/edge/upstream_exchange.cpp
@@ -9,6 +9,7 @@
 
 #include "gullstall/src/edge/clock.hpp"
 #include "gullstall/src/edge/http_edge.hpp"
+#include "gullstall/src/edge/notice_fields.hpp"
 #include "gullstall/src/edge/upstream_connect.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
 
@@ -108,30 +109,59 @@
     });
 }
 
-asio::awaitable<bool> upstream_exchange::read_response(response_parser &parser)
+asio::awaitable<bool> upstream_exchange::read_header(response_parser &parser)
 {
     parser.header_limit(max_response_header_bytes);
     parser.body_limit(max_response_body_bytes);
     parser.skip(order_.call.method == "HEAD");
+    parser.eager(true);  // parses what has arrived of the body, too
     error_code ec;
-    co_await http::async_read(socket_, buf_, parser, asio::redirect_error(asio::use_awaitable, ec));
+    co_await http::async_read_header(socket_, buf_, parser,
+                                     asio::redirect_error(asio::use_awaitable, ec));
     co_return !ec;
 }
 
+asio::awaitable<bool> upstream_exchange::read_body(response_parser &parser)
+{
+    error_code ec;
+    if (!parser.is_done()) {
+        co_await http::async_read(socket_, buf_, parser,
+                                  asio::redirect_error(asio::use_awaitable, ec));
+    }
+    co_return !ec;
+}
+
+/// Reports what the upstream says of itself. A misdirected request was answered by another
+/// incarnation, and so may one be that was sent over a connection to an earlier one.
+void upstream_exchange::report_notice(const response_parser::value_type &response, bool is_stale)
+{
+    bool is_other_incarnation =
+        response.result() == http::status::misdirected_request || generation_ != owner_.generation_;
+    if (completed_ || is_other_incarnation) {
+        return;
+    }
+    mesh::upstream_notice notice = read_notice(response, owner_.names_);
+    owner_.on_notice_(is_stale ? std::nullopt : std::optional(order_.run), notice);
+}
+
 asio::awaitable<run_result> upstream_exchange::read_matching_response()
 {
     constexpr unsigned first_final_status = 200;
     for (int i = 0; i <= max_stale_responses; ++i) {
         response_parser parser;
-        if (!co_await read_response(parser)) {
-            bool received_nothing = !parser.got_some();
-            co_return run_result{
-                received_nothing ? run_end::lost : run_end::bad_answer, 0, "", "", {}};
-        }
+        bool has_header = co_await read_header(parser);
         response_parser::value_type &response = parser.get();
         std::string_view echoed(response[owner_.names_.request_id].data(),
                                 response[owner_.names_.request_id].size());
         bool is_stale = !echoed.empty() && echoed != order_.call.request_id;
+        if (has_header && response.result_int() >= first_final_status) {
+            report_notice(response, is_stale);
+        }
+        if (!has_header || !co_await read_body(parser)) {
+            bool received_nothing = !parser.got_some();
+            co_return run_result{
+                received_nothing ? run_end::lost : run_end::bad_answer, 0, "", "", {}};
+        }
         if (is_stale || response.result_int() < first_final_status) {
             continue;
         }
--- a/gullstall/src/edge/upstream_exchange.hpp
+++ b/gullstall/src/edge/upstream_exchange.hpp
@@ -24,7 +24,9 @@
 
     boost::asio::awaitable<bool> connect();
     boost::asio::awaitable<mesh::run_result> read_matching_response();
-    boost::asio::awaitable<bool> read_response(response_parser &parser);
+    boost::asio::awaitable<bool> read_header(response_parser &parser);
+    boost::asio::awaitable<bool> read_body(response_parser &parser);
+    void report_notice(const response_parser::value_type &response, bool is_stale);
     void write_request();
     mesh::run_result to_run_result(response_parser::value_type &&response) const;
     void evaluate_reuse(const response_parser::value_type &response, bool is_framed);
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -268,6 +268,12 @@
 
 // upstream_news.cpp: state reported by the local upstream
 heartbeat_verdict handle_heartbeat(mesh_turn &t, const upstream_heartbeat &beat);
+/// Handles what the upstream says of itself in a response.
+/// \param run that the response belongs to; none if it is a late one to an earlier request
+void handle_upstream_notice(mesh_turn &t, std::optional<run_ref> run,
+                            const upstream_notice &notice);
+/// Logs what a limited upstream gets. To be called on each tick.
+void log_limit_use(mesh_turn &t);
 void handle_leave(mesh_turn &t, const std::string &upstream, std::uint64_t unix_ms);
 
 /// Where a policy was read.
--- a/gullstall/src/mesh/own_upstream.cpp
+++ b/gullstall/src/mesh/own_upstream.cpp
@@ -27,6 +27,12 @@
 
 }  // namespace
 
+bool is_same_incarnation(const std::optional<upstream_heartbeat> &latest,
+                         const upstream_heartbeat &beat)
+{
+    return latest && latest->upstream == beat.upstream && latest->started_ms == beat.started_ms;
+}
+
 heartbeat_verdict apply_heartbeat(own_upstream &it, const upstream_heartbeat &beat, time_point now)
 {
     if (has_departed(it, beat)) {
@@ -35,12 +41,15 @@
     if (it.latest && is_outdated(*it.latest, beat)) {
         return heartbeat_verdict::outdated;
     }
-    bool was_draining = it.latest && it.latest->state == mesh_wire::upstream_state::draining &&
-                        it.latest->upstream == beat.upstream &&
-                        it.latest->started_ms == beat.started_ms;
+    bool is_same = is_same_incarnation(it.latest, beat);
+    bool was_draining = is_same && it.latest->state == mesh_wire::upstream_state::draining;
     if (beat.state == mesh_wire::upstream_state::draining && !was_draining) {
         it.draining_since = now;
     }
+    if (!is_same) {
+        it.limit.reset();
+        it.has_announced_leave = false;
+    }
     it.latest = beat;
     it.has_crashed = false;
     it.heard_at = now;
--- a/gullstall/src/mesh/own_upstream.hpp
+++ b/gullstall/src/mesh/own_upstream.hpp
@@ -8,6 +8,8 @@
 
 #include "gullstall/generated/mesh_generated.h"
 #include "gullstall/src/core/time.hpp"
+#include "gullstall/src/mesh/request_window.hpp"
+#include "gullstall/src/mesh/upstream_notice.hpp"
 
 namespace gullstall::mesh {
 
@@ -43,9 +45,9 @@
     bool operator==(const departed_upstream &) const = default;
 };
 
-/// State of the local upstream, known from its heartbeats only. After a start no state is
-/// known and no request is dispatched: the previous process may have acknowledged that the
-/// upstream is leaving.
+/// State of the local upstream, known from its heartbeats and from its responses. After a
+/// start no state is known and no request is dispatched: the previous process may have
+/// acknowledged that the upstream is leaving.
 struct own_upstream
 {
     std::optional<upstream_heartbeat> latest;
@@ -53,8 +55,16 @@
     time_point draining_since{};  ///< valid when the latest state is draining
     bool has_crashed = false;     ///< the incarnation of the latest heartbeat has
     std::deque<departed_upstream> departed;
+    std::optional<named_limit> limit;  ///< of the incarnation of the latest heartbeat
+    bool has_announced_leave = false;  ///< that incarnation has, in a response
+    request_window requests;           ///< sent to the upstream
+    time_point limit_logged_at{};
 };
 
+/// \returns whether the heartbeat is of the incarnation of the latest one
+bool is_same_incarnation(const std::optional<upstream_heartbeat> &latest,
+                         const upstream_heartbeat &beat);
+
 /// Processes a heartbeat.
 /// \param now time of arrival
 heartbeat_verdict apply_heartbeat(own_upstream &it, const upstream_heartbeat &beat, time_point now);
--- a/gullstall/src/mesh/report.cpp
+++ b/gullstall/src/mesh/report.cpp
@@ -10,6 +10,16 @@
            "\n";
 }
 
+void add_limit(std::string &out, const own_upstream &it, time_point now)
+{
+    if (it.limit) {
+        add(out, "gullstall_upstream_limit_per_second", "gauge", it.limit->per_s);
+    }
+    add(out, "gullstall_upstream_requests_in_window", "gauge",
+        static_cast<double>(counts_in_window(it.requests, now).all));
+    add(out, "gullstall_upstream_leaving", "gauge", it.has_announced_leave ? 1 : 0);
+}
+
 }  // namespace
 
 std::string print_metrics(const mesh_node &n, time_point now)
@@ -44,6 +54,7 @@
         static_cast<double>(count_quarantined(n.suspects, now)));
     add(out, "gullstall_held_runs", "gauge", static_cast<double>(n.held_runs.size()));
     add(out, "gullstall_calls_in_flight", "gauge", static_cast<double>(n.calls.size()));
+    add_limit(out, n.upstream, now);
     add(out, "gullstall_slots", "gauge", n.gate.slots);
     add(out, "gullstall_slots_in_use", "gauge", n.gate.running);
     add(out, "gullstall_gate_capacity_per_second", "gauge", n.capacity.available_per_s);
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -72,6 +72,7 @@
     run.expires = run.deadline + answer_grace;
     t.n.run_expiry.emplace(run.expires, id);
     count_for_retries(t, run.call);
+    record_request(t.n.upstream.requests, {t.now, run.call.repeat, run.call.inner});
     record_run_start(t.n.chain, id, run.call.request_id, run.call.route);
     ++t.n.counters.runs_started;
     note_latency(t.n.latencies.queue_wait, t.now - run.arrived_at);
--- a/gullstall/src/mesh/upstream_news.cpp
+++ b/gullstall/src/mesh/upstream_news.cpp
@@ -18,6 +18,48 @@
     }
 }
 
+/// Interval between log lines on the use of a limit.
+constexpr duration limit_log_interval = seconds(1);
+
+std::string print_rate(const std::optional<named_limit> &limit)
+{
+    return limit ? std::to_string(limit->per_s) : "none";
+}
+
+void log_limit(mesh_turn &t, const std::optional<named_limit> &before, const std::string &request)
+{
+    const own_upstream &up = t.n.upstream;
+    duration age = before ? t.now - before->first_named_at : duration{};
+    t.out.emplace_back(write_line{write_line::severity::info,
+                                  "upstream",
+                                  up.limit ? "upstream-limit" : "upstream-limit-lifted",
+                                  {{"upstream", up.latest->upstream},
+                                   {"request", request},
+                                   {"limit_per_s", print_rate(up.limit)},
+                                   {"before", print_rate(before)},
+                                   {"before_ms", std::to_string(to_ms(age))}}});
+}
+
+void log_leave(mesh_turn &t, const std::string &request)
+{
+    t.out.emplace_back(
+        write_line{write_line::severity::info,
+                   "upstream",
+                   "upstream-announced-leave",
+                   {{"upstream", t.n.upstream.latest->upstream},
+                    {"request", request},
+                    {"running", std::to_string(t.n.gate.running)},
+                    {"state", mesh_wire::EnumNameupstream_state(t.n.upstream.latest->state)}}});
+}
+
+void log_unreadable_notice(mesh_turn &t, const std::string &field, const std::string &request)
+{
+    t.out.emplace_back(write_line{write_line::severity::warning,
+                                  "upstream",
+                                  "upstream-notice-unreadable",
+                                  {{"request", request}, {"field", field}}});
+}
+
 }  // namespace
 
 heartbeat_verdict handle_heartbeat(mesh_turn &t, const upstream_heartbeat &beat)
@@ -27,8 +69,7 @@
     if (verdict != heartbeat_verdict::accepted) {
         return verdict;
     }
-    bool is_new =
-        !before || before->upstream != beat.upstream || before->started_ms != beat.started_ms;
+    bool is_new = !is_same_incarnation(before, beat);
     bool has_changed = is_new || before->state != beat.state;
     if (is_new && before && before->state == mesh_wire::upstream_state::ready) {
         handle_unannounced_end(t, *before);
@@ -56,6 +97,51 @@
     return verdict;
 }
 
+void handle_upstream_notice(mesh_turn &t, std::optional<run_ref> run, const upstream_notice &notice)
+{
+    auto found = run ? t.n.runs.find(*run) : t.n.runs.end();
+    bool is_known = found != t.n.runs.end();
+    std::string request = is_known ? found->second.call.request_id : "";
+    if (!notice.unreadable.empty()) {
+        log_unreadable_notice(t, notice.unreadable, request);
+    }
+    if (!t.n.upstream.latest) {
+        return;
+    }
+    std::optional<named_limit> before = t.n.upstream.limit;
+    if (apply_limit(t.n.upstream.limit, notice, is_known ? found->second.started_at : std::nullopt,
+                    request, t.now)) {
+        log_limit(t, before, request);
+    }
+    if (notice.is_leaving && !t.n.upstream.has_announced_leave) {
+        t.n.upstream.has_announced_leave = true;
+        log_leave(t, request);
+    }
+}
+
+void log_limit_use(mesh_turn &t)
+{
+    own_upstream &up = t.n.upstream;
+    if (!up.limit || t.now - up.limit_logged_at < limit_log_interval) {
+        return;
+    }
+    up.limit_logged_at = t.now;
+    request_counts counts = counts_in_window(up.requests, t.now);
+    t.out.emplace_back(
+        write_line{write_line::severity::info,
+                   "upstream",
+                   "upstream-limit-use",
+                   {{"limit_per_s", print_rate(up.limit)},
+                    {"named_by", up.limit->source},
+                    {"age_ms", std::to_string(to_ms(t.now - up.limit->first_named_at))},
+                    {"window_ms", std::to_string(to_ms(request_window_length))},
+                    {"in_window", std::to_string(counts.all)},
+                    {"retries", std::to_string(counts.retries)},
+                    {"nested", std::to_string(counts.nested)},
+                    {"running", std::to_string(t.n.gate.running)},
+                    {"waiting", std::to_string(t.n.gate.waiting.size())}}});
+}
+
 void handle_leave(mesh_turn &t, const std::string &upstream, std::uint64_t unix_ms)
 {
     apply_leave(t.n.upstream, upstream, unix_ms);
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -32,6 +32,7 @@
     double lost = 0;                              ///< share of the calls whose answer is lost
     std::map<std::string, nested_calls> calls{};  ///< by the path of the run
     duration restart_time = seconds(3);           ///< from a crash to the successor's heartbeat
+    mesh::upstream_notice notice{};               ///< in the header of each of its responses
 };
 
 /// A request that crashes each upstream that runs it.
@@ -220,6 +221,12 @@
     /// Ends a run on a node's upstream.
     void end_run(const std::string &node, run_ref run, mesh::run_end end, std::uint16_t status)
     {
+        bool has_header = end == mesh::run_end::answered || end == mesh::run_end::not_executed;
+        if (has_header) {
+            mesh::upstream_notice notice = upstreams.at(node).notice;
+            run_node(node,
+                     [run, notice](mesh::mesh_turn &t) { handle_upstream_notice(t, run, notice); });
+        }
         run_node(node, [run, end, status](mesh::mesh_turn &t) {
             handle_run_result(t, run, mesh::run_result{end, status, "", "", {}});
         });
