The limit that an upstream names binds all nodes, and so does its leave

What callers saw: nothing.

Cause: nobody read what an upstream says of itself in its answers. Its gate counted slots, the entry nodes chose by slots, load and failures.

Why this works: every request for an upstream passes the gate beside it, whichever node it began at and whether it is a retry, a call of a run or was held back. A token bucket there (a quarter of a second of tokens, empty when a limit is first named) bounds any 4 s by 4.25 times the limit; 6 times are allowed. A limit of zero lets one request pass in two seconds, since only an answer can raise it. An upstream that leaves is treated as draining at once. What lasts beyond the gate's process is kept at the nodes that passed the answer on: they tell it in the first frame of their next connection, which precedes any call, and send nothing to an upstream whose incarnation has announced its leave.

Replies and statuses carry the limit and the time until it allows one more call. Entry nodes prefer upstreams with room; only without any does a call wait at a gate, in the order of classes. What a service's limits allow counts as its capacity, so that admission refuses in the order of classes, at the entry.

--- a/gullstall/overload.hpp
+++ b/gullstall/overload.hpp
@@ -6,6 +6,7 @@
 #include "gullstall/src/overload/demand.hpp"
 #include "gullstall/src/overload/level_control.hpp"
 #include "gullstall/src/overload/priority.hpp"
+#include "gullstall/src/overload/rate_limiter.hpp"
 #include "gullstall/src/overload/retry_after.hpp"
 #include "gullstall/src/overload/rules.hpp"
 #include "gullstall/src/overload/run_queue.hpp"
--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -94,29 +94,30 @@
           [this](std::optional<run_ref> id, const mesh::upstream_notice &notice) {
               step([&](mesh_turn &t) { handle_upstream_notice(t, id, notice); });
           }),
-      peers_(io, listen_endpoint(settings.listen.peers),
-             peer_link_handlers{[this] { return own_hello(node_, now()); },
-                                [this](const std::string &node) {
-                                    step([&](mesh_turn &t) { handle_node_connected(t, node); });
-                                },
-                                [this](const std::string &node, const std::string &why,
-                                       const std::vector<std::uint64_t> &unsent) {
-                                    log(write_line{write_line::severity::warning,
-                                                   "members",
-                                                   "node-lost",
-                                                   {{"peer", node}, {"why", why}}});
-                                    step([&](mesh_turn &t) { handle_node_lost(t, node, unsent); });
-                                },
-                                [this](const std::string &node, mesh_wire::frame_message &&frame) {
-                                    on_node_frame(node, std::move(frame));
-                                },
-                                [this](mesh::link_ref link, mesh_wire::frame_message &&frame) {
-                                    on_link_frame(link, std::move(frame));
-                                },
-                                [this](mesh::link_ref link) {
-                                    step([&](mesh_turn &t) { handle_link_closed(t, link); });
-                                }},
-             features.packed_frames),
+      peers_(
+          io, listen_endpoint(settings.listen.peers),
+          peer_link_handlers{[this](const std::string &to) { return own_hello(node_, to, now()); },
+                             [this](const std::string &node) {
+                                 step([&](mesh_turn &t) { handle_node_connected(t, node); });
+                             },
+                             [this](const std::string &node, const std::string &why,
+                                    const std::vector<std::uint64_t> &unsent) {
+                                 log(write_line{write_line::severity::warning,
+                                                "members",
+                                                "node-lost",
+                                                {{"peer", node}, {"why", why}}});
+                                 step([&](mesh_turn &t) { handle_node_lost(t, node, unsent); });
+                             },
+                             [this](const std::string &node, mesh_wire::frame_message &&frame) {
+                                 on_node_frame(node, std::move(frame));
+                             },
+                             [this](mesh::link_ref link, mesh_wire::frame_message &&frame) {
+                                 on_link_frame(link, std::move(frame));
+                             },
+                             [this](mesh::link_ref link) {
+                                 step([&](mesh_turn &t) { handle_link_closed(t, link); });
+                             }},
+          features.packed_frames),
       expiry_timer_(io),
       tick_timer_(io)
 {
--- a/gullstall/src/edge/peer_links.cpp
+++ b/gullstall/src/edge/peer_links.cpp
@@ -92,7 +92,7 @@
     dialed_node &it = dialed_[address.node];
     bool address_changed = it.address.peers != address.peers;
     it.address = address;
-    it.in_own_zone = address.zone == handlers_.make_hello().zone;
+    it.in_own_zone = address.zone == handlers_.make_hello(address.node).zone;
     it.next_dial_at = time_point{};
     it.backoff = duration{};
     if (address_changed && it.connection) {
@@ -146,7 +146,7 @@
     it.last_ping_at = now();
     asio::co_spawn(
         io_, [connection] { return connection->run(); }, asio::detached);
-    mesh_wire::hello_message hello = handlers_.make_hello();
+    mesh_wire::hello_message hello = handlers_.make_hello(node);
     if (hello.zone != it.address.zone) {
         mark_between_zones(*connection);
     }
@@ -157,7 +157,7 @@
 void peer_links::on_accepted_frame(link_ref link, mesh_wire::frame_message &&frame)
 {
     const mesh_wire::hello_message *hello = frame.payload.Ashello();
-    if (hello != nullptr && hello->zone != handlers_.make_hello().zone) {
+    if (hello != nullptr && hello->zone != handlers_.make_hello(hello->node).zone) {
         mark_between_zones(*accepted_.at(link));
     }
     handlers_.on_link_frame(link, std::move(frame));
--- a/gullstall/src/edge/peer_links.hpp
+++ b/gullstall/src/edge/peer_links.hpp
@@ -18,7 +18,7 @@
 /// Callbacks for connections between nodes.
 struct peer_link_handlers
 {
-    std::function<mesh_wire::hello_message()> make_hello;
+    std::function<mesh_wire::hello_message(const std::string &to)> make_hello;
     /// The connection to a node is established: its first frame has arrived.
     std::function<void(const std::string &node)> on_connected;
     /// The connection to a node was lost. No byte of the calls \a unsent has been
--- a/gullstall/src/mesh/directory.cpp
+++ b/gullstall/src/mesh/directory.cpp
@@ -35,6 +35,12 @@
            (status.incarnation == known.incarnation && status.sequence <= known.sequence);
 }
 
+std::unique_ptr<mesh_wire::upstream_notice_message> copy_of(
+    const std::unique_ptr<mesh_wire::upstream_notice_message> &it)
+{
+    return it ? std::make_unique<mesh_wire::upstream_notice_message>(*it) : nullptr;
+}
+
 void copy_load(const mesh_wire::node_status_message &from, mesh_wire::node_status_message &to)
 {
     to.slots = from.slots;
@@ -43,6 +49,36 @@
     to.run_time_us = from.run_time_us;
     to.wait_us = from.wait_us;
     to.shed_milli = from.shed_milli;
+    to.notice = copy_of(from.notice);
+    to.limit_wait_us = from.limit_wait_us;
+}
+
+bool is_same_upstream(const mesh_wire::upstream_notice_message &a, const std::string &upstream,
+                      std::uint64_t started_ms)
+{
+    return a.upstream == upstream && a.started_ms == started_ms;
+}
+
+/// Keeps what an upstream has said of itself. An announced leave is final for an incarnation.
+void remember_notice(node_view &known,
+                     const std::unique_ptr<mesh_wire::upstream_notice_message> &it)
+{
+    if (!it) {
+        return;
+    }
+    bool is_same = known.notice && is_same_upstream(*known.notice, it->upstream, it->started_ms);
+    if (known.notice && !is_same && it->started_ms < known.notice->started_ms) {
+        return;
+    }
+    bool was_leaving = is_same && known.notice->leaving;
+    known.notice = *it;
+    known.notice->leaving |= was_leaving;
+}
+
+bool has_announced_leave(const node_view &it)
+{
+    return it.notice && it.notice->leaving &&
+           is_same_upstream(*it.notice, it.status.upstream, it.status.started_ms);
 }
 
 }  // namespace
@@ -56,7 +92,25 @@
 {
     return it.linked && !is_silent(it, now) && !it.status.stopping &&
            it.status.service == service && it.status.state == mesh_wire::upstream_state::ready &&
-           it.status.slots > 0;
+           it.status.slots > 0 && !has_announced_leave(it);
+}
+
+bool is_limited(const mesh_wire::node_status_message &it)
+{
+    return it.notice && it.notice->limited;
+}
+
+bool has_limit_room(const node_view &it, time_point now)
+{
+    return !is_limited(it.status) || now >= it.limit_free_at;
+}
+
+void forget_limit(directory &it, const std::string &node)
+{
+    auto found = it.nodes.find(node);
+    if (found != it.nodes.end() && found->second.notice) {
+        found->second.notice->limited = false;
+    }
 }
 
 double recent_failure_rate(const node_view &it, time_point now)
@@ -89,11 +143,13 @@
     }
     node_view &known = found->second;
     known.probed_at.reset();
+    remember_notice(known, status.notice);
     if (is_older(status, known.status)) {
         return false;
     }
     known.status = status;
     known.status_at = now;
+    known.limit_free_at = now + duration(status.limit_wait_us);
     known.load_sequence = status.sequence;
     known.sent_since_status = 0;
     known.pass_on_at.reset();
@@ -108,6 +164,7 @@
         return false;
     }
     node_view &known = found->second;
+    remember_notice(known, status.notice);
     if (status.incarnation < known.address.incarnation || is_older(status, known.status)) {
         return false;
     }
@@ -119,6 +176,7 @@
         copy_load(before, known.status);  // a reply has told a later one
     } else {
         known.load_sequence = status.sequence;
+        known.limit_free_at = heard_at + duration(status.limit_wait_us);
         // Calls sent after the node was heard are not in the status.
         known.sent_since_status = std::min(known.sent_since_status, known.in_flight);
     }
@@ -134,6 +192,7 @@
     }
     node_view &known = found->second;
     known.probed_at.reset();
+    remember_notice(known, load.notice);
     if (load.sequence <= known.load_sequence) {
         return;
     }
@@ -144,6 +203,9 @@
     known.status.run_time_us = load.run_time_us;
     known.status.wait_us = load.wait_us;
     known.status.shed_milli = load.shed_milli;
+    known.status.notice = copy_of(load.notice);
+    known.status.limit_wait_us = load.limit_wait_us;
+    known.limit_free_at = now + duration(load.limit_wait_us);
     known.status_at = now;
     known.sent_since_status = 0;
 }
--- a/gullstall/src/mesh/directory.hpp
+++ b/gullstall/src/mesh/directory.hpp
@@ -30,6 +30,10 @@
     node_address address;
     bool linked = false;  ///< the outgoing connection is established
     mesh_wire::node_status_message status;
+    /// What the node's upstream has last said of itself, as far as this node heard. It outlives
+    /// the process of that node, which forgets it.
+    std::optional<mesh_wire::upstream_notice_message> notice;
+    time_point limit_free_at{};  ///< when the limit of the upstream allows one more call
     /// When the status was last heard, from the node itself or by the node that passed it
     /// on.
     time_point status_at{};
@@ -55,8 +59,17 @@
 /// \returns whether the node has left a probe unanswered
 bool is_silent(const node_view &it, time_point now);
 
+/// \returns whether the node's upstream limits the requests that it takes
+bool is_limited(const mesh_wire::node_status_message &it);
+
+/// \returns whether the limit of the node's upstream, if any, allows one more call now
+bool has_limit_room(const node_view &it, time_point now);
+
+/// Forgets the remembered limit of the node's upstream, which has answered without one.
+void forget_limit(directory &it, const std::string &node);
+
 /// \returns whether calls to \a service may be sent to the node: it is connected and
-/// responsive, and its upstream accepts work
+/// responsive, and its upstream accepts work and has not announced that it leaves
 bool is_usable(const node_view &it, const std::string &service, time_point now);
 
 /// \returns the recent failure rate of calls to the node, decaying with time
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -61,6 +61,28 @@
     return true;
 }
 
+struct placement
+{
+    std::string node;  ///< empty if no usable one is known
+    bool waits_for_limit = false;
+};
+
+/// Selects the node to send a call to. Only if no upstream is known that has room, or at the
+/// last attempt, does the call wait until the limit of an upstream allows it.
+placement choose_placement(mesh_turn &t, const entry_call &call)
+{
+    if (call.send_count >= max_placements) {
+        return placement{};
+    }
+    placement_request wanted{call.call.service, t.n.settings.node.zone, call.excluded_nodes,
+                             call.route};
+    std::string node = choose_node(t.n.nodes, t.n.zones, wanted, t.n.random, t.now, t.n.features);
+    if (!node.empty()) {
+        return placement{node, call.send_count + 1 == max_placements};
+    }
+    return placement{choose_node_to_wait_at(t.n.nodes, wanted, t.n.random, t.now), true};
+}
+
 /// Sends the call to a node not tried yet, lets it wait for one, or refuses it.
 void place_call(mesh_turn &t, call_ref id)
 {
@@ -74,11 +96,7 @@
         return;
     }
     update_own_status(t);
-    placement_request wanted{call.call.service, t.n.settings.node.zone, call.tried, call.route};
-    std::string node =
-        call.send_count < max_placements
-            ? choose_node(t.n.nodes, t.n.zones, wanted, t.n.random, t.now, t.n.features)
-            : std::string();
+    auto [node, waits_for_limit] = choose_placement(t, call);
     if (node.empty()) {
         if (!wait_for_upstream(t, call)) {
             fail_call(t, id, call.last_reason);
@@ -95,8 +113,9 @@
     }
     ++call.send_count;
     call.tried.push_back(node);
+    call.excluded_nodes.push_back(node);
     std::uint64_t correlation = ++t.n.last_id;
-    call.current = sent_call{correlation, node, t.now};
+    call.current = sent_call{correlation, node, t.now, waits_for_limit};
     t.n.calls_by_correlation[correlation] = id;
     record_sent_call(t.n.nodes, node);
     mesh_wire::call_message message = call.call;
@@ -105,6 +124,7 @@
     message.sent_us = frame_time_us(t.now);
     message.due_us = (call.due - t.now).count();
     message.repeat = call.call.repeat || call.dispatch_count > 0;
+    message.waits_for_limit = waits_for_limit;
     if (node == t.n.settings.node.name) {
         handle_call(t, local_link, std::move(message));
         return;
@@ -174,6 +194,9 @@
 {
     entry_call &call = t.n.calls.at(id);
     t.n.calls_by_correlation.erase(call.current->correlation);
+    if (why == reason::upstream_limit && !call.current->waits_for_limit) {
+        call.excluded_nodes.pop_back();
+    }
     call.current.reset();
     if (why != reason::retry_limit) {
         call.last_reason = why;  // otherwise the reason of the failed attempt is kept
@@ -337,6 +360,9 @@
                                                            : call_end::failed;
     record_call_result(t.n.nodes, from, end, t.now);
     if (reply.outcome == outcome::answered) {
+        if (reply.load && !(reply.load->notice && reply.load->notice->limited)) {
+            forget_limit(t.n.nodes, from);
+        }
         if (is_retryable_error(t.n.calls.at(id), reply)) {
             retry_after_error(t, id, reply);
             return;
@@ -372,6 +398,7 @@
         }
         // Nodes that refused the call may have restarted since.
         found->second.tried.clear();
+        found->second.excluded_nodes.clear();
         found->second.send_count = std::min(found->second.send_count, max_placements - 1);
         place_call(t, id);
     }
--- a/gullstall/src/mesh/entry_answers.cpp
+++ b/gullstall/src/mesh/entry_answers.cpp
@@ -19,19 +19,23 @@
 constexpr std::uint64_t answer_log_interval = 100;
 
 /// \returns the time after which a retry may succeed
-duration retry_delay(const mesh_turn &t, reason why, duration left)
+/// \param service that refused the request, empty if none did
+duration retry_delay(const mesh_turn &t, reason why, duration left, const std::string &service)
 {
     if (why == reason::shed || why == reason::crashes_upstreams) {
         return left;  // it outlasts any early retry
     }
+    if (why == reason::upstream_limit) {
+        return shortest_limit_wait(t.n.nodes, service, t.now);
+    }
     bool is_missing = why == reason::no_upstream || why == reason::no_policy;
     duration interval = from_milliseconds(t.n.settings.upstream.heartbeat_interval_ms);
     return is_missing ? t.n.started_at + interval - t.now : duration{};
 }
 
-duration return_time(mesh_turn &t, reason why, duration left)
+duration return_time(mesh_turn &t, reason why, duration left, const std::string &service = "")
 {
-    refusal it{left, t.n.features.timed_returns ? retry_delay(t, why, left) : duration{}};
+    refusal it{left, t.n.features.timed_returns ? retry_delay(t, why, left, service) : duration{}};
     return t.n.features.spread_returns ? draw_retry_delay(it, t.n.random) : max_retry_delay(it);
 }
 
@@ -136,7 +140,7 @@
         duration left = call.deadline - t.now;
         refusal over_quota{left, call.quota_retry_after.value_or(duration{})};
         answer.retry_after = call.quota_retry_after ? draw_retry_delay(over_quota, t.n.random)
-                                                    : return_time(t, why, left);
+                                                    : return_time(t, why, left, call.call.service);
     }
     count_answer(t, call.route, is_refusal ? "refused" : "failed", reason_name(why));
     if (why == reason::crashes_upstreams) {
--- a/gullstall/src/mesh/gate_demand.cpp
+++ b/gullstall/src/mesh/gate_demand.cpp
@@ -39,6 +39,14 @@
                                   : static_cast<std::uint16_t>(found->second * milli);
 }
 
+/// \returns the calls per second that the rate limit leaves while the queue is drained
+double available_rate(const run_gate &it)
+{
+    double limit = *it.rate.per_s;
+    double after_drain = limit - static_cast<double>(it.waiting.size()) / drain_time_s;
+    return std::max(after_drain, limit * min_capacity_fraction);
+}
+
 }  // namespace
 
 void record_arrival(gate_demand &it, const std::string &root, double share)
@@ -80,15 +88,21 @@
 gate_capacity capacity_of(const run_gate &it)
 {
     if (it.mean_run_us <= 0) {
-        return gate_capacity{};
+        double limit = it.rate.per_s.value_or(0);
+        return gate_capacity{limit, limit};
     }
     constexpr double us_per_s = 1e6;
     double full = it.slots * us_per_s / it.mean_run_us;
     double after_drain = full - static_cast<double>(it.waiting.size()) / drain_time_s;
     // Calls that the upstream sheds occupy no slot.
     double attempts_per_run = 1 / (1 - std::min(it.shed_share, max_shed_share));
-    return gate_capacity{full * attempts_per_run,
-                         std::max(after_drain, full * min_capacity_fraction) * attempts_per_run};
+    gate_capacity out{full * attempts_per_run,
+                      std::max(after_drain, full * min_capacity_fraction) * attempts_per_run};
+    if (it.rate.per_s) {
+        out.max_per_s = std::min(out.max_per_s, *it.rate.per_s);
+        out.available_per_s = std::min(out.available_per_s, available_rate(it));
+    }
+    return out;
 }
 
 }  // namespace gullstall::mesh
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -61,7 +61,9 @@
     if (t.n.upstream.latest) {
         out.service = t.n.upstream.latest->service;
         out.upstream = t.n.upstream.latest->upstream;
-        out.state = t.n.upstream.latest->state;
+        out.started_ms = t.n.upstream.latest->started_ms;
+        out.state = t.n.upstream.has_announced_leave ? mesh_wire::upstream_state::draining
+                                                     : t.n.upstream.latest->state;
     }
     if (!accepts_runs(t.n, t.now) && out.state == mesh_wire::upstream_state::ready) {
         out.state = mesh_wire::upstream_state::absent;
@@ -74,6 +76,8 @@
     out.run_time_us = load.run_time_us;
     out.wait_us = load.wait_us;
     out.shed_milli = load.shed_milli;
+    out.notice = std::move(load.notice);
+    out.limit_wait_us = load.limit_wait_us;
     out.capacity_per_s = static_cast<std::uint32_t>(t.n.capacity.available_per_s);
     out.full_per_s = static_cast<std::uint32_t>(t.n.capacity.max_per_s);
     out.demand = t.n.demand_parts;
@@ -91,10 +95,30 @@
     out.run_time_us = static_cast<std::uint32_t>(n.gate.mean_run_us);
     out.wait_us = static_cast<std::uint32_t>(expected_wait(n.gate, n.gate.waiting.size()).count());
     out.shed_milli = static_cast<std::uint16_t>(n.gate.shed_share * milli);
+    out.notice = own_notice(n);
+    out.limit_wait_us =
+        static_cast<std::uint32_t>(token_wait(n.gate.rate, n.gate.waiting.size()).count());
     return out;
 }
 
-mesh_wire::hello_message own_hello(const mesh_node &n, time_point now)
+std::unique_ptr<mesh_wire::upstream_notice_message> own_notice(const mesh_node &n)
+{
+    constexpr double milli = 1000;
+    const own_upstream &up = n.upstream;
+    bool is_limited = up.limit && n.features.upstream_limits;
+    if (!up.latest || (!is_limited && !up.has_announced_leave)) {
+        return nullptr;
+    }
+    auto out = std::make_unique<mesh_wire::upstream_notice_message>();
+    out->upstream = up.latest->upstream;
+    out->started_ms = up.latest->started_ms;
+    out->limited = is_limited;
+    out->limit_milli = is_limited ? static_cast<std::uint64_t>(up.limit->per_s * milli) : 0;
+    out->leaving = up.has_announced_leave;
+    return out;
+}
+
+mesh_wire::hello_message own_hello(const mesh_node &n, const std::string &to, time_point now)
 {
     const node_address &self = n.nodes.nodes.at(n.settings.node.name).address;
     mesh_wire::hello_message out;
@@ -106,6 +130,10 @@
     out.sent_us = frame_time_us(now);
     out.relays_statuses = n.features.relayed_statuses;
     out.reads_crash_news = n.features.crash_guard;
+    auto receiver = n.nodes.nodes.find(to);
+    if (receiver != n.nodes.nodes.end() && receiver->second.notice) {
+        out.notice = std::make_unique<mesh_wire::upstream_notice_message>(*receiver->second.notice);
+    }
     return out;
 }
 
@@ -141,6 +169,9 @@
         static_cast<std::int64_t>(frame_time_us(t.now)) - static_cast<std::int64_t>(hello.sent_us);
     handle_address(t, node_address{hello.node, hello.zone, endpoint{hello.address, hello.port},
                                    hello.incarnation});
+    if (hello.notice) {
+        handle_remembered_notice(t, hello.node, *hello.notice);
+    }
     t.out.emplace_back(send_to_link{link, mesh_frame(own_status(t))});
     greet_with_chains(t, link);
     greet_with_suspects(t, link);
@@ -350,6 +381,9 @@
     if (!n.run_expiry.empty()) {
         out = std::min(out.value_or(time_point::max()), n.run_expiry.begin()->first);
     }
+    if (std::optional<time_point> token = next_token_at(n.gate)) {
+        out = std::min(out.value_or(time_point::max()), *token);
+    }
     return out;
 }
 
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -42,6 +42,7 @@
     std::uint64_t correlation = 0;
     std::string node;
     time_point sent_at{};
+    bool waits_for_limit = false;  ///< may wait until the limit of the upstream allows it
 };
 
 /// A request that this node has accepted and not yet answered.
@@ -57,6 +58,9 @@
     time_point due{};       ///< end of the latency objective of the caller's request
     std::optional<sent_call> current;
     std::vector<std::string> tried;
+    /// Nodes that it is not sent to again. One that refused it at once because of its
+    /// upstream's limit is not among them.
+    std::vector<std::string> excluded_nodes;
     std::uint32_t send_count = 0;      ///< nodes the call was sent to
     std::uint32_t dispatch_count = 0;  ///< upstreams that received it, or may have
     bool may_have_run = false;
@@ -115,6 +119,7 @@
     std::uint64_t retries_refused = 0;  ///< at the gate
     std::uint64_t runs_started = 0;
     std::uint64_t stale_frames = 0;
+    std::uint64_t refused_by_limit = 0;      ///< at the gate, by the limit of the upstream
     std::uint64_t upstream_crashes = 0;      ///< of the local upstream
     std::uint64_t runs_lost_in_crashes = 0;  ///< of the local upstream
 };
@@ -256,6 +261,8 @@
 void close_gate(mesh_turn &t);
 /// Dispatches queued calls while slots are free.
 void dispatch_queued(mesh_turn &t);
+/// Refuses the queued calls that the limit of the upstream leaves no room for.
+void refuse_beyond_limit(mesh_turn &t);
 /// Refuses all queued calls; none of them has run.
 void refuse_queued(mesh_turn &t, mesh_wire::reason why);
 
@@ -272,6 +279,10 @@
 /// \param run that the response belongs to; none if it is a late one to an earlier request
 void handle_upstream_notice(mesh_turn &t, std::optional<run_ref> run,
                             const upstream_notice &notice);
+/// Applies what a peer remembers of the local upstream. A process that has just started has
+/// heard nothing from it yet.
+void handle_remembered_notice(mesh_turn &t, const std::string &from,
+                              const mesh_wire::upstream_notice_message &notice);
 /// Logs what a limited upstream gets. To be called on each tick.
 void log_limit_use(mesh_turn &t);
 void handle_leave(mesh_turn &t, const std::string &upstream, std::uint64_t unix_ms);
@@ -308,7 +319,10 @@
 void restore_chain(mesh_turn &t, const std::string &route, const calls_per_run &calls);
 mesh_wire::node_load_message own_load(mesh_node &n);
 mesh_wire::node_status_message own_status(mesh_turn &t);
-mesh_wire::hello_message own_hello(const mesh_node &n, time_point now);
+/// \param to node that the message is sent to
+mesh_wire::hello_message own_hello(const mesh_node &n, const std::string &to, time_point now);
+/// \returns what the local upstream says of itself; none if it has no limit and is not leaving
+std::unique_ptr<mesh_wire::upstream_notice_message> own_notice(const mesh_node &n);
 /// Runs the periodic work; to be called at least every mesh_tick_interval.
 void members_tick(mesh_turn &t);
 /// \returns whether the node is ready: it has a policy and peers to send to
@@ -323,7 +337,7 @@
 /// Maximum interval between calls of members_tick.
 constexpr duration mesh_tick_interval = milliseconds(100);
 
-/// \returns the earliest expiry of a call or run, if any
+/// \returns the earliest time at which a call or run expires or a queued run may start, if any
 std::optional<time_point> next_expiry(const mesh_node &n);
 
 // stop.cpp: graceful shutdown
--- a/gullstall/src/mesh/own_upstream.cpp
+++ b/gullstall/src/mesh/own_upstream.cpp
@@ -49,6 +49,7 @@
     if (!is_same) {
         it.limit.reset();
         it.has_announced_leave = false;
+        it.has_responded = false;
     }
     it.latest = beat;
     it.has_crashed = false;
@@ -70,7 +71,8 @@
 
 bool accepts_work(const own_upstream &it)
 {
-    return it.latest && it.latest->state == mesh_wire::upstream_state::ready && !it.has_crashed;
+    return it.latest && it.latest->state == mesh_wire::upstream_state::ready && !it.has_crashed &&
+           !it.has_announced_leave;
 }
 
 }  // namespace gullstall::mesh
--- a/gullstall/src/mesh/own_upstream.hpp
+++ b/gullstall/src/mesh/own_upstream.hpp
@@ -58,6 +58,10 @@
     std::optional<named_limit> limit;  ///< of the incarnation of the latest heartbeat
     bool has_announced_leave = false;  ///< that incarnation has, in a response
     request_window requests;           ///< sent to the upstream
+    /// What peers remember of the upstream, until it announces itself to this process.
+    std::optional<mesh_wire::upstream_notice_message> remembered;
+    std::string remembered_by;   ///< peer that told of it
+    bool has_responded = false;  ///< the incarnation has, to a request of this process
     time_point limit_logged_at{};
 };
 
--- a/gullstall/src/mesh/placing.cpp
+++ b/gullstall/src/mesh/placing.cpp
@@ -68,10 +68,9 @@
     double cost = 0;
 };
 
-/// Samples one of \a all; cheaper ones are more likely.
-candidate sample(const std::vector<candidate> &all, random_source &random, const mesh_features &on)
+/// Samples one of \a all with the inverse cost to the given power as weight.
+candidate sample_by(const std::vector<candidate> &all, double power, random_source &random)
 {
-    double power = on.cost_draw ? cost_exponent : 0;
     double total = 0;
     for (const candidate &it : all) {
         total += std::pow(it.cost, -power);
@@ -86,6 +85,12 @@
     return all.empty() ? candidate{} : all.back();
 }
 
+/// Samples one of \a all; cheaper ones are more likely.
+candidate sample(const std::vector<candidate> &all, random_source &random, const mesh_features &on)
+{
+    return sample_by(all, on.cost_draw ? cost_exponent : 0, random);
+}
+
 /// \returns the zone crossings of a call sent to \a node and of the calls that its run
 /// makes. Another zone carries a surcharge, so that the local one wins ties.
 double crossings_at(const node_view &node, const zone_plan &plan, const placement_request &wanted)
@@ -132,7 +137,8 @@
 {
     std::vector<const node_view *> usable;
     for (const auto &[name, view] : it.nodes) {
-        if (is_candidate(view, wanted, now)) {
+        bool has_room = !on.limit_placing || has_limit_room(view, now);
+        if (has_room && is_candidate(view, wanted, now)) {
             usable.push_back(&view);
         }
     }
@@ -155,4 +161,31 @@
     return best.node == nullptr ? std::string() : best.node->address.node;
 }
 
+std::string choose_node_to_wait_at(const directory &it, const placement_request &wanted,
+                                   random_source &random, time_point now)
+{
+    constexpr double min_weight = 1e-3;  // of an upstream with a limit of zero
+    std::vector<candidate> all;
+    for (const auto &[name, view] : it.nodes) {
+        if (is_limited(view.status) && is_candidate(view, wanted, now)) {
+            auto limit = static_cast<double>(view.status.notice->limit_milli);
+            all.push_back(candidate{&view, 1 / std::max(min_weight, limit)});
+        }
+    }
+    const node_view *node = sample_by(all, 1, random).node;
+    return node == nullptr ? std::string() : node->address.node;
+}
+
+duration shortest_limit_wait(const directory &it, const std::string &service, time_point now)
+{
+    std::optional<duration> out;
+    for (const auto &[name, view] : it.nodes) {
+        if (is_usable(view, service, now)) {
+            duration wait = std::max(duration{}, view.limit_free_at - now);
+            out = std::min(wait, out.value_or(wait));
+        }
+    }
+    return out.value_or(duration{});
+}
+
 }  // namespace gullstall::mesh
--- a/gullstall/src/mesh/placing.hpp
+++ b/gullstall/src/mesh/placing.hpp
@@ -19,11 +19,20 @@
     std::string route;                        ///< route of the call
 };
 
-/// Selects the node to send a call to.
+/// Selects the node to send a call to, among those whose upstream has room within its limit.
 /// \returns the name of the node, empty if no usable one is known
 std::string choose_node(const directory &it, const zone_plan &plan, const placement_request &wanted,
                         random_source &random, time_point now, const mesh_features &on = {});
 
+/// Selects the node at which a call waits until the limit of the upstream allows it; the higher
+/// the limit, the more likely.
+/// \returns the name of the node, empty if no usable one is known
+std::string choose_node_to_wait_at(const directory &it, const placement_request &wanted,
+                                   random_source &random, time_point now);
+
+/// \returns the time until the limit of some usable upstream of \a service allows one more call
+duration shortest_limit_wait(const directory &it, const std::string &service, time_point now);
+
 }  // namespace gullstall::mesh
 
 #endif
--- a/gullstall/src/mesh/report.cpp
+++ b/gullstall/src/mesh/report.cpp
@@ -55,6 +55,8 @@
     add(out, "gullstall_held_runs", "gauge", static_cast<double>(n.held_runs.size()));
     add(out, "gullstall_calls_in_flight", "gauge", static_cast<double>(n.calls.size()));
     add_limit(out, n.upstream, now);
+    add(out, "gullstall_refused_by_limit_total", "counter",
+        static_cast<double>(n.counters.refused_by_limit));
     add(out, "gullstall_slots", "gauge", n.gate.slots);
     add(out, "gullstall_slots_in_use", "gauge", n.gate.running);
     add(out, "gullstall_gate_capacity_per_second", "gauge", n.capacity.available_per_s);
--- a/gullstall/src/mesh/run_gate.cpp
+++ b/gullstall/src/mesh/run_gate.cpp
@@ -37,6 +37,29 @@
     return queue_position{2U * it.priority + (it.late ? 1 : 0), it.due, arrival};
 }
 
+duration slot_wait(const run_gate &it, std::size_t ahead)
+{
+    if (it.slots == 0) {
+        return duration{};
+    }
+    double free = it.slots > it.running ? it.slots - it.running : 0;
+    double ends_needed = std::max(0.0, static_cast<double>(ahead) + 1 - free);
+    return duration(static_cast<std::int64_t>(ends_needed * it.mean_run_us / it.slots));
+}
+
+bool is_too_long(duration wait, const slot_request &request)
+{
+    double fraction = request.inner ? max_nested_wait_fraction : max_wait_fraction;
+    return static_cast<double>(wait.count()) >
+           fraction * static_cast<double>(request.time_left.count());
+}
+
+void take_slot(run_gate &it)
+{
+    ++it.running;
+    take_token(it.rate);
+}
+
 }  // namespace
 
 std::uint32_t usable_slots(std::uint32_t slots)
@@ -47,31 +70,36 @@
 
 duration expected_wait(const run_gate &it, std::size_t ahead)
 {
-    if (it.slots == 0) {
-        return duration{};
+    return std::max(slot_wait(it, ahead), token_wait(it.rate, ahead));
+}
+
+std::optional<gate_verdict> refusal_in_queue(const run_gate &it, const slot_request &request,
+                                             std::size_t ahead)
+{
+    duration rate_wait = token_wait(it.rate, ahead);
+    bool may_not_wait = !request.waits_for_rate && rate_wait > duration{};
+    if (may_not_wait || is_too_long(rate_wait, request)) {
+        return gate_verdict::rate_limited;
     }
-    double free = it.slots > it.running ? it.slots - it.running : 0;
-    double ends_needed = std::max(0.0, static_cast<double>(ahead) + 1 - free);
-    return duration(static_cast<std::int64_t>(ends_needed * it.mean_run_us / it.slots));
+    bool exceeds_length =
+        request.limited_by_queue_length && ahead >= it.slots * max_waiting_per_slot;
+    if (exceeds_length || is_too_long(slot_wait(it, ahead), request)) {
+        return gate_verdict::refused;
+    }
+    return std::nullopt;
 }
 
 gate_verdict request_slot(run_gate &it, const slot_request &request)
 {
-    if (it.running < it.slots && it.waiting.empty()) {
-        ++it.running;
+    if (it.running < it.slots && it.waiting.empty() && has_token(it.rate)) {
+        take_slot(it);
         return gate_verdict::granted;
     }
     queue_position position = queue_key_of(request, it.arrivals++);
     auto ahead = static_cast<std::size_t>(
         std::distance(it.waiting.begin(), it.waiting.lower_bound(position)));
-    duration wait = expected_wait(it, ahead);
-    double fraction = request.inner ? max_nested_wait_fraction : max_wait_fraction;
-    bool exceeds_wait = static_cast<double>(wait.count()) >
-                        fraction * static_cast<double>(request.time_left.count());
-    bool exceeds_length =
-        request.limited_by_queue_length && ahead >= it.slots * max_waiting_per_slot;
-    if (exceeds_wait || exceeds_length) {
-        return gate_verdict::refused;
+    if (std::optional<gate_verdict> refusal = refusal_in_queue(it, request, ahead)) {
+        return *refusal;
     }
     it.waiting.emplace(position, request.run);
     return gate_verdict::queued;
@@ -88,6 +116,12 @@
     return true;
 }
 
+void return_slot(run_gate &it)
+{
+    it.running -= it.running > 0 ? 1 : 0;
+    return_token(it.rate);
+}
+
 void release_slot(run_gate &it, std::optional<duration> held)
 {
     it.running -= it.running > 0 ? 1 : 0;
@@ -105,13 +139,21 @@
 
 std::optional<run_ref> dequeue_run(run_gate &it)
 {
-    if (it.running >= it.slots || it.waiting.empty()) {
+    if (it.running >= it.slots || it.waiting.empty() || !has_token(it.rate)) {
         return std::nullopt;
     }
     run_ref next = it.waiting.begin()->second;
     it.waiting.erase(it.waiting.begin());
-    ++it.running;
+    take_slot(it);
     return next;
 }
 
+std::optional<time_point> next_token_at(const run_gate &it)
+{
+    if (it.waiting.empty() || it.running >= it.slots || has_token(it.rate)) {
+        return std::nullopt;
+    }
+    return it.rate.refilled_at + token_wait(it.rate, 0);
+}
+
 }  // namespace gullstall::mesh
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -30,19 +30,37 @@
     t.out.emplace_back(send_to_link{link, mesh_frame(std::move(reply))});
 }
 
+void add_limit_fields(const mesh_turn &t, write_line &line)
+{
+    const std::optional<named_limit> &limit = t.n.upstream.limit;
+    if (!limit) {
+        return;
+    }
+    std::size_t in_window = counts_in_window(t.n.upstream.requests, t.now).all;
+    line.fields.push_back({"limit_per_s", std::to_string(limit->per_s)});
+    line.fields.push_back({"limit_age_ms", std::to_string(to_ms(t.now - limit->first_named_at))});
+    line.fields.push_back({"limit_named_by", limit->source});
+    line.fields.push_back({"in_window", std::to_string(in_window)});
+}
+
 void refuse(mesh_turn &t, link_ref link, const mesh_wire::call_message &call, reason why)
 {
-    t.out.emplace_back(write_line{write_line::severity::info,
-                                  "serve",
-                                  "call-refused",
-                                  {{"request", call.request_id},
-                                   {"route", call.route},
-                                   {"reason", mesh_wire::EnumNamereason(why)},
-                                   {"priority", std::to_string(call.priority)},
-                                   {"left_ms", std::to_string(call.left_us / 1000)},
-                                   {"running", std::to_string(t.n.gate.running)},
-                                   {"waiting", std::to_string(t.n.gate.waiting.size())},
-                                   {"slots", std::to_string(t.n.gate.slots)}}});
+    write_line line{write_line::severity::info,
+                    "serve",
+                    "call-refused",
+                    {{"request", call.request_id},
+                     {"route", call.route},
+                     {"reason", mesh_wire::EnumNamereason(why)},
+                     {"priority", std::to_string(call.priority)},
+                     {"left_ms", std::to_string(call.left_us / 1000)},
+                     {"running", std::to_string(t.n.gate.running)},
+                     {"waiting", std::to_string(t.n.gate.waiting.size())},
+                     {"slots", std::to_string(t.n.gate.slots)}}};
+    if (why == reason::upstream_limit) {
+        ++t.n.counters.refused_by_limit;
+        add_limit_fields(t, line);
+    }
+    t.out.emplace_back(std::move(line));
     mesh_wire::reply_message reply;
     reply.correlation = call.correlation;
     reply.outcome = outcome::not_started;
@@ -125,9 +143,15 @@
         out.due = time_point{};
     }
     out.limited_by_queue_length = !out.inner || !t.n.features.patient_calls;
+    out.waits_for_rate = run.call.waits_for_limit;
     return out;
 }
 
+reason reason_of(gate_verdict refusal)
+{
+    return refusal == gate_verdict::rate_limited ? reason::upstream_limit : reason::queue_full;
+}
+
 /// Removes a run that has not started and refuses its call.
 void refuse_run(mesh_turn &t, run_ref id, reason why)
 {
@@ -143,7 +167,7 @@
         dispatch_run(t, id);
         return;
     }
-    release_slot(t.n.gate, std::nullopt);
+    return_slot(t.n.gate);
     if (verdict == suspect_verdict::refuse) {
         refuse_run(t, id, reason::crashes_upstreams);
         return;
@@ -172,8 +196,8 @@
         gate_verdict slot = request_slot(t.n.gate, slot_request_of(t, found->second));
         if (slot == gate_verdict::granted) {
             dispatch_run(t, id);
-        } else if (slot == gate_verdict::refused) {
-            refuse_run(t, id, reason::queue_full);
+        } else if (slot != gate_verdict::queued) {
+            refuse_run(t, id, reason_of(slot));
         }
     }
 }
@@ -250,17 +274,36 @@
 
 void dispatch_queued(mesh_turn &t)
 {
+    refill_tokens(t.n.gate.rate, t.now);
     resume_held_runs(t);
     while (std::optional<run_ref> next = dequeue_run(t.n.gate)) {
         if (t.n.runs.at(*next).deadline - t.now >= min_time_left) {
             start_or_hold(t, *next);
             continue;
         }
-        release_slot(t.n.gate, std::nullopt);
+        return_slot(t.n.gate);
         refuse_run(t, *next, reason::too_late);
     }
 }
 
+void refuse_beyond_limit(mesh_turn &t)
+{
+    std::vector<run_ref> refused;
+    std::size_t ahead = 0;
+    for (const auto &[position, id] : t.n.gate.waiting) {
+        slot_request request = slot_request_of(t, t.n.runs.at(id));
+        if (refusal_in_queue(t.n.gate, request, ahead) == gate_verdict::rate_limited) {
+            refused.push_back(id);
+        } else {
+            ++ahead;
+        }
+    }
+    for (run_ref id : refused) {
+        remove_from_queue(t.n.gate, id);
+        refuse_run(t, id, reason::upstream_limit);
+    }
+}
+
 void refuse_queued(mesh_turn &t, reason why)
 {
     std::vector<run_ref> waiting;
@@ -302,7 +345,6 @@
         refuse(t, link, call, reason::retry_limit);
         return;
     }
-    record_arrival(t.n.demand, call.root, call.share_milli / share_scale);
     run_ref id{++t.n.last_id};
     // The transit time is deducted here too.
     time_point due = t.now + duration(call.due_us) + (left - duration(call.left_us));
@@ -316,12 +358,17 @@
     run.due = due;
     run.call = std::move(call);
     run.signature = signature_of(content_of(run.call));
+    refill_tokens(t.n.gate.rate, t.now);
     gate_verdict verdict = request_slot(t.n.gate, slot_request_of(t, run));
-    if (verdict == gate_verdict::refused) {
+    // A call that does not wait for the limit is counted at the upstream where it goes next.
+    if (verdict != gate_verdict::rate_limited || run.call.waits_for_limit) {
+        record_arrival(t.n.demand, run.call.root, run.call.share_milli / share_scale);
+    }
+    if (verdict != gate_verdict::granted && verdict != gate_verdict::queued) {
         if (run.call.asks_grant) {
             return_grant(t, run.call);
         }
-        refuse(t, link, run.call, reason::queue_full);
+        refuse(t, link, run.call, reason_of(verdict));
         return;
     }
     t.n.runs_by_correlation[{link, run.call.correlation}] = id;
--- a/gullstall/src/mesh/service_totals.cpp
+++ b/gullstall/src/mesh/service_totals.cpp
@@ -26,7 +26,8 @@
     it.shed += accepting * shed;
     it.capacity += status.capacity_per_s;
     it.full += status.full_per_s;
-    it.is_capacity_known = it.is_capacity_known && status.capacity_per_s > 0;
+    bool is_known = status.capacity_per_s > 0 || is_limited(status);
+    it.is_capacity_known = it.is_capacity_known && is_known;
     for (const mesh_wire::demand_part &part : status.demand) {
         it.demand[part.weight_milli() / milli] += part.runs_per_s();
     }
--- a/gullstall/src/mesh/switches.hpp
+++ b/gullstall/src/mesh/switches.hpp
@@ -36,6 +36,8 @@
     bool store_watchers = true;    ///< off: each node watches the store
     bool gate_grants = true;       ///< off: entry nodes limit all retries by themselves
     bool crash_guard = true;       ///< off: requests that crash upstreams are run again
+    bool upstream_limits = true;   ///< off: what upstreams say of themselves has no effect
+    bool limit_placing = true;     ///< off: nodes are chosen regardless of upstream limits
 
     bool operator==(const mesh_features &) const = default;
 };
--- a/gullstall/src/mesh/upstream_news.cpp
+++ b/gullstall/src/mesh/upstream_news.cpp
@@ -18,6 +18,19 @@
     }
 }
 
+/// Updates the gate to the limit that the upstream has named.
+void sync_limit(mesh_turn &t)
+{
+    if (!t.n.features.upstream_limits) {
+        return;
+    }
+    const std::optional<named_limit> &limit = t.n.upstream.limit;
+    set_rate(t.n.gate.rate, limit ? std::optional(limit->per_s) : std::nullopt, t.now);
+    refuse_beyond_limit(t);
+    dispatch_queued(t);
+    send_status_to_callers(t);
+}
+
 /// Interval between log lines on the use of a limit.
 constexpr duration limit_log_interval = seconds(1);
 
@@ -60,6 +73,43 @@
                                   {{"request", request}, {"field", field}}});
 }
 
+/// Stops dispatching to an upstream that has said in a response that it leaves.
+void begin_leave(mesh_turn &t, const std::string &request)
+{
+    if (t.n.upstream.has_announced_leave || !t.n.features.upstream_limits) {
+        return;
+    }
+    t.n.upstream.has_announced_leave = true;
+    log_leave(t, request);
+    sync_gate(t);
+    send_status_to_callers(t);
+}
+
+/// Applies what a peer remembers of the upstream. Its limit counts until a response shows
+/// whether it is still in force; an announced leave is final.
+void recall_notice(mesh_turn &t)
+{
+    own_upstream &up = t.n.upstream;
+    bool is_same = up.latest && up.remembered && up.remembered->upstream == up.latest->upstream &&
+                   up.remembered->started_ms == up.latest->started_ms;
+    if (!is_same) {
+        return;
+    }
+    if (up.remembered->limited && !up.has_responded) {
+        constexpr double milli = 1000;
+        upstream_notice notice;
+        notice.limit_per_s = static_cast<double>(up.remembered->limit_milli) / milli;
+        std::optional<named_limit> before = up.limit;
+        if (apply_limit(up.limit, notice, std::nullopt, up.remembered_by, t.now)) {
+            log_limit(t, before, "");
+            sync_limit(t);
+        }
+    }
+    if (up.remembered->leaving) {
+        begin_leave(t, "");
+    }
+}
+
 }  // namespace
 
 heartbeat_verdict handle_heartbeat(mesh_turn &t, const upstream_heartbeat &beat)
@@ -77,7 +127,9 @@
     t.n.upstream_backoff_until = time_point{};
     if (is_new) {
         t.n.gate.mean_run_us = 0;
+        set_rate(t.n.gate.rate, std::nullopt, t.now);
         t.out.emplace_back(upstream_replaced{});
+        recall_notice(t);
     }
     sync_gate(t);
     if (has_changed) {
@@ -108,14 +160,26 @@
     if (!t.n.upstream.latest) {
         return;
     }
+    t.n.upstream.has_responded |= is_known;
     std::optional<named_limit> before = t.n.upstream.limit;
     if (apply_limit(t.n.upstream.limit, notice, is_known ? found->second.started_at : std::nullopt,
                     request, t.now)) {
         log_limit(t, before, request);
+        sync_limit(t);
+    }
+    if (notice.is_leaving) {
+        begin_leave(t, request);
     }
-    if (notice.is_leaving && !t.n.upstream.has_announced_leave) {
-        t.n.upstream.has_announced_leave = true;
-        log_leave(t, request);
+}
+
+void handle_remembered_notice(mesh_turn &t, const std::string &from,
+                              const mesh_wire::upstream_notice_message &notice)
+{
+    std::optional<mesh_wire::upstream_notice_message> &known = t.n.upstream.remembered;
+    if (!known || notice.started_ms >= known->started_ms) {
+        known = notice;
+        t.n.upstream.remembered_by = from;
+        recall_notice(t);
     }
 }
 
--- a/test/runtime/peer_links.cpp
+++ b/test/runtime/peer_links.cpp
@@ -59,7 +59,7 @@
     peer_link_handlers handlers()
     {
         peer_link_handlers out;
-        out.make_hello = [this] {
+        out.make_hello = [this](const std::string &) {
             mesh_wire::hello_message it;
             it.node = name;
             it.zone = zone;
--- a/test/support/limit_load.hpp
+++ b/test/support/limit_load.hpp
@@ -32,6 +32,8 @@
     std::array<double, 3> per_s{130, 280, 60};  ///< requests of each kind
     duration length = seconds(20);
     std::vector<notice_change> changes{};
+    /// When the processes of nodes beside limited upstreams restart, and which.
+    std::vector<std::pair<duration, int>> restarts{};
     mesh::mesh_features features;
 };
 
@@ -52,7 +54,6 @@
     /// Requests that the limited upstreams got, as a fraction of their limits.
     double used = 0;
     std::array<kind_outcome, 3> kinds;
-    std::size_t refused_by_limit = 0;
     double sends_per_request = 0;  ///< frames with a call, and local calls
     double slowest_s = 0;          ///< longest time to the answer of a served request
 };
@@ -60,14 +61,6 @@
 constexpr duration limit_contact_time = seconds(3);
 constexpr duration limit_window = seconds(4);
 
-/// \returns the requests in a window that break the promise to an upstream if exceeded
-inline double allowed_in_window(double limit_per_s)
-{
-    constexpr double factor = 1.5;
-    constexpr double slack = 5;
-    return factor * limit_per_s * to_seconds(limit_window) + slack;
-}
-
 /// A deployment whose upstreams limit the requests that they take.
 class limit_world
 {
@@ -118,6 +111,9 @@
             world.schedule_after(
                 it.at, [this, it] { world.upstreams.at(book(it.upstream)).notice = it.notice; });
         }
+        for (const auto &[at, upstream] : what_.restarts) {
+            world.schedule_after(at, [this, node = book(upstream)] { restart(node); });
+        }
         for (std::size_t i = 0; i < limit_load_kinds.size(); ++i) {
             schedule_random_requests(world, load_,
                                      request_kind{limit_load_kinds[i], what_.per_s[i], time_left},
@@ -134,6 +130,14 @@
 private:
     static constexpr duration time_left = seconds(5);  ///< of a request
 
+    /// Restarts the process of a node. Its upstream stays and is heard of half a second later.
+    void restart(const std::string &node)
+    {
+        world.start_node(node, world.nodes.at(node).settings.node.zone);
+        world.nodes.at(node).features = what_.features;
+        world.schedule_after(milliseconds(500), [this, node] { world.send_heartbeat(node); });
+    }
+
     static std::string zone(int i)
     {
         return std::string(1, static_cast<char>('a' + i % 3));
@@ -145,33 +149,51 @@
         load_.entry_nodes.push_back(name);
     }
 
-    /// A time in which an upstream had one limit.
+    /// A time in which an upstream was limited without a break.
     struct limited_span
     {
         std::string node;
-        double per_s;
-        time_point begin;
-        time_point end;
+        time_point begin{};
+        time_point end{};
+        std::vector<std::pair<time_point, double>> limits;  ///< since when, per second
     };
 
     std::vector<limited_span> limited_spans() const
     {
         std::vector<limited_span> out;
         for (int i = 0; i < what_.upstreams; ++i) {
-            const notice_change *current = nullptr;
-            auto close = [&](duration end) {
-                if (current != nullptr && current->notice.limit_per_s) {
-                    out.push_back(limited_span{book(i), *current->notice.limit_per_s,
-                                               begin_ + current->at, begin_ + end});
-                }
-            };
+            bool is_limited = false;
             for (const notice_change &it : what_.changes) {
-                if (it.upstream == i) {
-                    close(it.at);
-                    current = &it;
+                if (it.upstream != i) {
+                    continue;
+                }
+                time_point at = begin_ + it.at;
+                if (is_limited) {
+                    out.back().end = at;
+                } else if (it.notice.limit_per_s) {
+                    out.push_back(limited_span{book(i), at, at, {}});
                 }
+                is_limited = it.notice.limit_per_s.has_value();
+                if (is_limited) {
+                    out.back().limits.emplace_back(at, *it.notice.limit_per_s);
+                }
+            }
+            if (is_limited) {
+                out.back().end = begin_ + what_.length;
             }
-            close(what_.length);
+        }
+        return out;
+    }
+
+    /// \returns the requests that the limits of the span allow from \a from to \a to
+    static double limit_between(const limited_span &it, time_point from, time_point to)
+    {
+        double out = 0;
+        for (std::size_t i = 0; i < it.limits.size(); ++i) {
+            auto [since, per_s] = it.limits[i];
+            time_point until = i + 1 < it.limits.size() ? it.limits[i + 1].first : it.end;
+            duration length = std::min(until, to) - std::max(since, from);
+            out += std::max(0.0, to_seconds(length)) * per_s;
         }
         return out;
     }
@@ -189,19 +211,22 @@
 
     static double worst_window(const limited_span &it, const std::vector<time_point> &arrivals)
     {
-        std::size_t worst = 0;
+        constexpr double factor = 1.5;
+        constexpr double slack = 5;
+        double worst = 0;
         std::size_t first = 0;
         for (std::size_t last = 0; last < arrivals.size(); ++last) {
-            if (arrivals[last] < it.begin + limit_contact_time) {
-                first = last + 1;
+            time_point begin = arrivals[last] - limit_window;
+            if (begin < it.begin + limit_contact_time) {
                 continue;
             }
-            while (arrivals[last] - arrivals[first] > limit_window) {
+            while (arrivals[first] <= begin) {
                 ++first;
             }
-            worst = std::max(worst, last + 1 - first);
+            double allowed = factor * limit_between(it, begin, arrivals[last]) + slack;
+            worst = std::max(worst, static_cast<double>(last + 1 - first) / allowed);
         }
-        return static_cast<double>(worst) / allowed_in_window(it.per_s);
+        return worst;
     }
 
     limit_outcome measure() const
@@ -213,7 +238,7 @@
             std::vector<time_point> all = arrivals(it);
             out.worst_window = std::max(out.worst_window, worst_window(it, all));
             got += static_cast<double>(all.size());
-            limits += it.per_s * to_seconds(it.end - it.begin);
+            limits += limit_between(it, it.begin, it.end);
         }
         out.used = limits > 0 ? got / limits : 0;
         for (const auto &[id, result] : world.results) {
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -340,7 +340,7 @@
             if (links_.count(ref) == 0) {
                 return;
             }
-            mesh_wire::hello_message hello = own_hello(nodes.at(name), now - link_delay);
+            mesh_wire::hello_message hello = own_hello(nodes.at(name), to, now - link_delay);
             run_node(to, [ref, hello](mesh::mesh_turn &t) { handle_hello(t, ref, hello); });
         });
     }
