A call that waits for an upstream's limit is refused in time

Found by a test of the new limit before landing: with all five upstreams limited to 10 a second, 170 callers were refused just before their deadline (82 to 299 us of Retry-After). More urgent calls overtook them in the queue of the gate for all of their 5 s.

The queue of a limited upstream is reviewed on each tick: what has waited, and would still wait, is held to the fraction of a call's time that applies when it arrives. A call refused so is not placed again.

--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -31,6 +31,15 @@
     return call.expires - now >= min_time_left;
 }
 
+/// \returns whether a call that was refused after it had waited at a gate is refused for good:
+/// at another gate it would wait again
+bool has_used_placing_time(const entry_call &call, time_point now)
+{
+    constexpr double max_placing_fraction = 0.1;
+    return to_seconds(now - call.received_at) >
+           max_placing_fraction * to_seconds(call.expires - call.received_at);
+}
+
 /// \returns the retry budget of a service, accrued up to now
 retry_token_bucket &budget_of(mesh_turn &t, const std::string &service)
 {
@@ -194,6 +203,7 @@
 {
     entry_call &call = t.n.calls.at(id);
     t.n.calls_by_correlation.erase(call.current->correlation);
+    bool has_waited = call.current->waits_for_limit && has_used_placing_time(call, t.now);
     if (why == reason::upstream_limit && !call.current->waits_for_limit) {
         call.excluded_nodes.pop_back();
     }
@@ -203,7 +213,7 @@
     }
     call.dispatch_count += reached ? 1 : 0;
     call.may_have_run = call.may_have_run || how == outcome::unknown;
-    if (why == reason::crashes_upstreams) {
+    if (why == reason::crashes_upstreams || (why == reason::upstream_limit && has_waited)) {
         fail_call(t, id, why);  // any other node refuses it as well
         return;
     }
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -349,7 +349,7 @@
     relay_statuses(t);
     quota_tick(t);
     crash_guard_tick(t);
-    log_limit_use(t);
+    upstream_limit_tick(t);
     admission_tick(t);
     stop_tick(t);
     dispatch_waiting_calls(t);
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -261,7 +261,8 @@
 void close_gate(mesh_turn &t);
 /// Dispatches queued calls while slots are free.
 void dispatch_queued(mesh_turn &t);
-/// Refuses the queued calls that the limit of the upstream leaves no room for.
+/// Refuses the queued calls that the limit of the upstream leaves no room for, or that more
+/// urgent ones have overtaken for too long.
 void refuse_beyond_limit(mesh_turn &t);
 /// Refuses all queued calls; none of them has run.
 void refuse_queued(mesh_turn &t, mesh_wire::reason why);
@@ -283,8 +284,8 @@
 /// heard nothing from it yet.
 void handle_remembered_notice(mesh_turn &t, const std::string &from,
                               const mesh_wire::upstream_notice_message &notice);
-/// Logs what a limited upstream gets. To be called on each tick.
-void log_limit_use(mesh_turn &t);
+/// Reviews the queue of a limited upstream and logs what it gets. To be called on each tick.
+void upstream_limit_tick(mesh_turn &t);
 void handle_leave(mesh_turn &t, const std::string &upstream, std::uint64_t unix_ms);
 
 /// Where a policy was read.
--- a/gullstall/src/mesh/run_gate.cpp
+++ b/gullstall/src/mesh/run_gate.cpp
@@ -9,7 +9,7 @@
 /// Fraction of its slots above which an upstream counts as almost full.
 constexpr double usable_fraction = 0.95;
 
-/// Fraction of the remaining time that a call may wait for a slot. The rest is for its
+/// Fraction of its time that a call may wait for a slot. The rest is for its
 /// run and for the nested calls. Refusing a nested call fails the whole request and
 /// wastes the work already done for it, so nested calls may wait longer.
 constexpr double max_wait_fraction = 0.4;
@@ -50,8 +50,8 @@
 bool is_too_long(duration wait, const slot_request &request)
 {
     double fraction = request.inner ? max_nested_wait_fraction : max_wait_fraction;
-    return static_cast<double>(wait.count()) >
-           fraction * static_cast<double>(request.time_left.count());
+    return to_seconds(request.waited + wait) >
+           fraction * to_seconds(request.waited + request.time_left);
 }
 
 void take_slot(run_gate &it)
--- a/gullstall/src/mesh/run_gate.hpp
+++ b/gullstall/src/mesh/run_gate.hpp
@@ -22,6 +22,7 @@
     bool late = false;                    ///< the latency objective has already expired
     bool limited_by_queue_length = true;  ///< may be refused because of the queue length alone
     bool waits_for_rate = false;          ///< may wait until the rate limit allows it
+    duration waited{};                    ///< time in the queue so far
 
     bool operator==(const slot_request &) const = default;
 };
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -144,6 +144,7 @@
     }
     out.limited_by_queue_length = !out.inner || !t.n.features.patient_calls;
     out.waits_for_rate = run.call.waits_for_limit;
+    out.waited = t.now - run.arrived_at;
     return out;
 }
 
@@ -288,6 +289,10 @@
 
 void refuse_beyond_limit(mesh_turn &t)
 {
+    if (!t.n.gate.rate.per_s || t.n.gate.waiting.empty()) {
+        return;
+    }
+    refill_tokens(t.n.gate.rate, t.now);
     std::vector<run_ref> refused;
     std::size_t ahead = 0;
     for (const auto &[position, id] : t.n.gate.waiting) {
--- a/gullstall/src/mesh/upstream_news.cpp
+++ b/gullstall/src/mesh/upstream_news.cpp
@@ -183,8 +183,9 @@
     }
 }
 
-void log_limit_use(mesh_turn &t)
+void upstream_limit_tick(mesh_turn &t)
 {
+    refuse_beyond_limit(t);
     own_upstream &up = t.n.upstream;
     if (!up.limit || t.now - up.limit_logged_at < limit_log_interval) {
         return;
