--- a/gullstall/src/mesh/directory.cpp
+++ b/gullstall/src/mesh/directory.cpp
@@ -53,32 +53,18 @@
     to.limit_wait_us = from.limit_wait_us;
 }
 
-bool is_same_upstream(const mesh_wire::upstream_notice_message &a, const std::string &upstream,
-                      std::uint64_t started_ms)
-{
-    return a.upstream == upstream && a.started_ms == started_ms;
-}
-
-/// Keeps what an upstream has said of itself. An announced leave is final for an incarnation.
 void remember_notice(node_view &known,
                      const std::unique_ptr<mesh_wire::upstream_notice_message> &it)
 {
-    if (!it) {
-        return;
-    }
-    bool is_same = known.notice && is_same_upstream(*known.notice, it->upstream, it->started_ms);
-    if (known.notice && !is_same && it->started_ms < known.notice->started_ms) {
-        return;
+    if (it) {
+        merge_notice(known.notice, *it);
     }
-    bool was_leaving = is_same && known.notice->leaving;
-    known.notice = *it;
-    known.notice->leaving |= was_leaving;
 }
 
 bool has_announced_leave(const node_view &it)
 {
     return it.notice && it.notice->leaving &&
-           is_same_upstream(*it.notice, it.status.upstream, it.status.started_ms);
+           is_notice_of(*it.notice, it.status.upstream, it.status.started_ms);
 }
 
 }  // namespace
--- a/gullstall/src/mesh/directory.hpp
+++ b/gullstall/src/mesh/directory.hpp
@@ -10,6 +10,7 @@
 #include "gullstall/core.hpp"
 #include "gullstall/generated/mesh_generated.h"
 #include "gullstall/settings.hpp"
+#include "gullstall/src/mesh/upstream_notice.hpp"
 
 namespace gullstall::mesh {
 
--- a/gullstall/src/mesh/upstream_news.cpp
+++ b/gullstall/src/mesh/upstream_news.cpp
@@ -90,8 +90,8 @@
 void recall_notice(mesh_turn &t)
 {
     own_upstream &up = t.n.upstream;
-    bool is_same = up.latest && up.remembered && up.remembered->upstream == up.latest->upstream &&
-                   up.remembered->started_ms == up.latest->started_ms;
+    bool is_same = up.latest && up.remembered &&
+                   is_notice_of(*up.remembered, up.latest->upstream, up.latest->started_ms);
     if (!is_same) {
         return;
     }
@@ -175,12 +175,9 @@
 void handle_remembered_notice(mesh_turn &t, const std::string &from,
                               const mesh_wire::upstream_notice_message &notice)
 {
-    std::optional<mesh_wire::upstream_notice_message> &known = t.n.upstream.remembered;
-    if (!known || notice.started_ms >= known->started_ms) {
-        known = notice;
-        t.n.upstream.remembered_by = from;
-        recall_notice(t);
-    }
+    merge_notice(t.n.upstream.remembered, notice);
+    t.n.upstream.remembered_by = from;
+    recall_notice(t);
 }
 
 void upstream_limit_tick(mesh_turn &t)
--- a/gullstall/src/mesh/upstream_notice.cpp
+++ b/gullstall/src/mesh/upstream_notice.cpp
@@ -50,4 +50,22 @@
     return true;
 }
 
+bool is_notice_of(const mesh_wire::upstream_notice_message &it, const std::string &upstream,
+                  std::uint64_t started_ms)
+{
+    return it.upstream == upstream && it.started_ms == started_ms;
+}
+
+void merge_notice(std::optional<mesh_wire::upstream_notice_message> &known,
+                  const mesh_wire::upstream_notice_message &heard)
+{
+    if (known && heard.started_ms < known->started_ms) {
+        return;
+    }
+    bool has_left =
+        known && known->leaving && is_notice_of(*known, heard.upstream, heard.started_ms);
+    known = heard;
+    known->leaving |= has_left;
+}
+
 }  // namespace gullstall::mesh
--- a/gullstall/src/mesh/upstream_notice.hpp
+++ b/gullstall/src/mesh/upstream_notice.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "gullstall/core.hpp"
+#include "gullstall/generated/mesh_generated.h"
 
 namespace gullstall::mesh {
 
@@ -44,6 +45,15 @@
 bool apply_limit(std::optional<named_limit> &limit, const upstream_notice &notice,
                  std::optional<time_point> requested_at, const std::string &source, time_point now);
 
+/// \returns whether the notice is of the given incarnation
+bool is_notice_of(const mesh_wire::upstream_notice_message &it, const std::string &upstream,
+                  std::uint64_t started_ms);
+
+/// Updates what is remembered of an upstream. Notices of earlier incarnations are ignored; an
+/// announced leave is final for an incarnation.
+void merge_notice(std::optional<mesh_wire::upstream_notice_message> &known,
+                  const mesh_wire::upstream_notice_message &heard);
+
 }  // namespace gullstall::mesh
 
 #endif
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -162,9 +162,10 @@
         mesh::upstream_heartbeat it{
             upstream, upstreams[name].service, "",        started_ms, ++heartbeats_,
             state,    upstreams[name].slots,   duration{}};
-        mesh::heartbeat_verdict verdict{};
-        run_node(name, [&](mesh::mesh_turn &t) { verdict = handle_heartbeat(t, it); });
-        return verdict;
+        // A paused node gets it later.
+        auto verdict = std::make_shared<mesh::heartbeat_verdict>();
+        run_node(name, [verdict, it](mesh::mesh_turn &t) { *verdict = handle_heartbeat(t, it); });
+        return *verdict;
     }
 
     /// Sends a caller's request to a node.
@@ -208,14 +209,7 @@
         for (mesh::mesh_action &it : out) {
             std::visit([&](auto &output) { perform(name, output); }, it);
         }
-        if (std::optional<time_point> next = next_expiry(nodes.at(name))) {
-            schedule_at(std::max(now, *next), [this, name] {
-                run_node(name, [](mesh::mesh_turn &t) {
-                    expire_calls(t);
-                    expire_runs(t);
-                });
-            });
-        }
+        arm_expiry(name);
     }
 
     /// Ends a run on a node's upstream.
@@ -283,6 +277,28 @@
         std::string to;
     };
 
+    /// Schedules the next expiry of a node unless an earlier one is scheduled.
+    void arm_expiry(const std::string &name)
+    {
+        std::optional<time_point> next = next_expiry(nodes.at(name));
+        auto armed = expiry_at_.find(name);
+        if (!next || (armed != expiry_at_.end() && armed->second <= *next)) {
+            return;
+        }
+        time_point at = std::max(now, *next);
+        expiry_at_[name] = at;
+        schedule_at(at, [this, name, at] {
+            auto found = expiry_at_.find(name);
+            if (found != expiry_at_.end() && found->second == at) {
+                expiry_at_.erase(found);
+            }
+            run_node(name, [](mesh::mesh_turn &t) {
+                expire_calls(t);
+                expire_runs(t);
+            });
+        });
+    }
+
     using answer_function = std::function<void(const mesh::caller_answer &)>;
 
     void submit(const std::string &node, const std::string &id, const std::string &path,
@@ -578,6 +594,7 @@
     static constexpr duration connect_time = microseconds(100);
 
     std::priority_queue<event> queue_;
+    std::map<std::string, time_point> expiry_at_;  ///< of the scheduled expiry, by node
     std::uint64_t last_id_ = 0;
     std::uint64_t heartbeats_ = 0;
     std::set<std::string> dead_upstreams_;  ///< by node
--- a/test/unit/mesh_upstream_limit.cpp
+++ b/test/unit/mesh_upstream_limit.cpp
@@ -245,6 +245,27 @@
     CHECK(later > 100);
 }
 
+// Guards against a leave that one peer remembers and another one has not heard of.
+TEST_CASE("notices of several peers, one tells of a leave, are all kept")
+{
+    std::optional<mesh_wire::upstream_notice_message> known;
+    auto tell = [&](const char *upstream, std::uint64_t started_ms, bool leaving) {
+        mesh_wire::upstream_notice_message heard;
+        heard.upstream = upstream;
+        heard.started_ms = started_ms;
+        heard.leaving = leaving;
+        mesh::merge_notice(known, heard);
+    };
+    tell("a", 10, true);
+    tell("a", 10, false);
+    tell("b", 9, false);
+    CHECK(mesh::is_notice_of(*known, "a", 10));
+    CHECK(known->leaving);
+    tell("a", 11, false);
+    CHECK(mesh::is_notice_of(*known, "a", 11));
+    CHECK_FALSE(known->leaving);
+}
+
 // Guards against an answer that overtakes a newer one and lifts its limit.
 TEST_CASE("limit, answer to an earlier request, is not lifted or raised")
 {
