--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -70,26 +70,18 @@
     return true;
 }
 
-struct placement
-{
-    std::string node;  ///< empty if no usable one is known
-    bool waits_for_limit = false;
-};
-
-/// Selects the node to send a call to. Only if no upstream is known that has room, or at the
-/// last attempt, does the call wait until the limit of an upstream allows it.
-placement choose_placement(mesh_turn &t, const entry_call &call)
+/// Selects the node to send a call to. At the last attempt it may wait for the limit of the
+/// upstream anyway: what is known of its room may be outdated.
+placement choose_next_node(mesh_turn &t, const entry_call &call)
 {
     if (call.send_count >= max_placements) {
         return placement{};
     }
     placement_request wanted{call.call.service, t.n.settings.node.zone, call.excluded_nodes,
                              call.route};
-    std::string node = choose_node(t.n.nodes, t.n.zones, wanted, t.n.random, t.now, t.n.features);
-    if (!node.empty()) {
-        return placement{node, call.send_count + 1 == max_placements};
-    }
-    return placement{choose_node_to_wait_at(t.n.nodes, wanted, t.n.random, t.now), true};
+    placement out = choose_placement(t.n.nodes, t.n.zones, wanted, t.n.random, t.now, t.n.features);
+    out.waits_for_limit |= call.send_count + 1 == max_placements;
+    return out;
 }
 
 /// Sends the call to a node not tried yet, lets it wait for one, or refuses it.
@@ -105,7 +97,7 @@
         return;
     }
     update_own_status(t);
-    auto [node, waits_for_limit] = choose_placement(t, call);
+    auto [node, waits_for_limit] = choose_next_node(t, call);
     if (node.empty()) {
         if (!wait_for_upstream(t, call)) {
             fail_call(t, id, call.last_reason);
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -276,6 +276,12 @@
 
 // upstream_news.cpp: state reported by the local upstream
 heartbeat_verdict handle_heartbeat(mesh_turn &t, const upstream_heartbeat &beat);
+void handle_leave(mesh_turn &t, const std::string &upstream, std::uint64_t unix_ms);
+
+/// Updates the gate to the state of the upstream.
+void sync_gate(mesh_turn &t);
+
+// notice_control.cpp: what the local upstream says of itself in responses
 /// Handles what the upstream says of itself in a response.
 /// \param run that the response belongs to; none if it is a late one to an earlier request
 void handle_upstream_notice(mesh_turn &t, std::optional<run_ref> run,
@@ -284,9 +290,11 @@
 /// heard nothing from it yet.
 void handle_remembered_notice(mesh_turn &t, const std::string &from,
                               const mesh_wire::upstream_notice_message &notice);
+/// Applies what peers remember of the upstream, if it is of the current incarnation. The limit
+/// counts until a response shows whether it is still in force; an announced leave is final.
+void recall_notice(mesh_turn &t);
 /// Reviews the queue of a limited upstream and logs what it gets. To be called on each tick.
 void upstream_limit_tick(mesh_turn &t);
-void handle_leave(mesh_turn &t, const std::string &upstream, std::uint64_t unix_ms);
 
 /// Where a policy was read.
 enum class policy_source
--- a/gullstall/src/mesh/own_upstream.hpp
+++ b/gullstall/src/mesh/own_upstream.hpp
@@ -63,6 +63,7 @@
     std::string remembered_by;   ///< peer that told of it
     bool has_responded = false;  ///< the incarnation has, to a request of this process
     time_point limit_logged_at{};
+    time_point limit_sent_at{};  ///< when the other nodes were last told of a change at once
 };
 
 /// \returns whether the heartbeat is of the incarnation of the latest one
--- a/gullstall/src/mesh/placing.cpp
+++ b/gullstall/src/mesh/placing.cpp
@@ -130,6 +130,22 @@
     return out > 0 ? out : assumed_run_us;
 }
 
+/// \returns the name of a node with a limited upstream, empty if no usable one is known
+std::string choose_node_to_wait_at(const directory &it, const placement_request &wanted,
+                                   random_source &random, time_point now)
+{
+    constexpr double min_per_s = 1e-3;  // an upstream with a limit of zero has a weight, too
+    std::vector<candidate> all;
+    for (const auto &[name, view] : it.nodes) {
+        if (is_limited(view.status) && is_candidate(view, wanted, now)) {
+            double per_s = limit_per_s(*view.status.notice);
+            all.push_back(candidate{&view, 1 / std::max(min_per_s, per_s)});
+        }
+    }
+    const node_view *node = sample_by(all, 1, random).node;
+    return node == nullptr ? std::string() : node->address.node;
+}
+
 }  // namespace
 
 std::string choose_node(const directory &it, const zone_plan &plan, const placement_request &wanted,
@@ -161,19 +177,13 @@
     return best.node == nullptr ? std::string() : best.node->address.node;
 }
 
-std::string choose_node_to_wait_at(const directory &it, const placement_request &wanted,
-                                   random_source &random, time_point now)
+placement choose_placement(const directory &it, const zone_plan &plan,
+                           const placement_request &wanted, random_source &random, time_point now,
+                           const mesh_features &on)
 {
-    constexpr double min_weight = 1e-3;  // of an upstream with a limit of zero
-    std::vector<candidate> all;
-    for (const auto &[name, view] : it.nodes) {
-        if (is_limited(view.status) && is_candidate(view, wanted, now)) {
-            auto limit = static_cast<double>(view.status.notice->limit_milli);
-            all.push_back(candidate{&view, 1 / std::max(min_weight, limit)});
-        }
-    }
-    const node_view *node = sample_by(all, 1, random).node;
-    return node == nullptr ? std::string() : node->address.node;
+    std::string node = choose_node(it, plan, wanted, random, now, on);
+    return node.empty() ? placement{choose_node_to_wait_at(it, wanted, random, now), true}
+                        : placement{node, false};
 }
 
 duration shortest_limit_wait(const directory &it, const std::string &service, time_point now)
--- a/gullstall/src/mesh/placing.hpp
+++ b/gullstall/src/mesh/placing.hpp
@@ -24,11 +24,20 @@
 std::string choose_node(const directory &it, const zone_plan &plan, const placement_request &wanted,
                         random_source &random, time_point now, const mesh_features &on = {});
 
-/// Selects the node at which a call waits until the limit of the upstream allows it; the higher
-/// the limit, the more likely.
-/// \returns the name of the node, empty if no usable one is known
-std::string choose_node_to_wait_at(const directory &it, const placement_request &wanted,
-                                   random_source &random, time_point now);
+/// Where a call is sent.
+struct placement
+{
+    std::string node;              ///< empty if no usable one is known
+    bool waits_for_limit = false;  ///< the call may wait there until the upstream's limit allows it
+
+    bool operator==(const placement &) const = default;
+};
+
+/// Selects the node to send a call to. Only if no upstream is known that has room within its
+/// limit, one is selected at which the call waits; the higher its limit, the more likely.
+placement choose_placement(const directory &it, const zone_plan &plan,
+                           const placement_request &wanted, random_source &random, time_point now,
+                           const mesh_features &on = {});
 
 /// \returns the time until the limit of some usable upstream of \a service allows one more call
 duration shortest_limit_wait(const directory &it, const std::string &service, time_point now);
--- a/gullstall/src/mesh/upstream_notice.cpp
+++ b/gullstall/src/mesh/upstream_notice.cpp
@@ -50,6 +50,12 @@
     return true;
 }
 
+double limit_per_s(const mesh_wire::upstream_notice_message &it)
+{
+    constexpr double milli = 1000;
+    return static_cast<double>(it.limit_milli) / milli;
+}
+
 bool is_notice_of(const mesh_wire::upstream_notice_message &it, const std::string &upstream,
                   std::uint64_t started_ms)
 {
--- a/gullstall/src/mesh/upstream_notice.hpp
+++ b/gullstall/src/mesh/upstream_notice.hpp
@@ -45,6 +45,9 @@
 bool apply_limit(std::optional<named_limit> &limit, const upstream_notice &notice,
                  std::optional<time_point> requested_at, const std::string &source, time_point now);
 
+/// \returns the requests per second of a limited upstream
+double limit_per_s(const mesh_wire::upstream_notice_message &it);
+
 /// \returns whether the notice is of the given incarnation
 bool is_notice_of(const mesh_wire::upstream_notice_message &it, const std::string &upstream,
                   std::uint64_t started_ms);
