--- a/test/unit/mesh_upstream_limit.cpp
+++ b/test/unit/mesh_upstream_limit.cpp
@@ -162,6 +162,33 @@
     CHECK(out.used >= 0.8);
 }
 
+// Guards against a status to all nodes for each answer of an upstream that changes its limit.
+TEST_CASE_FIXTURE(limited_site_fixture, "limit, changes with each answer, costs few statuses")
+{
+    constexpr int changes = 200;
+    constexpr std::size_t most_statuses = 15;  // ten for changes, two periodic ones and a reserve
+    test::limit_world site(what);
+    auto &world = site.world;
+    std::string node = test::limit_world::book(0);
+    std::string receiver = test::limit_world::book(3);
+    std::size_t statuses = 0;
+    world.on_send = [&](const std::string &from, const std::string &to,
+                        const mesh_wire::frame_message &frame) {
+        bool is_status = frame.payload.Asnode_status() != nullptr;
+        statuses += is_status && from == node && to == receiver ? 1 : 0;
+    };
+    for (int i = 0; i < changes; ++i) {
+        world.schedule_after(seconds(1) * i / changes, [&, i] {
+            world.run_node(node, [i](mesh::mesh_turn &t) {
+                handle_upstream_notice(t, std::nullopt, limited_to(1000 - i));
+            });
+        });
+    }
+    world.run_for(seconds(1));
+    CHECK(statuses > 0);
+    CHECK(statuses <= most_statuses);
+}
+
 /// A site with an upstream that has announced its leave, and continues to say that it is ready.
 struct leaving_site_fixture
 {
