--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -206,7 +206,7 @@
     call.dispatch_count += reached ? 1 : 0;
     call.may_have_run = call.may_have_run || how == outcome::unknown;
     if (why == reason::crashes_upstreams || (why == reason::upstream_limit && has_waited)) {
-        fail_call(t, id, why);  // any other node refuses it as well
+        fail_call(t, id, why);  // another node would refuse it, too, or let it wait again
         return;
     }
     if (!reached) {
