Runs of a service count by their cost where objectives call for it

Cause: gates count runs. At the service that is 0.97 full a recall list holds a slot for 650 ms, a booking makes eight calls of 40 ms. The weight of a class divides by runs per request, so that the list (1 run) got the weight of the most urgent class; demand counted it as one call of eight.

Change: gates measure held times by route and report demand and capacity in slot time; entry nodes weigh requests by the slot time that they need.

--- a/gullstall/overload.hpp
+++ b/gullstall/overload.hpp
@@ -9,6 +9,7 @@
 #include "gullstall/src/overload/rate_limiter.hpp"
 #include "gullstall/src/overload/retry_after.hpp"
 #include "gullstall/src/overload/rules.hpp"
+#include "gullstall/src/overload/run_costs.hpp"
 #include "gullstall/src/overload/run_queue.hpp"
 #include "gullstall/src/overload/run_times.hpp"
 #include "gullstall/src/overload/touch_table.hpp"
--- a/gullstall/src/mesh/admission.cpp
+++ b/gullstall/src/mesh/admission.cpp
@@ -57,6 +57,16 @@
     }
 }
 
+/// \returns the values as name=value
+std::string print_costs(const std::map<std::string, double> &it)
+{
+    std::string out;
+    for (const auto &[name, value] : it) {
+        out += (out.empty() ? "" : " ") + name + "=" + std::to_string(value);
+    }
+    return out;
+}
+
 double total_demand(const std::vector<mesh_wire::demand_part> &parts)
 {
     double out = 0;
@@ -66,6 +76,35 @@
     return out;
 }
 
+/// Updates the plan to the costs that the upstreams tell.
+void adopt_costs(mesh_turn &t)
+{
+    if (!update_costs(t.n.plan, t.n.states)) {
+        return;
+    }
+    t.n.plan_outdated = true;
+    refresh_plan(t);
+    for (const std::string &service : t.n.plan.counted_by_cost) {
+        t.out.emplace_back(write_line{write_line::severity::info,
+                                      "entry",
+                                      "weights-by-cost",
+                                      {{"service", service},
+                                       {"run_cost_us", print_costs(t.n.plan.costs[service])},
+                                       {"weights", print_costs(t.n.plan.weights[service])}}});
+    }
+}
+
+/// \returns the cost of a run that the local upstream has not run yet: that of its service,
+/// else the mean of the local runs
+double usual_held_us(const mesh_node &n, const std::string &route)
+{
+    auto costs = n.plan.costs.find(n.upstream.latest->service);
+    if (costs == n.plan.costs.end() || costs->second.count(route) == 0) {
+        return n.gate.mean_run_us;
+    }
+    return costs->second.at(route);
+}
+
 std::uint64_t to_count(double n)
 {
     return static_cast<std::uint64_t>(n);
@@ -103,6 +142,7 @@
         update_own_status(t);
         t.n.states = compute_service_states(t.n.nodes, t.now);
         t.n.states_at = t.now;
+        adopt_costs(t);
     }
     if (t.n.features.chains_need_all && needs_unavailable_service(t.n.plan, route, t.n.states)) {
         return admission_decision{mesh_wire::reason::no_upstream, 0};
@@ -117,13 +157,42 @@
     return admission_decision{std::nullopt, share};
 }
 
+bool counts_by_cost(const mesh_node &n)
+{
+    return n.upstream.latest && n.plan.counted_by_cost.count(n.upstream.latest->service) > 0;
+}
+
+double load_of_run(const mesh_node &n, const std::string &route)
+{
+    if (!counts_by_cost(n)) {
+        return 1;
+    }
+    constexpr double us_per_ms = 1000;
+    double held_us = mean_held_us(n.costs, route);
+    if (held_us == 0) {
+        held_us = usual_held_us(n, route);
+    }
+    return held_us / us_per_ms;
+}
+
+gate_capacity own_capacity(const mesh_node &n)
+{
+    gate_capacity out = capacity_of(n.gate);
+    if (!counts_by_cost(n)) {
+        return out;
+    }
+    constexpr double us_per_ms = 1000;
+    double ms_per_run = n.gate.mean_run_us / us_per_ms;
+    return gate_capacity{out.max_per_s * ms_per_run, out.available_per_s * ms_per_run};
+}
+
 void admission_tick(mesh_turn &t)
 {
     if (!t.n.policy || !t.n.upstream.latest || !update_gate_demand(t.n.demand, t.now)) {
         return;
     }
     refresh_plan(t);
-    t.n.capacity = capacity_of(t.n.gate);
+    t.n.capacity = own_capacity(t.n);
     t.n.demand_parts = demand_by_weight(t.n.demand, t.n.plan.weights[t.n.upstream.latest->service]);
     double demand = total_demand(t.n.demand_parts);
     double capacity = t.n.capacity.available_per_s;
--- a/gullstall/src/mesh/gate_demand.cpp
+++ b/gullstall/src/mesh/gate_demand.cpp
@@ -49,9 +49,9 @@
 
 }  // namespace
 
-void record_arrival(gate_demand &it, const std::string &root, double share)
+void record_arrival(gate_demand &it, const std::string &root, double share, double load)
 {
-    it.by_root[root].in_window += 1 / std::max(share, min_admitted_share);
+    it.by_root[root].in_window += load / std::max(share, min_admitted_share);
 }
 
 bool update_gate_demand(gate_demand &it, time_point now)
--- a/gullstall/src/mesh/gate_demand.hpp
+++ b/gullstall/src/mesh/gate_demand.hpp
@@ -27,7 +27,7 @@
     /// Demand of the requests of one route.
     struct route_demand
     {
-        double in_window = 0;  ///< calls in the current window, each weighted by 1 / share
+        double in_window = 0;  ///< load of the calls in the current window, weighted by 1 / share
         double per_s = 0;      ///< moving average
     };
 
@@ -38,7 +38,8 @@
 /// Records the arrival of a call.
 /// \param root route of the caller's request that the call belongs to
 /// \param share admitted share of the requests of \a root, above 0
-void record_arrival(gate_demand &it, const std::string &root, double share);
+/// \param load of the call, in runs or slot milliseconds
+void record_arrival(gate_demand &it, const std::string &root, double share, double load = 1);
 
 /// Ends the current window if its time is over.
 /// \returns whether the averages were updated
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -20,6 +20,18 @@
 /// Time after the start after which a node without peers counts as ready.
 constexpr duration standalone_delay = seconds(3);
 
+void add_run_costs(const mesh_node &n, mesh_wire::node_status_message &out)
+{
+    for (const auto &[route, held] : n.costs.by_route) {
+        if (double mean_us = mean_held_us(n.costs, route); mean_us > 0) {
+            auto cost = std::make_unique<mesh_wire::run_cost_message>();
+            cost->route = route;
+            cost->held_us = static_cast<std::uint32_t>(mean_us);
+            out.run_costs.push_back(std::move(cost));
+        }
+    }
+}
+
 }  // namespace
 
 std::uint64_t frame_time_us(time_point now)
@@ -35,6 +47,7 @@
     out.incarnation = incarnation;
     out.random.seed(seed);
     out.started_at = now;
+    out.plan.cost_spread = settings.limits.cost_spread;
     result<endpoint> peers = parse_endpoint(settings.listen.peers);
     node_address self{settings.node.name, settings.node.zone,
                       succeeded(peers) ? value_of(peers) : endpoint{}, incarnation};
@@ -81,6 +94,9 @@
     out.capacity_per_s = static_cast<std::uint32_t>(t.n.capacity.available_per_s);
     out.full_per_s = static_cast<std::uint32_t>(t.n.capacity.max_per_s);
     out.demand = t.n.demand_parts;
+    if (counts_by_cost(t.n)) {
+        add_run_costs(t.n, out);
+    }
     return out;
 }
 
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -155,6 +155,7 @@
     std::vector<request_signature> cleared_suspects;  ///< not yet reported to the others
     std::vector<run_ref> held_runs;  ///< suspects that wait for others; may contain ended runs
     run_gate gate;
+    run_costs costs;  ///< of the local upstream
     gate_demand demand;
     gate_capacity capacity;                            ///< of the local upstream in the last window
     std::vector<mesh_wire::demand_part> demand_parts;  ///< in the last window
@@ -243,6 +244,13 @@
 /// \param root traffic class of the request
 admission_decision admit_request(mesh_turn &t, const std::string &route, const std::string &root,
                                  double place);
+/// \returns whether the runs of the local upstream count by their cost
+bool counts_by_cost(const mesh_node &n);
+/// \returns the load of one run of \a route on the local upstream: 1, or slot milliseconds if
+/// runs count by cost
+double load_of_run(const mesh_node &n, const std::string &route);
+/// \returns the capacity of the local upstream in the same unit, per second
+gate_capacity own_capacity(const mesh_node &n);
 /// Measures the demand on the local upstream and announces changes.
 void admission_tick(mesh_turn &t);
 /// Updates the learned call rates of local runs and announces changes to peers.
--- a/gullstall/src/mesh/mesh_settings.cpp
+++ b/gullstall/src/mesh/mesh_settings.cpp
@@ -22,7 +22,8 @@
     field_rule{"stop_s", false, 0.5, 600},        field_rule{"retry_ratio", false, 0, 1},
     field_rule{"retry_slack", false, 0, 1000000}, field_rule{"retry_window_s", false, 0.1, 3600},
     field_rule{"quarantine_s", false, 0, 3600},   field_rule{"quota_window_s", false, 0.1, 3600},
-    field_rule{"quota_overage", false, 0, 10},    field_rule{"quota_slack", false, 0, 1000000}};
+    field_rule{"quota_overage", false, 0, 10},    field_rule{"quota_slack", false, 0, 1000000},
+    field_rule{"cost_spread", false, 0, 1000000}};
 constexpr std::array log_rules{field_rule{"lines_per_second", false, 1, 100000}};
 
 /// Validates the value of an endpoint key.
@@ -137,6 +138,7 @@
            "\nquota_window_s = " + number(it.limits.quota_window_s) +
            "\nquota_overage = " + number(it.limits.quota_overage) +
            "\nquota_slack = " + number(it.limits.quota_slack) +
+           "\ncost_spread = " + number(it.limits.cost_spread) +
            "\n\n[log]\nlevel = " + it.log.level +
            "\nlines_per_second = " + number(it.log.lines_per_second) + "\n";
 }
--- a/gullstall/src/mesh/placing.cpp
+++ b/gullstall/src/mesh/placing.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <limits>
 
+#include "gullstall/src/mesh/service_costs.hpp"
+
 namespace gullstall::mesh {
 
 namespace {
@@ -50,10 +52,12 @@
 /// \returns the expected response time of one more call in microseconds, weighted by the
 /// failure rate
 /// \param fallback_run_us run time assumed if none is known
-double expected_us(const node_view &it, double fallback_run_us, time_point now,
-                   const mesh_features &on)
+double expected_us(const node_view &it, const std::string &route, double fallback_run_us,
+                   time_point now, const mesh_features &on)
 {
-    double run_us = it.status.run_time_us > 0 ? it.status.run_time_us : fallback_run_us;
+    double told_us = told_run_us(it.status, route);
+    double mean_us = told_us > 0 ? told_us : it.status.run_time_us;
+    double run_us = mean_us > 0 ? mean_us : fallback_run_us;
     // Below saturation the run time dominates; utilization adds a little, so that equal
     // upstreams share the calls. Above it the queue dominates.
     double used = utilization(it);
@@ -166,7 +170,7 @@
         bool is_near =
             !on.own_zone_first || crossings_at(*view, plan, wanted) < fewest + min_saved_crossings;
         (is_near ? near : far)
-            .push_back(candidate{view, expected_us(*view, fallback_run_us, now, on)});
+            .push_back(candidate{view, expected_us(*view, wanted.route, fallback_run_us, now, on)});
     }
     candidate best = sample(near, random, on);
     if (may_leave_zone(best, now)) {
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -367,7 +367,8 @@
     gate_verdict verdict = request_slot(t.n.gate, slot_request_of(t, run));
     // A call that does not wait for the limit is counted at the upstream where it goes next.
     if (verdict != gate_verdict::rate_limited || run.call.waits_for_limit) {
-        record_arrival(t.n.demand, run.call.root, run.call.share_milli / share_scale);
+        record_arrival(t.n.demand, run.call.root, run.call.share_milli / share_scale,
+                       load_of_run(t.n, run.call.route));
     }
     if (verdict != gate_verdict::granted && verdict != gate_verdict::queued) {
         if (run.call.asks_grant) {
@@ -407,6 +408,9 @@
     local_run run =
         forget_run(t, id, !t.n.features.whole_runs || (answered && result.status < first_error));
     release_slot(t.n.gate, answered ? std::optional(held) : std::nullopt);
+    if (answered) {
+        record_held_time(t.n.costs, run.call.route, held);
+    }
     note_latency(t.n.latencies.run, held);
     record_shed(t.n.gate, result.end == run_end::not_executed);
     if (result.end == run_end::not_sent) {
--- a/gullstall/src/mesh/service_levels.cpp
+++ b/gullstall/src/mesh/service_levels.cpp
@@ -20,8 +20,26 @@
 /// values come from traffic splits or from calls that only some runs make.
 constexpr double always_needed_runs = 0.95;
 
+/// What one request needs of each service.
+struct request_needs
+{
+    service_runs runs;
+    service_runs slot_us;  ///< at the services whose costs are known
+};
+
+/// \returns the cost of a run, 0 if unknown
+double cost_of_run(const admission_plan &it, const std::string &service, const std::string &route)
+{
+    auto known = it.costs.find(service);
+    if (known == it.costs.end()) {
+        return 0;
+    }
+    auto cost = known->second.find(route);
+    return cost == known->second.end() ? 0 : cost->second;
+}
+
 void add_needs(const admission_plan &it, const traffic_policy &policy, const std::string &route,
-               double times, int depth, service_runs &out)
+               double times, int depth, request_needs &out)
 {
     const traffic_route *known = find_route_by_name(policy, route);
     if (known == nullptr || depth > max_call_depth) {
@@ -32,7 +50,11 @@
         total += part.weight;
     }
     for (const weighted_service &part : known->services) {
-        out[part.service] += total > 0 ? times * part.weight / total : 0;
+        double runs = total > 0 ? times * part.weight / total : 0;
+        out.runs[part.service] += runs;
+        if (double cost = cost_of_run(it, part.service, route); cost > 0) {
+            out.slot_us[part.service] += runs * cost;
+        }
     }
     auto calls = it.calls.find(route);
     if (calls == it.calls.end()) {
@@ -75,14 +97,15 @@
     std::string root;  ///< traffic class
     std::uint32_t customer_priority;
     std::uint32_t route_priority;
-    double runs;
+    double need;  ///< runs or slot time per request
+    std::string route;
 };
 
 /// Computes the weights of the routes of one customer class that use one service. A route
-/// that needs few runs of it gets a higher weight than its class alone gives, because
-/// refusing its requests frees little capacity. No weight exceeds that of a route of a more
-/// urgent class.
-void add_class_weights(const std::vector<route_usage> &users, double most_runs, double highest,
+/// that needs less of it than \a usual_need gets a higher weight than its class alone gives,
+/// because refusing its requests frees little capacity; one that needs more, a lower one. No
+/// weight exceeds that of a route of a more urgent class.
+void add_class_weights(const std::vector<route_usage> &users, double usual_need, double highest,
                        const mesh_features &on, std::map<std::string, double> &out)
 {
     double step = highest;
@@ -93,24 +116,47 @@
             step *= class_weight_ratio;
             bound = next_bound;
         }
-        double factor = on.needs_in_weights ? most_runs / users[i].runs : 1;
+        double factor = on.needs_in_weights ? usual_need / users[i].need : 1;
         double weight = std::max(min_weight, std::min(bound, step * factor));
         next_bound = std::min(next_bound, weight);
         out[users[i].root] = weight;
     }
 }
 
+double most_needed(const std::vector<route_usage> &all)
+{
+    double out = 0;
+    for (const route_usage &user : all) {
+        out = std::max(out, user.need);
+    }
+    return out;
+}
+
+/// \returns the highest need of the requests of the most urgent routes
+double most_needed_by_urgent(const std::vector<route_usage> &all)
+{
+    auto is_more_urgent = [](const route_usage &a, const route_usage &b) {
+        return a.route_priority < b.route_priority;
+    };
+    auto urgent = std::min_element(all.begin(), all.end(), is_more_urgent);
+    double out = 0;
+    for (const route_usage &user : all) {
+        bool is_urgent = user.route_priority == urgent->route_priority;
+        out = is_urgent ? std::max(out, user.need) : out;
+    }
+    return out;
+}
+
 /// Computes the weights of the routes that use one service. The requests of a customer class
 /// are ranked by the priorities of their routes. No weight is below the highest one of a less
 /// urgent customer class.
-std::map<std::string, double> route_weights(const std::vector<route_usage> &all,
+/// \param usual_need see add_class_weights
+std::map<std::string, double> route_weights(const std::vector<route_usage> &all, double usual_need,
                                             const mesh_features &on)
 {
     std::map<std::uint32_t, std::vector<route_usage>> by_customer;
-    double most_runs = 0;
     for (const route_usage &user : all) {
         by_customer[user.customer_priority].push_back(user);
-        most_runs = std::max(most_runs, user.runs);
     }
     std::map<std::string, double> out;
     double highest = 1;
@@ -122,39 +168,87 @@
         for (auto &[root, weight] : out) {
             weight = std::max(weight, highest);
         }
-        add_class_weights(users, most_runs, highest, on, out);
+        add_class_weights(users, usual_need, highest, on, out);
         highest *= class_weight_ratio;
     }
     return out;
 }
 
+/// Adds the classes of requests of a route to the users of each service.
+void add_users(const traffic_policy &policy, const traffic_route &route, const request_needs &needs,
+               std::map<std::string, std::vector<route_usage>> &users)
+{
+    for (const auto &[service, runs] : needs.runs) {
+        if (runs < min_runs_per_request) {
+            continue;
+        }
+        for (std::uint32_t priority : priorities_of(policy, route)) {
+            std::uint32_t customer_priority = has_customers(policy) ? priority : 0;
+            users[service].push_back(route_usage{traffic_class(route, priority), customer_priority,
+                                                 route.priority, runs, route.name});
+        }
+    }
+}
+
+/// Replaces the runs per request by slot times.
+/// \returns false if the service is not counted by cost or some slot time is unknown; nothing
+/// is replaced then
+bool use_slot_times(const admission_plan &it, const std::string &service,
+                    std::vector<route_usage> &users)
+{
+    auto slot_us = [&](const route_usage &user) {
+        const service_runs &needs = it.slot_time_per_request.at(user.route);
+        auto need = needs.find(service);
+        return need == needs.end() ? 0 : need->second;
+    };
+    bool is_known = it.counted_by_cost.count(service) > 0 &&
+                    std::all_of(users.begin(), users.end(),
+                                [&](const route_usage &user) { return slot_us(user) > 0; });
+    for (route_usage &user : users) {
+        user.need = is_known ? slot_us(user) : user.need;
+    }
+    return is_known;
+}
+
 }  // namespace
 
 void update_admission_plan(admission_plan &it, const traffic_policy &policy,
                            const mesh_features &on)
 {
     it.runs_per_request.clear();
+    it.slot_time_per_request.clear();
     it.weights.clear();
+    it.counted_by_cost =
+        on.run_costs ? services_counted_by_cost(policy, it.cost_spread) : std::set<std::string>{};
     std::set<std::string> called = nested_routes(it);
     std::map<std::string, std::vector<route_usage>> users;
     for (const traffic_route &route : policy.routes) {
-        service_runs needs;
+        request_needs needs;
         add_needs(it, policy, route.name, 1, 0, needs);
-        bool is_nested = called.count(route.name) > 0;
-        for (const auto &[service, runs] : needs) {
-            if (runs >= min_runs_per_request && !is_nested) {
-                for (std::uint32_t priority : priorities_of(policy, route)) {
-                    std::uint32_t customer_priority = has_customers(policy) ? priority : 0;
-                    users[service].push_back(route_usage{traffic_class(route, priority),
-                                                         customer_priority, route.priority, runs});
-                }
-            }
+        if (called.count(route.name) == 0) {
+            add_users(policy, route, needs, users);
         }
-        it.runs_per_request[route.name] = std::move(needs);
+        it.runs_per_request[route.name] = std::move(needs.runs);
+        it.slot_time_per_request[route.name] = std::move(needs.slot_us);
+    }
+    for (auto &[service, all] : users) {
+        bool has_costs = use_slot_times(it, service, all);
+        double usual_need = has_costs ? most_needed_by_urgent(all) : most_needed(all);
+        it.weights[service] = route_weights(all, usual_need, on);
     }
-    for (const auto &[service, all] : users) {
-        it.weights[service] = route_weights(all, on);
+}
+
+bool update_costs(admission_plan &it, const std::map<std::string, service_state> &states)
+{
+    bool changed = false;
+    for (const std::string &service : it.counted_by_cost) {
+        auto state = states.find(service);
+        if (state != states.end() && have_costs_changed(it.costs[service], state->second.costs)) {
+            it.costs[service] = state->second.costs;
+            changed = true;
+        }
     }
+    return changed;
 }
 
 double admission_level_for(const weighted_demand &demand, double capacity)
--- a/gullstall/src/mesh/service_levels.hpp
+++ b/gullstall/src/mesh/service_levels.hpp
@@ -2,10 +2,12 @@
 #define GULLSTALL_MESH_SERVICE_LEVELS_HPP
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "gullstall/policy.hpp"
 #include "gullstall/src/mesh/call_chain.hpp"
+#include "gullstall/src/mesh/service_costs.hpp"
 #include "gullstall/src/mesh/switches.hpp"
 
 namespace gullstall::mesh {
@@ -29,6 +31,7 @@
     /// of less urgent requests, which urgent ones overtake.
     double min_urgent_share = 0;
     double shed_share = 0;  ///< share of the calls that the upstreams shed
+    route_costs costs{};    ///< empty if all runs of the service count the same
 
     bool operator==(const service_state &) const = default;
 };
@@ -39,6 +42,11 @@
 {
     std::map<std::string, calls_per_run> calls;            ///< learned calls per run, by route
     std::map<std::string, service_runs> runs_per_request;  ///< runs per request, by route
+    /// Slot time that one request needs, microseconds, by route and by service counted by cost.
+    std::map<std::string, service_runs> slot_time_per_request;
+    double cost_spread = 0;                    ///< limits.cost_spread
+    std::set<std::string> counted_by_cost;     ///< services, see services_counted_by_cost
+    std::map<std::string, route_costs> costs;  ///< known costs of these services
     /// By service, then by traffic class: the share of the requests that is admitted at
     /// level 1.
     std::map<std::string, std::map<std::string, double>> weights;
@@ -59,6 +67,10 @@
 void update_admission_plan(admission_plan &it, const traffic_policy &policy,
                            const mesh_features &on = {});
 
+/// Adopts the costs told by the upstreams.
+/// \returns whether the weights are outdated
+bool update_costs(admission_plan &it, const std::map<std::string, service_state> &states);
+
 /// \param states of the services that have an upstream
 /// \returns whether every request of \a route needs a service that has no upstream.
 /// If admitted, such a request would fail at that call after all work before it was
--- a/gullstall/src/mesh/service_totals.cpp
+++ b/gullstall/src/mesh/service_totals.cpp
@@ -17,19 +17,20 @@
     weighted_demand demand;
 };
 
-void add_status(service_sums &it, const mesh_wire::node_status_message &status)
+/// \param speed of the upstream: slot times on a fast one are worth more
+void add_status(service_sums &it, const mesh_wire::node_status_message &status, double speed)
 {
     constexpr double milli = 1000;
     double shed = std::min(1.0, status.shed_milli / milli);
     double accepting = status.slots * (1 - shed);
     it.accepting_slots += accepting;
     it.shed += accepting * shed;
-    it.capacity += status.capacity_per_s;
-    it.full += status.full_per_s;
+    it.capacity += speed * status.capacity_per_s;
+    it.full += speed * status.full_per_s;
     bool is_known = status.capacity_per_s > 0 || is_limited(status);
     it.is_capacity_known = it.is_capacity_known && is_known;
     for (const mesh_wire::demand_part &part : status.demand) {
-        it.demand[part.weight_milli() / milli] += part.runs_per_s();
+        it.demand[part.weight_milli() / milli] += speed * part.runs_per_s();
     }
 }
 
@@ -59,10 +60,13 @@
 
 std::map<std::string, service_state> compute_service_states(const directory &it, time_point now)
 {
+    std::map<std::string, route_costs> costs = costs_by_service(it, now);
     std::map<std::string, service_sums> sums;
     for (const auto &[name, view] : it.nodes) {
         if (is_usable(view, view.status.service, now)) {
-            add_status(sums[view.status.service], view.status);
+            auto known = costs.find(view.status.service);
+            double speed = known == costs.end() ? 1 : upstream_speed(view.status, known->second);
+            add_status(sums[view.status.service], view.status, speed);
         }
     }
     std::map<std::string, service_state> out;
@@ -72,6 +76,7 @@
             sum.is_capacity_known ? admission_level_for(sum.demand, sum.capacity) : unlimited_level;
         state.min_urgent_share = urgent_share(sum);
         state.shed_share = sum.accepting_slots > 0 ? sum.shed / sum.accepting_slots : 1;
+        state.costs = costs[service];
     }
     return out;
 }
--- /dev/null
+++ b/gullstall/src/overload/run_costs.hpp
@@ -0,0 +1,38 @@
+#ifndef GULLSTALL_OVERLOAD_RUN_COSTS_HPP
+#define GULLSTALL_OVERLOAD_RUN_COSTS_HPP
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "gullstall/src/core/time.hpp"
+
+namespace gullstall {
+
+/// Time for which the runs of one route hold a slot of an upstream.
+struct held_time
+{
+    double mean_us = 0;       ///< moving average, microseconds
+    double deviation_us = 0;  ///< moving average of the absolute deviation, microseconds
+    std::uint32_t runs = 0;   ///< number of runs measured
+
+    bool operator==(const held_time &) const = default;
+};
+
+/// Costs of the runs on one upstream, by route. A run that waits for its own calls holds its
+/// slot meanwhile, so that the held time counts and not the work.
+struct run_costs
+{
+    std::map<std::string, held_time> by_route;
+};
+
+/// Records that a run of \a route \a held a slot until it was answered.
+void record_held_time(run_costs &it, const std::string &route, duration held);
+
+/// \returns the mean held time of the route's runs in microseconds; 0 if too few runs were
+/// measured
+double mean_held_us(const run_costs &it, const std::string &route);
+
+}  // namespace gullstall
+
+#endif
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -30,6 +30,8 @@
     duration run_time = milliseconds(10);
     double shed = 0;                              ///< share of the calls that it sheds
     double lost = 0;                              ///< share of the calls whose answer is lost
+    double errors = 0;                            ///< share of the calls answered 500 at once
+    std::map<std::string, duration> run_times{};  ///< by path, where not run_time
     std::map<std::string, nested_calls> calls{};  ///< by the path of the run
     duration restart_time = seconds(3);           ///< from a crash to the successor's heartbeat
     mesh::upstream_notice notice{};               ///< in the header of each of its responses
@@ -498,6 +500,12 @@
             });
             return;
         }
+        if (model.errors > 0 && draw_fraction(random) < model.errors) {
+            schedule_after(milliseconds(1), [this, name, run = it.run] {
+                end_run(name, run, mesh::run_end::answered, 500);
+            });
+            return;
+        }
         if (model.lost > 0 && draw_fraction(random) < model.lost) {
             schedule_after(model.run_time, [this, name, run = it.run] {
                 end_run(name, run, mesh::run_end::lost, 0);
@@ -518,9 +526,11 @@
         }
         auto calls = model.calls.find(it.call.target);
         nested_calls inner = calls == model.calls.end() ? nested_calls{} : calls->second;
+        auto own_time = model.run_times.find(it.call.target);
+        duration run_time = own_time == model.run_times.end() ? model.run_time : own_time->second;
         time_point expires = now + it.left;
-        schedule_after(model.run_time, [this, name, run = it.run, id = it.call.request_id, inner,
-                                        expires] { make_calls(name, run, id, inner, expires); });
+        schedule_after(run_time, [this, name, run = it.run, id = it.call.request_id, inner,
+                                  expires] { make_calls(name, run, id, inner, expires); });
     }
 
     /// Makes the nested calls of a run sequentially; the run fails with the first call
