Calls avoid upstreams that answer errors

Cause: a 500 counted as a successful call and as a short run. Placing draws by the inverse cube of the run time, so that the failing upstream got nearly all calls of its zone; one of a booking's eight is enough.

Change: the gate counts the runs that the upstream itself fails, tells their share in replies and statuses, and leaves them out of run times; placing takes the share as expected failures. It halves in two seconds, so that the upstream is tried again; none is excluded.

--- a/gullstall/src/mesh/directory.cpp
+++ b/gullstall/src/mesh/directory.cpp
@@ -49,6 +49,7 @@
     to.run_time_us = from.run_time_us;
     to.wait_us = from.wait_us;
     to.shed_milli = from.shed_milli;
+    to.error_milli = from.error_milli;
     to.notice = copy_of(from.notice);
     to.limit_wait_us = from.limit_wait_us;
 }
@@ -189,6 +190,7 @@
     known.status.run_time_us = load.run_time_us;
     known.status.wait_us = load.wait_us;
     known.status.shed_milli = load.shed_milli;
+    known.status.error_milli = load.error_milli;
     known.status.notice = copy_of(load.notice);
     known.status.limit_wait_us = load.limit_wait_us;
     known.limit_free_at = now + duration(load.limit_wait_us);
--- a/gullstall/src/mesh/directory.hpp
+++ b/gullstall/src/mesh/directory.hpp
@@ -73,7 +73,7 @@
 /// responsive, and its upstream accepts work and has not announced that it leaves
 bool is_usable(const node_view &it, const std::string &service, time_point now);
 
-/// \returns the recent failure rate of calls to the node, decaying with time
+/// \returns the recent failure rate of calls from this node to that one, decaying with time
 double recent_failure_rate(const node_view &it, time_point now);
 
 /// Records the address of a node; a later incarnation replaces an earlier one.
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -229,6 +229,7 @@
     if (run == t.n.runs.end()) {
         return;
     }
+    entry.parent = parent;
     call.inner = true;
     call.priority = run->second.call.priority;
     call.repeat = run->second.call.repeat;
--- a/gullstall/src/mesh/entry_answers.cpp
+++ b/gullstall/src/mesh/entry_answers.cpp
@@ -67,6 +67,15 @@
     return mesh_wire::EnumNamereason(why);
 }
 
+/// Records at the run that makes the call, if any, that it was not answered with success.
+void mark_failed_call(mesh_turn &t, const entry_call &call)
+{
+    auto parent = call.parent ? t.n.runs.find(*call.parent) : t.n.runs.end();
+    if (parent != t.n.runs.end()) {
+        parent->second.call_failed = true;
+    }
+}
+
 /// \returns the services that shed load, as service=level/shed
 std::string print_states(const std::map<std::string, service_state> &states)
 {
@@ -131,6 +140,7 @@
         forward_answer(t, id, answer);
         return;
     }
+    mark_failed_call(t, call);
     caller_answer answer;
     answer.why = why;
     answer.status = status_of(why, call.may_have_run);
@@ -179,6 +189,9 @@
     answer.body = std::move(reply.body);
     constexpr std::uint16_t first_error = 400;
     bool is_good = reply.status < first_error;
+    if (!is_good) {
+        mark_failed_call(t, call);
+    }
     count_answer(t, call.route, is_good ? "answered" : "upstream-error", "none");
     bool is_sampled = is_good && ++t.n.counters.successful_answers % answer_log_interval == 0;
     if (!is_good || is_sampled) {
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -81,7 +81,7 @@
     if (!accepts_runs(t.n, t.now) && out.state == mesh_wire::upstream_state::ready) {
         out.state = mesh_wire::upstream_state::absent;
     }
-    mesh_wire::node_load_message load = own_load(t.n);
+    mesh_wire::node_load_message load = own_load(t.n, t.now);
     out.sequence = load.sequence;
     out.slots = load.slots;
     out.running = load.running;
@@ -89,6 +89,7 @@
     out.run_time_us = load.run_time_us;
     out.wait_us = load.wait_us;
     out.shed_milli = load.shed_milli;
+    out.error_milli = load.error_milli;
     out.notice = std::move(load.notice);
     out.limit_wait_us = load.limit_wait_us;
     out.capacity_per_s = static_cast<std::uint32_t>(t.n.capacity.available_per_s);
@@ -100,7 +101,7 @@
     return out;
 }
 
-mesh_wire::node_load_message own_load(mesh_node &n)
+mesh_wire::node_load_message own_load(mesh_node &n, time_point now)
 {
     constexpr double milli = 1000;
     mesh_wire::node_load_message out;
@@ -111,6 +112,9 @@
     out.run_time_us = static_cast<std::uint32_t>(n.gate.mean_run_us);
     out.wait_us = static_cast<std::uint32_t>(expected_wait(n.gate, n.gate.waiting.size()).count());
     out.shed_milli = static_cast<std::uint16_t>(n.gate.shed_share * milli);
+    if (n.features.upstream_errors) {
+        out.error_milli = static_cast<std::uint16_t>(recent_error_share(n.gate, now) * milli);
+    }
     out.notice = own_notice(n);
     out.limit_wait_us =
         static_cast<std::uint32_t>(token_wait(n.gate.rate, n.gate.waiting.size()).count());
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -49,7 +49,8 @@
 struct entry_call
 {
     call_ref id{};
-    mesh_wire::call_message call;  ///< correlation, times and repeat flag are set per transmission
+    std::optional<run_ref> parent;  ///< local run that makes the call
+    mesh_wire::call_message call;   ///< correlation, times and repeat flag are set per transmission
     std::string route;
     std::uint32_t max_attempts = 1;
     time_point received_at{};
@@ -92,7 +93,8 @@
     time_point expires{};  ///< just before the deadline; once started, a grace period after it
     time_point due{};      ///< end of the latency objective of the caller's request
     std::optional<time_point> started_at;
-    bool abandoned = false;  ///< the reply is no longer awaited
+    bool abandoned = false;    ///< the reply is no longer awaited
+    bool call_failed = false;  ///< a call made by the run was not answered with success
 };
 
 /// A connection opened by a peer, with the peer's clock offset estimated from the
@@ -334,7 +336,7 @@
 void handle_chain_news(mesh_turn &t, const mesh_wire::chain_news_message &news);
 /// Restores the persisted call rates of a route. Rates learned since take precedence.
 void restore_chain(mesh_turn &t, const std::string &route, const calls_per_run &calls);
-mesh_wire::node_load_message own_load(mesh_node &n);
+mesh_wire::node_load_message own_load(mesh_node &n, time_point now);
 mesh_wire::node_status_message own_status(mesh_turn &t);
 /// \param to node that the message is sent to
 mesh_wire::hello_message own_hello(const mesh_node &n, const std::string &to, time_point now);
--- a/gullstall/src/mesh/placing.cpp
+++ b/gullstall/src/mesh/placing.cpp
@@ -49,6 +49,13 @@
     return (it.status.running + it.status.waiting + it.sent_since_status + 1.0) / it.status.slots;
 }
 
+/// \returns the share of further calls to the node that is expected to fail
+double expected_failures(const node_view &it, time_point now)
+{
+    constexpr double milli = 1000;
+    return std::max(recent_failure_rate(it, now), it.status.error_milli / milli);
+}
+
 /// \returns the expected response time of one more call in microseconds, weighted by the
 /// failure rate
 /// \param fallback_run_us run time assumed if none is known
@@ -62,7 +69,7 @@
     // upstreams share the calls. Above it the queue dominates.
     double used = utilization(it);
     double wait = std::max(0.0, used - 1) * run_us;
-    double failing = on.failure_cost ? failure_cost * recent_failure_rate(it, now) : 0;
+    double failing = on.failure_cost ? failure_cost * expected_failures(it, now) : 0;
     return (run_us * (1 + used / 2) + wait) * (1 + failing);
 }
 
@@ -119,7 +126,7 @@
 bool may_leave_zone(const candidate &near, time_point now)
 {
     return near.node == nullptr || utilization(*near.node) >= spill_utilization ||
-           recent_failure_rate(*near.node, now) >= spill_failure_rate;
+           expected_failures(*near.node, now) >= spill_failure_rate;
 }
 
 /// \returns the run time assumed of an upstream that has reported none: the shortest of
--- a/gullstall/src/mesh/report.cpp
+++ b/gullstall/src/mesh/report.cpp
@@ -61,6 +61,7 @@
     add(out, "gullstall_slots_in_use", "gauge", n.gate.running);
     add(out, "gullstall_gate_capacity_per_second", "gauge", n.capacity.available_per_s);
     add(out, "gullstall_gate_demand_per_second", "gauge", n.announced_demand);
+    add(out, "gullstall_upstream_error_share", "gauge", recent_error_share(n.gate, now));
     add(out, "gullstall_waiting", "gauge", static_cast<double>(n.gate.waiting.size()));
     add(out, "gullstall_policy_version", "gauge",
         n.policy ? static_cast<double>(n.policy->version) : 0);
--- a/gullstall/src/mesh/run_gate.cpp
+++ b/gullstall/src/mesh/run_gate.cpp
@@ -1,6 +1,7 @@
 #include "gullstall/src/mesh/run_gate.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace gullstall::mesh {
 
@@ -28,6 +29,12 @@
 /// fifty calls, a tenth of a second of a busy upstream.
 constexpr double shed_weight = 0.02;
 
+/// Weight of one run in the moving average of the error share.
+constexpr double error_weight = 0.05;
+
+/// Half-life of the error share, so that an upstream that gets hardly any calls is tried again.
+constexpr duration error_half_life = seconds(2);
+
 /// Orders the queue by priority class, then by the time at which the latency objective
 /// expires (earliest deadline first), so that a request that needs one short run does not
 /// wait behind the many calls of requests that have a second left. Calls that are already
@@ -137,6 +144,19 @@
     it.shed_share += shed_weight * ((was_shed ? 1 : 0) - it.shed_share);
 }
 
+void record_run_error(run_gate &it, bool is_error, time_point now)
+{
+    double before = recent_error_share(it, now);
+    it.error_share = before + error_weight * ((is_error ? 1 : 0) - before);
+    it.error_share_at = now;
+}
+
+double recent_error_share(const run_gate &it, time_point now)
+{
+    return it.error_share *
+           std::exp2(-to_seconds(now - it.error_share_at) / to_seconds(error_half_life));
+}
+
 std::optional<run_ref> dequeue_run(run_gate &it)
 {
     if (it.running >= it.slots || it.waiting.empty() || !has_token(it.rate)) {
--- a/gullstall/src/mesh/run_gate.hpp
+++ b/gullstall/src/mesh/run_gate.hpp
@@ -50,6 +50,9 @@
     std::map<queue_position, run_ref> waiting;
     std::uint64_t arrivals = 0;
     double shed_share = 0;  ///< moving average of the share of calls that the upstream sheds
+    /// Moving average of the share of runs that the upstream itself fails, decaying with time.
+    double error_share = 0;
+    time_point error_share_at{};
 };
 
 /// Result of a request for a slot.
@@ -89,6 +92,12 @@
 /// Records whether the upstream shed a call that was sent to it.
 void record_shed(run_gate &it, bool was_shed);
 
+/// Records whether a run that ended at \a now was failed by the upstream itself.
+void record_run_error(run_gate &it, bool is_error, time_point now);
+
+/// \returns the recent share of runs that the upstream itself fails, decaying with time
+double recent_error_share(const run_gate &it, time_point now);
+
 /// Allocates a slot for the first call of the queue.
 /// \returns the call to start; none if no slot is free, the rate limit allows no call or the
 /// queue is empty
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -17,6 +17,9 @@
 /// knows whether the request ran; the node does not.
 constexpr duration answer_grace = milliseconds(100);
 
+/// Status of an upstream that did not complete a run in time.
+constexpr std::uint16_t timeout_status = 504;
+
 /// Back-off after the upstream refused a connection.
 constexpr duration connect_backoff = milliseconds(300);
 
@@ -26,7 +29,7 @@
         handle_reply(t, t.n.settings.node.name, reply);
         return;
     }
-    reply.load = std::make_unique<mesh_wire::node_load_message>(own_load(t.n));
+    reply.load = std::make_unique<mesh_wire::node_load_message>(own_load(t.n, t.now));
     t.out.emplace_back(send_to_link{link, mesh_frame(std::move(reply))});
 }
 
@@ -238,6 +241,13 @@
     release_slot(t.n.gate, std::nullopt);
 }
 
+/// \returns whether the upstream failed the run though all calls that it made succeeded
+bool is_own_error_of_upstream(const local_run &run, std::uint16_t status)
+{
+    constexpr std::uint16_t first_server_error = 500;
+    return status >= first_server_error && status != timeout_status && !run.call_failed;
+}
+
 mesh_wire::reply_message make_reply(const local_run &run, run_result &result)
 {
     mesh_wire::reply_message out;
@@ -404,11 +414,15 @@
     duration held = t.now - found->second.started_at.value_or(t.now);
     bool answered = result.end == run_end::answered;
     constexpr std::uint16_t first_error = 400;
-    constexpr std::uint16_t timeout_status = 504;
     local_run run =
         forget_run(t, id, !t.n.features.whole_runs || (answered && result.status < first_error));
-    release_slot(t.n.gate, answered ? std::optional(held) : std::nullopt);
+    bool is_own_error = answered && is_own_error_of_upstream(run, result.status);
+    bool tells_speed = answered && !(is_own_error && t.n.features.upstream_errors);
+    release_slot(t.n.gate, tells_speed ? std::optional(held) : std::nullopt);
     if (answered) {
+        record_run_error(t.n.gate, is_own_error, t.now);
+    }
+    if (tells_speed) {
         record_held_time(t.n.costs, run.call.route, held);
     }
     note_latency(t.n.latencies.run, held);
--- a/gullstall/src/mesh/switches.cpp
+++ b/gullstall/src/mesh/switches.cpp
@@ -42,6 +42,7 @@
     named_flag{"crash_guard", &mesh_features::crash_guard},
     named_flag{"upstream_limits", &mesh_features::upstream_limits},
     named_flag{"limit_placing", &mesh_features::limit_placing},
+    named_flag{"upstream_errors", &mesh_features::upstream_errors},
     named_flag{"run_costs", &mesh_features::run_costs},
 };
 
--- a/gullstall/src/mesh/switches.hpp
+++ b/gullstall/src/mesh/switches.hpp
@@ -38,6 +38,7 @@
     bool crash_guard = true;       ///< off: requests that crash upstreams are run again
     bool upstream_limits = true;   ///< off: what upstreams say of themselves has no effect
     bool limit_placing = true;     ///< off: nodes are chosen regardless of upstream limits
+    bool upstream_errors = true;   ///< off: errors of an upstream do not raise its cost
     bool run_costs = true;         ///< off: all runs of a service count the same
 
     bool operator==(const mesh_features &) const = default;
--- a/gullstall/src/mesh/upstream_news.cpp
+++ b/gullstall/src/mesh/upstream_news.cpp
@@ -30,6 +30,7 @@
     t.n.upstream_backoff_until = time_point{};
     if (is_new) {
         t.n.gate.mean_run_us = 0;
+        t.n.gate.error_share = 0;
         t.n.costs = run_costs{};
         set_rate(t.n.gate.rate, std::nullopt, t.now);
         t.out.emplace_back(upstream_replaced{});
