--- a/gullstall/src/mesh/admission.cpp
+++ b/gullstall/src/mesh/admission.cpp
@@ -51,7 +51,9 @@
 
 void refresh_plan(mesh_turn &t)
 {
-    if (t.n.plan_outdated) {
+    double spread = t.n.settings.limits.cost_spread;
+    if (t.n.plan_outdated || t.n.plan.cost_spread != spread) {
+        t.n.plan.cost_spread = spread;
         update_admission_plan(t.n.plan, *t.n.policy, t.n.features);
         t.n.plan_outdated = false;
     }
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -17,19 +17,29 @@
 /// the same policy between zones again for each node.
 constexpr duration policy_fetch_delay = milliseconds(300);
 
+/// Maximum number of routes whose costs a status carries.
+constexpr std::size_t max_told_costs = 16;
+
 /// Time after the start after which a node without peers counts as ready.
 constexpr duration standalone_delay = seconds(3);
 
-void add_run_costs(const mesh_node &n, mesh_wire::node_status_message &out)
+/// Adds the costs of the routes that the local upstream has run most often.
+void add_run_costs(const run_costs &costs, mesh_wire::node_status_message &out)
 {
-    for (const auto &[route, held] : n.costs.by_route) {
-        if (double mean_us = mean_held_us(n.costs, route); mean_us > 0) {
-            auto cost = std::make_unique<mesh_wire::run_cost_message>();
-            cost->route = route;
-            cost->held_us = static_cast<std::uint32_t>(mean_us);
-            out.run_costs.push_back(std::move(cost));
+    std::vector<std::pair<std::uint32_t, std::string>> routes;
+    for (const auto &[route, held] : costs.by_route) {
+        if (mean_held_us(costs, route) > 0) {
+            routes.emplace_back(held.runs, route);
         }
     }
+    std::sort(routes.rbegin(), routes.rend());
+    routes.resize(std::min(routes.size(), max_told_costs));
+    for (const auto &[runs, route] : routes) {
+        auto cost = std::make_unique<mesh_wire::run_cost_message>();
+        cost->route = route;
+        cost->held_us = static_cast<std::uint32_t>(mean_held_us(costs, route));
+        out.run_costs.push_back(std::move(cost));
+    }
 }
 
 }  // namespace
@@ -47,7 +57,6 @@
     out.incarnation = incarnation;
     out.random.seed(seed);
     out.started_at = now;
-    out.plan.cost_spread = settings.limits.cost_spread;
     result<endpoint> peers = parse_endpoint(settings.listen.peers);
     node_address self{settings.node.name, settings.node.zone,
                       succeeded(peers) ? value_of(peers) : endpoint{}, incarnation};
@@ -96,7 +105,7 @@
     out.full_per_s = static_cast<std::uint32_t>(t.n.capacity.urgent_per_s);
     out.demand = t.n.demand_parts;
     if (counts_by_cost(t.n)) {
-        add_run_costs(t.n, out);
+        add_run_costs(t.n.costs, out);
     }
     return out;
 }
--- a/gullstall/src/mesh/mesh_settings.cpp
+++ b/gullstall/src/mesh/mesh_settings.cpp
@@ -23,7 +23,7 @@
     field_rule{"retry_slack", false, 0, 1000000}, field_rule{"retry_window_s", false, 0.1, 3600},
     field_rule{"quarantine_s", false, 0, 3600},   field_rule{"quota_window_s", false, 0.1, 3600},
     field_rule{"quota_overage", false, 0, 10},    field_rule{"quota_slack", false, 0, 1000000},
-    field_rule{"cost_spread", false, 0, 1000000}};
+    field_rule{"cost_spread", false, 0, 1000}};
 constexpr std::array log_rules{field_rule{"lines_per_second", false, 1, 100000}};
 
 /// Validates the value of an endpoint key.
--- a/gullstall/src/mesh/report.cpp
+++ b/gullstall/src/mesh/report.cpp
@@ -20,6 +20,16 @@
     add(out, "gullstall_upstream_leaving", "gauge", it.has_announced_leave ? 1 : 0);
 }
 
+void add_run_costs(std::string &out, const run_costs &it)
+{
+    constexpr double us_per_s = 1e6;
+    out += "# TYPE gullstall_run_held_seconds gauge\n";
+    for (const auto &[route, held] : it.by_route) {
+        out += "gullstall_run_held_seconds{route=\"" + route + "\"} " +
+               std::to_string(held.mean_us / us_per_s) + "\n";
+    }
+}
+
 }  // namespace
 
 std::string print_metrics(const mesh_node &n, time_point now)
@@ -61,6 +71,7 @@
     add(out, "gullstall_slots_in_use", "gauge", n.gate.running);
     add(out, "gullstall_gate_capacity_per_second", "gauge", n.capacity.available_per_s);
     add(out, "gullstall_gate_demand_per_second", "gauge", n.announced_demand);
+    add_run_costs(out, n.costs);
     add(out, "gullstall_upstream_error_share", "gauge", recent_error_share(n.gate, now));
     add(out, "gullstall_waiting", "gauge", static_cast<double>(n.gate.waiting.size()));
     add(out, "gullstall_policy_version", "gauge",
--- a/test/unit/mesh_run_costs.cpp
+++ b/test/unit/mesh_run_costs.cpp
@@ -173,6 +173,19 @@
     CHECK(mesh::services_counted_by_cost(w.policy, 0).empty());
 }
 
+// Guards against a changed setting that takes effect only after a restart.
+TEST_CASE_FIXTURE(scarce_service_fixture, "cost spread set to 0, running nodes, count in runs")
+{
+    send_load(seconds(2), 0.9, 0.9);
+    CHECK(counts_by_cost(w.nodes.at("s1")));
+    for (auto &[name, node] : w.nodes) {
+        node.settings.limits.cost_spread = 0;
+    }
+    send_load(seconds(1), 0.9, 0.9);
+    CHECK(!counts_by_cost(w.nodes.at("s1")));
+    CHECK(w.nodes.at("f1").nodes.nodes.at("s1").status.run_costs.empty());
+}
+
 // Guards against nodes that decide differently where nothing calls for costs: objectives that
 // are close to each other leave all figures in runs.
 TEST_CASE_FIXTURE(scarce_service_fixture, "objectives close together, statuses, tell no costs")
--- a/test/unit/mesh_settings.cpp
+++ b/test/unit/mesh_settings.cpp
@@ -38,6 +38,12 @@
     CHECK(it.limits.retry_ratio == 0.15);
 }
 
+TEST_CASE("limits: a cost spread out of range is rejected")
+{
+    CHECK(value_of(parse_limits("cost_spread = 0\n")).limits.cost_spread == 0);
+    CHECK(contains(message_of("cost_spread = -1\n"), "cost_spread"));
+}
+
 // Guards against a node that does not start because its settings omit an optional limit.
 // Deployments without a bound on retries leave the key out.
 TEST_CASE("limits: missing keys keep their defaults")
