process_kill ignores hangups of its process group

Seen three times (KNOWN-RED.txt): run in the background of a shell that ends while a process is stopped, the kernel sends SIGHUP to the orphaned group, and the script ends with 129. It has no terminal to lose.

--- a/test/process/process_kill.sh
+++ b/test/process/process_kill.sh
@@ -12,6 +12,8 @@
 out=demo-out/kill
 base=25000
 rm -rf "$out" && mkdir -p "$out"
+# The kernel sends SIGHUP to an orphaned process group that has a stopped process.
+trap '' HUP
 declare -A node_pid worker_pid
 names=()
 trap 'for p in "${node_pid[@]}" "${worker_pid[@]}" ${platform_pid:-}; do kill -CONT "$p" 2>/dev/null || true; kill -KILL "$p" 2>/dev/null || true; done' EXIT
