Costs are kept while no upstream tells any, and dropped with their route

Weights fell back to runs when all upstreams of a service had just restarted; an entry node that lives on knows the costs. Routes that a policy removes are forgotten at the gate.

--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -305,6 +305,9 @@
         t.n.newer_policy.reset();
     }
     t.n.plan_outdated = true;
+    std::erase_if(t.n.costs.by_route, [&](const auto &entry) {
+        return find_route_by_name(*t.n.policy, entry.first) == nullptr;
+    });
     apply_timeouts(t);
     if (source == policy_source::store) {
         send_status_nearby(t);  // the nodes of this zone wait for it
--- a/gullstall/src/mesh/service_levels.cpp
+++ b/gullstall/src/mesh/service_levels.cpp
@@ -243,7 +243,8 @@
     bool changed = false;
     for (const std::string &service : it.counted_by_cost) {
         auto state = states.find(service);
-        if (state != states.end() && have_costs_changed(it.costs[service], state->second.costs)) {
+        bool are_told = state != states.end() && !state->second.costs.empty();
+        if (are_told && have_costs_changed(it.costs[service], state->second.costs)) {
             it.costs[service] = state->second.costs;
             changed = true;
         }
--- a/gullstall/src/mesh/service_levels.hpp
+++ b/gullstall/src/mesh/service_levels.hpp
@@ -67,7 +67,7 @@
 void update_admission_plan(admission_plan &it, const traffic_policy &policy,
                            const mesh_features &on = {});
 
-/// Adopts the costs told by the upstreams.
+/// Adopts the costs told by the upstreams. Where none are told, the known ones are kept.
 /// \returns whether the weights are outdated
 bool update_costs(admission_plan &it, const std::map<std::string, service_state> &states);
 
