Costs: unused state goes, needs in one place; test of costs that are kept

Removed: the deviation of held times and gate_capacity::max_per_s, which nothing used, and slot times per request in the plan, which only its update needs. print_costs printed weights, too: print_values.

--- a/gullstall/src/mesh/admission.cpp
+++ b/gullstall/src/mesh/admission.cpp
@@ -24,6 +24,7 @@
 constexpr double min_reported_calls_change = 0.2;
 
 constexpr double milli = 1000;
+constexpr double us_per_ms = 1000;
 
 bool has_changed(const calls_per_run &before, const calls_per_run &now)
 {
@@ -60,7 +61,7 @@
 }
 
 /// \returns the values as name=value
-std::string print_costs(const std::map<std::string, double> &it)
+std::string print_values(const std::map<std::string, double> &it)
 {
     std::string out;
     for (const auto &[name, value] : it) {
@@ -91,8 +92,8 @@
                                       "entry",
                                       "weights-by-cost",
                                       {{"service", service},
-                                       {"run_cost_us", print_costs(t.n.plan.costs[service])},
-                                       {"weights", print_costs(t.n.plan.weights[service])}}});
+                                       {"run_cost_us", print_values(t.n.plan.costs[service])},
+                                       {"weights", print_values(t.n.plan.weights[service])}}});
     }
 }
 
@@ -184,7 +185,6 @@
     if (!counts_by_cost(n)) {
         return 1;
     }
-    constexpr double us_per_ms = 1000;
     double held_us = mean_held_us(n.costs, route);
     if (held_us == 0) {
         held_us = usual_held_us(n, route);
@@ -198,10 +198,8 @@
     if (!counts_by_cost(n)) {
         return out;
     }
-    constexpr double us_per_ms = 1000;
     double ms_per_run = n.gate.mean_run_us / us_per_ms;
-    return gate_capacity{out.max_per_s * ms_per_run, out.available_per_s * ms_per_run,
-                         out.urgent_per_s * ms_per_run};
+    return gate_capacity{out.available_per_s * ms_per_run, out.urgent_per_s * ms_per_run};
 }
 
 void admission_tick(mesh_turn &t)
--- a/gullstall/src/mesh/gate_demand.cpp
+++ b/gullstall/src/mesh/gate_demand.cpp
@@ -88,18 +88,16 @@
 {
     if (it.mean_run_us <= 0) {
         double limit = it.rate.per_s.value_or(0);
-        return gate_capacity{limit, limit, limit};
+        return gate_capacity{limit, limit};
     }
     constexpr double us_per_s = 1e6;
     double full = it.slots * us_per_s / it.mean_run_us;
     // Calls that the upstream sheds occupy no slot.
     double attempts_per_run = 1 / (1 - std::min(it.shed_share, max_shed_share));
-    gate_capacity out{full * attempts_per_run,
-                      rate_beside_queue(full, it.waiting.size()) * attempts_per_run,
+    gate_capacity out{rate_beside_queue(full, it.waiting.size()) * attempts_per_run,
                       rate_beside_queue(full, urgent_waiting) * attempts_per_run};
     if (it.rate.per_s) {
         double limit = *it.rate.per_s;
-        out.max_per_s = std::min(out.max_per_s, limit);
         out.available_per_s =
             std::min(out.available_per_s, rate_beside_queue(limit, it.waiting.size()));
         out.urgent_per_s = std::min(out.urgent_per_s, rate_beside_queue(limit, urgent_waiting));
--- a/gullstall/src/mesh/gate_demand.hpp
+++ b/gullstall/src/mesh/gate_demand.hpp
@@ -51,11 +51,10 @@
 std::vector<mesh_wire::demand_part> demand_by_weight(const gate_demand &it,
                                                      const std::map<std::string, double> &weights);
 
-/// Runs per second that an upstream completes with all slots busy, and that its rate limit
-/// allows; 0 if it has not completed a run yet and has no limit.
+/// Runs per second that an upstream completes with all slots busy and that its rate limit
+/// allows, beside the calls that wait; 0 if it has not completed a run yet and has no limit.
 struct gate_capacity
 {
-    double max_per_s = 0;
     double available_per_s = 0;  ///< reduced by the rate needed to drain the queue
     double urgent_per_s = 0;     ///< reduced by the rate needed to drain its most urgent calls
 
--- a/gullstall/src/mesh/service_levels.cpp
+++ b/gullstall/src/mesh/service_levels.cpp
@@ -97,8 +97,8 @@
     std::string root;  ///< traffic class
     std::uint32_t customer_priority;
     std::uint32_t route_priority;
-    double need;  ///< runs or slot time per request
-    std::string route;
+    double need;     ///< runs per request
+    double slot_us;  ///< slot time per request, 0 if unknown
 };
 
 /// Computes the weights of the routes of one customer class that use one service. A route
@@ -182,30 +182,24 @@
         if (runs < min_runs_per_request) {
             continue;
         }
+        auto slot_us = needs.slot_us.find(service);
+        double known_us = slot_us == needs.slot_us.end() ? 0 : slot_us->second;
         for (std::uint32_t priority : priorities_of(policy, route)) {
             std::uint32_t customer_priority = has_customers(policy) ? priority : 0;
             users[service].push_back(route_usage{traffic_class(route, priority), customer_priority,
-                                                 route.priority, runs, route.name});
+                                                 route.priority, runs, known_us});
         }
     }
 }
 
 /// Replaces the runs per request by slot times.
-/// \returns false if the service is not counted by cost or some slot time is unknown; nothing
-/// is replaced then
-bool use_slot_times(const admission_plan &it, const std::string &service,
-                    std::vector<route_usage> &users)
+/// \returns false if some slot time is unknown; nothing is replaced then
+bool use_slot_times(std::vector<route_usage> &users)
 {
-    auto slot_us = [&](const route_usage &user) {
-        const service_runs &needs = it.slot_time_per_request.at(user.route);
-        auto need = needs.find(service);
-        return need == needs.end() ? 0 : need->second;
-    };
-    bool is_known = it.counted_by_cost.count(service) > 0 &&
-                    std::all_of(users.begin(), users.end(),
-                                [&](const route_usage &user) { return slot_us(user) > 0; });
+    bool is_known = std::all_of(users.begin(), users.end(),
+                                [](const route_usage &user) { return user.slot_us > 0; });
     for (route_usage &user : users) {
-        user.need = is_known ? slot_us(user) : user.need;
+        user.need = is_known ? user.slot_us : user.need;
     }
     return is_known;
 }
@@ -216,7 +210,6 @@
                            const mesh_features &on)
 {
     it.runs_per_request.clear();
-    it.slot_time_per_request.clear();
     it.weights.clear();
     it.counted_by_cost =
         on.run_costs ? services_counted_by_cost(policy, it.cost_spread) : std::set<std::string>{};
@@ -229,10 +222,9 @@
             add_users(policy, route, needs, users);
         }
         it.runs_per_request[route.name] = std::move(needs.runs);
-        it.slot_time_per_request[route.name] = std::move(needs.slot_us);
     }
     for (auto &[service, all] : users) {
-        bool has_costs = use_slot_times(it, service, all);
+        bool has_costs = it.counted_by_cost.count(service) > 0 && use_slot_times(all);
         double usual_need = has_costs ? most_needed_by_urgent(all) : most_needed(all);
         it.weights[service] = route_weights(all, usual_need, on);
     }
--- a/gullstall/src/mesh/service_levels.hpp
+++ b/gullstall/src/mesh/service_levels.hpp
@@ -42,9 +42,7 @@
 {
     std::map<std::string, calls_per_run> calls;            ///< learned calls per run, by route
     std::map<std::string, service_runs> runs_per_request;  ///< runs per request, by route
-    /// Slot time that one request needs, microseconds, by route and by service counted by cost.
-    std::map<std::string, service_runs> slot_time_per_request;
-    double cost_spread = 0;                    ///< limits.cost_spread
+    double cost_spread = 0;                                ///< limits.cost_spread
     std::set<std::string> counted_by_cost;     ///< services, see services_counted_by_cost
     std::map<std::string, route_costs> costs;  ///< known costs of these services
     /// By service, then by traffic class: the share of the requests that is admitted at
--- a/gullstall/src/overload/run_costs.cpp
+++ b/gullstall/src/overload/run_costs.cpp
@@ -1,7 +1,6 @@
 #include "gullstall/src/overload/run_costs.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace gullstall {
 
@@ -20,10 +19,7 @@
     held_time &known = it.by_route[route];
     ++known.runs;
     double weight = std::max(run_weight, 1.0 / known.runs);
-    double difference = static_cast<double>(held.count()) - known.mean_us;
-    known.mean_us += weight * difference;
-    double deviation = known.runs == 1 ? 0 : std::abs(difference);
-    known.deviation_us += weight * (deviation - known.deviation_us);
+    known.mean_us += weight * (static_cast<double>(held.count()) - known.mean_us);
 }
 
 double mean_held_us(const run_costs &it, const std::string &route)
--- a/gullstall/src/overload/run_costs.hpp
+++ b/gullstall/src/overload/run_costs.hpp
@@ -12,9 +12,8 @@
 /// Time for which the runs of one route hold a slot of an upstream.
 struct held_time
 {
-    double mean_us = 0;       ///< moving average, microseconds
-    double deviation_us = 0;  ///< moving average of the absolute deviation, microseconds
-    std::uint32_t runs = 0;   ///< number of runs measured
+    double mean_us = 0;      ///< moving average, microseconds
+    std::uint32_t runs = 0;  ///< number of runs measured
 
     bool operator==(const held_time &) const = default;
 };
--- a/test/unit/mesh_run_costs.cpp
+++ b/test/unit/mesh_run_costs.cpp
@@ -204,3 +204,16 @@
     CHECK(w.nodes.at("f1").nodes.nodes.at("s1").status.run_costs.empty());
     CHECK(w.nodes.at("f1").plan.counted_by_cost.empty());
 }
+
+// Guards against weights that fall back to runs while all upstreams of a service have just
+// started and tell no costs.
+TEST_CASE_FIXTURE(scarce_service_fixture,
+                  "no upstream tells costs, entry node, keeps the known ones")
+{
+    send_load(seconds(2), 0.9, 0.9);
+    mesh::admission_plan plan = w.nodes.at("f1").plan;
+    mesh::route_costs before = plan.costs.at("scarce");
+    CHECK(before.size() == 2);
+    CHECK(!update_costs(plan, {{"scarce", mesh::service_state{}}}));
+    CHECK(plan.costs.at("scarce") == before);
+}
