Suspects of crashes outlive all nodes: one row of the platform's store

Cause: a suspect was known to the nodes' memory only. Class: what is learned dies with the processes.

Why it works: the row is read with the policy, before which a node runs nothing.

--- a/gullstall/mesh.hpp
+++ b/gullstall/mesh.hpp
@@ -6,6 +6,7 @@
 /// to callers.
 #include "gullstall/src/mesh/crash_guard.hpp"
 #include "gullstall/src/mesh/directory.hpp"
+#include "gullstall/src/mesh/kept_suspects.hpp"
 #include "gullstall/src/mesh/mesh_actions.hpp"
 #include "gullstall/src/mesh/mesh_node.hpp"
 #include "gullstall/src/mesh/mesh_settings.hpp"
--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -165,6 +165,10 @@
                 if (save_chain_) {
                     save_chain_(std::move(it));
                 }
+            } else if constexpr (std::is_same_v<kind, mesh::store_suspects>) {
+                if (save_suspects_) {
+                    save_suspects_(std::move(it));
+                }
             } else {
                 static_assert(std::is_same_v<kind, write_line>, "unhandled action type");
                 log_.write(it);
@@ -320,6 +324,22 @@
     save_chain_ = std::move(keep);
 }
 
+void mesh_daemon::set_suspects_saver(std::function<void(mesh::store_suspects &&)> save)
+{
+    save_suspects_ = std::move(save);
+    node_.stored_suspects.expected = true;
+}
+
+void mesh_daemon::update_suspects(const std::vector<kept_suspect> &row)
+{
+    step([&](mesh_turn &t) { handle_stored_suspects(t, row); });
+}
+
+void mesh_daemon::set_suspects_saved(bool written)
+{
+    step([&](mesh_turn &t) { handle_suspects_saved(t, written); });
+}
+
 void mesh_daemon::log(const write_line &line)
 {
     log_.write(line);
--- a/gullstall/src/edge/mesh_daemon.hpp
+++ b/gullstall/src/edge/mesh_daemon.hpp
@@ -53,6 +53,17 @@
     /// saved.
     void set_chain_saver(std::function<void(mesh::store_chain &&)> keep);
 
+    /// Sets the function that saves the suspects of crashes in the store. From the first policy
+    /// on no run starts until they have been read or max_suspects_wait has passed.
+    void set_suspects_saver(std::function<void(mesh::store_suspects &&)> save);
+
+    /// Applies the suspects read from the store.
+    void update_suspects(const std::vector<kept_suspect> &row);
+
+    /// Reports the end of a save.
+    /// \param written whether the row is known to have been written
+    void set_suspects_saved(bool written);
+
     void log(const mesh::write_line &line);
 
     /// Applies the settings that can change at run time, which are the limits. Changed
@@ -89,6 +100,7 @@
     platform_bindings dialect_;
     mesh::mesh_node node_;
     std::function<void(mesh::store_chain &&)> save_chain_;
+    std::function<void(mesh::store_suspects &&)> save_suspects_;
     line_log log_;
     http_edge callers_;
     http_edge metrics_;
--- a/gullstall/src/mesh/crash_guard.cpp
+++ b/gullstall/src/mesh/crash_guard.cpp
@@ -128,8 +128,13 @@
 
 suspect_verdict judge_run(const mesh_node &n, const local_run &run, time_point now)
 {
-    suspicion level =
-        n.features.crash_guard ? suspicion_of(n.suspects, run.signature, now) : suspicion::none;
+    if (!n.features.crash_guard) {
+        return suspect_verdict::start;
+    }
+    if (awaits_suspects(n, now)) {
+        return suspect_verdict::hold;
+    }
+    suspicion level = suspicion_of(n.suspects, run.signature, now);
     if (level == suspicion::none) {
         return suspect_verdict::start;
     }
@@ -227,6 +232,7 @@
     }
     t.n.suspects.rules.first_quarantine = from_seconds(t.n.settings.limits.quarantine_s);
     expire_suspects(t.n.suspects, t.now);
+    kept_suspects_tick(t);
     if (!t.n.held_runs.empty()) {
         dispatch_queued(t);
     }
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -297,6 +297,9 @@
     if (!is_newer) {
         return false;
     }
+    if (!t.n.policy) {
+        t.n.stored_suspects.wait_ends_at = t.now + max_suspects_wait;
+    }
     t.n.policy = std::move(policy);
     t.n.policy_text = std::move(text);
     t.n.policy_at = t.now;
--- a/gullstall/src/mesh/mesh_actions.hpp
+++ b/gullstall/src/mesh/mesh_actions.hpp
@@ -12,6 +12,7 @@
 #include "gullstall/generated/mesh_generated.h"
 #include "gullstall/src/mesh/call_chain.hpp"
 #include "gullstall/src/mesh/directory.hpp"
+#include "gullstall/suspects.hpp"
 
 namespace gullstall::mesh {
 
@@ -141,6 +142,12 @@
     calls_per_run calls;
 };
 
+/// Persists the suspects of crashes in the platform's store.
+struct store_suspects
+{
+    std::vector<kept_suspect> suspects;
+};
+
 /// One field of a log line.
 struct log_field
 {
@@ -163,9 +170,9 @@
 };
 
 /// Any effect that a node requests of its runtime.
-using mesh_action =
-    std::variant<answer_caller, send_to_node, send_to_link, send_to_links, start_run, cancel_run,
-                 upstream_replaced, probe_upstream, connect_node, store_chain, write_line>;
+using mesh_action = std::variant<answer_caller, send_to_node, send_to_link, send_to_links,
+                                 start_run, cancel_run, upstream_replaced, probe_upstream,
+                                 connect_node, store_chain, store_suspects, write_line>;
 
 /// Actions in execution order.
 using mesh_actions = std::vector<mesh_action>;
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -18,6 +18,7 @@
 #include "gullstall/src/mesh/crash_watch.hpp"
 #include "gullstall/src/mesh/directory.hpp"
 #include "gullstall/src/mesh/gate_demand.hpp"
+#include "gullstall/src/mesh/kept_suspects.hpp"
 #include "gullstall/src/mesh/mesh_actions.hpp"
 #include "gullstall/src/mesh/mesh_settings.hpp"
 #include "gullstall/src/mesh/own_upstream.hpp"
@@ -155,6 +156,7 @@
     crash_watch crashes;
     crash_suspects suspects;
     std::vector<request_signature> cleared_suspects;  ///< not yet reported to the others
+    kept_suspects stored_suspects;
     std::vector<run_ref> held_runs;  ///< suspects that wait for others; may contain ended runs
     run_gate gate;
     bool reported_errors = false;  ///< of the local upstream, by report_upstream_errors
--- a/gullstall/src/mesh/report.cpp
+++ b/gullstall/src/mesh/report.cpp
@@ -62,6 +62,10 @@
         static_cast<double>(n.suspects.by_signature.size()));
     add(out, "gullstall_quarantined_requests", "gauge",
         static_cast<double>(count_quarantined(n.suspects, now)));
+    add(out, "gullstall_stored_suspects", "gauge",
+        static_cast<double>(n.stored_suspects.stored.size()));
+    add(out, "gullstall_stored_suspects_age_seconds", "gauge",
+        n.stored_suspects.has_read ? to_seconds(now - n.stored_suspects.stored_at) : 0);
     add(out, "gullstall_held_runs", "gauge", static_cast<double>(n.held_runs.size()));
     add(out, "gullstall_calls_in_flight", "gauge", static_cast<double>(n.calls.size()));
     add_limit(out, n.upstream, now);
--- a/gullstall/src/mesh/switches.hpp
+++ b/gullstall/src/mesh/switches.hpp
@@ -37,6 +37,7 @@
     bool store_watchers = true;    ///< off: each node watches the store
     bool gate_grants = true;       ///< off: entry nodes limit all retries by themselves
     bool crash_guard = true;       ///< off: requests that crash upstreams are run again
+    bool kept_suspects = true;     ///< off: suspects of crashes are not kept in the store
     bool upstream_limits = true;   ///< off: what upstreams say of themselves has no effect
     bool limit_placing = true;     ///< off: nodes are chosen regardless of upstream limits
     bool upstream_errors = true;   ///< off: errors of an upstream do not raise its cost
--- a/gullstall/src/mesh/zone_duty.cpp
+++ b/gullstall/src/mesh/zone_duty.cpp
@@ -55,6 +55,21 @@
     return std::find(relays.begin(), relays.end(), self.name) != relays.end();
 }
 
+namespace {
+
+/// \returns the names of the nodes that watch the store for this node's zone; none while the
+/// node has just started and hears no other
+std::vector<std::string> choose_watchers(const mesh_node &n, time_point now)
+{
+    if (now - n.started_at < lone_node_delay) {
+        return {};
+    }
+    return choose_nodes(n.nodes, n.settings.node.zone, now,
+                        [](const node_view &view) { return !view.status.store_lost; });
+}
+
+}  // namespace
+
 bool watches_store(const mesh_node &n, time_point now)
 {
     bool is_policy_late =
@@ -62,13 +77,14 @@
     if (!n.features.store_watchers || is_policy_late) {
         return true;
     }
-    if (now - n.started_at < lone_node_delay) {
-        return false;
-    }
-    const auto &self = n.settings.node;
-    std::vector<std::string> watchers = choose_nodes(
-        n.nodes, self.zone, now, [](const node_view &view) { return !view.status.store_lost; });
-    return std::find(watchers.begin(), watchers.end(), self.name) != watchers.end();
+    std::vector<std::string> watchers = choose_watchers(n, now);
+    return std::find(watchers.begin(), watchers.end(), n.settings.node.name) != watchers.end();
+}
+
+bool is_first_watcher(const mesh_node &n, time_point now)
+{
+    std::vector<std::string> watchers = choose_watchers(n, now);
+    return !watchers.empty() && watchers.front() == n.settings.node.name;
 }
 
 }  // namespace gullstall::mesh
--- a/gullstall/src/mesh/zone_duty.hpp
+++ b/gullstall/src/mesh/zone_duty.hpp
@@ -31,6 +31,9 @@
 /// nodes hear of it from those that do
 bool watches_store(const mesh_node &n, time_point now);
 
+/// \returns whether this node writes to the store what its zone has learned
+bool is_first_watcher(const mesh_node &n, time_point now);
+
 }  // namespace gullstall::mesh
 
 #endif
--- a/gullstall/src/platform/request.hpp
+++ b/gullstall/src/platform/request.hpp
@@ -106,6 +106,7 @@
     std::string content;
     std::uint64_t version = 0;  ///< of the whole store: where a feed goes on
     bool has_more = false;      ///< a scan found more rows than one answer holds
+    std::uint64_t now_ms = 0;   ///< the store's steady clock, milliseconds; 0: not told
 
     bool operator==(const platform_answer &) const = default;
 };
--- a/gullstall/src/suspects/crash_suspects.cpp
+++ b/gullstall/src/suspects/crash_suspects.cpp
@@ -32,6 +32,15 @@
     return now - it.last_crash_at >= quarantine_of(it, rules) + suspect_lifetime;
 }
 
+/// Time in which an ordinary request that was running at two crashes ends elsewhere.
+constexpr duration usual_clearing_time = seconds(1);
+
+/// Orders suspects by how suspicious they are.
+auto rank_of(const crash_suspect &it)
+{
+    return std::tuple(it.blamed, it.crashes, it.last_crash_at);
+}
+
 /// Makes room for one more suspect by removing the least suspicious one.
 void make_room(crash_suspects &it)
 {
@@ -39,12 +48,8 @@
         return;
     }
     auto least = std::min_element(
-        it.by_signature.begin(), it.by_signature.end(), [](const auto &a, const auto &b) {
-            auto rank = [](const crash_suspect &each) {
-                return std::tuple(each.blamed, each.crashes, each.last_crash_at);
-            };
-            return rank(a.second) < rank(b.second);
-        });
+        it.by_signature.begin(), it.by_signature.end(),
+        [](const auto &a, const auto &b) { return rank_of(a.second) < rank_of(b.second); });
     it.by_signature.erase(least);
 }
 
@@ -144,4 +149,25 @@
                   [&](const auto &entry) { return has_expired(entry.second, it.rules, now); });
 }
 
+std::vector<kept_suspect> suspects_to_keep(const crash_suspects &it, time_point now)
+{
+    std::vector<std::pair<request_signature, crash_suspect>> chosen;
+    for (const auto &[signature, known] : it.by_signature) {
+        bool is_settled = known.blamed > 0 || now - known.last_crash_at >= usual_clearing_time;
+        if (suspicion_of(it, signature, now) >= suspicion::isolated && is_settled) {
+            chosen.emplace_back(signature, known);
+        }
+    }
+    std::sort(chosen.begin(), chosen.end(), [](const auto &a, const auto &b) {
+        return std::pair(rank_of(b.second), b.first) < std::pair(rank_of(a.second), a.first);
+    });
+    chosen.resize(std::min(chosen.size(), max_kept_suspects));
+    std::vector<kept_suspect> out;
+    for (const auto &[signature, known] : chosen) {
+        out.push_back(
+            kept_suspect{signature, known.crashes, known.blamed, now - known.last_crash_at});
+    }
+    return out;
+}
+
 }  // namespace gullstall
--- a/gullstall/src/suspects/crash_suspects.hpp
+++ b/gullstall/src/suspects/crash_suspects.hpp
@@ -80,6 +80,24 @@
 /// Removes suspects whose last crash is long past.
 void expire_suspects(crash_suspects &it, time_point now);
 
+/// Suspect as it is kept when all nodes stop.
+struct kept_suspect
+{
+    request_signature signature{};
+    std::uint32_t crashes = 0;
+    std::uint32_t blamed = 0;
+    duration age{};  ///< time since the last crash
+
+    bool operator==(const kept_suspect &) const = default;
+};
+
+/// Bounds the size of the row that the platform's store keeps.
+constexpr std::size_t max_kept_suspects = 64;
+
+/// \returns the most suspicious requests that are worth keeping: those that have been blamed,
+/// and those that have stayed isolated for longer than an ordinary request needs to be cleared
+std::vector<kept_suspect> suspects_to_keep(const crash_suspects &it, time_point now);
+
 }  // namespace gullstall
 
 #endif
--- a/gullstall/src/suspects/request_signature.cpp
+++ b/gullstall/src/suspects/request_signature.cpp
@@ -34,4 +34,15 @@
     return to_hex(bytes);
 }
 
+result<request_signature> parse_signature(std::string_view text)
+{
+    std::uint64_t value = 0;
+    result<std::string> bytes = from_hex(text);
+    if (!succeeded(bytes) || value_of(bytes).size() != sizeof(value)) {
+        return error{error_code::bad_syntax, "'" + std::string(text) + "' is no signature"};
+    }
+    std::memcpy(&value, value_of(bytes).data(), sizeof(value));
+    return request_signature{value};
+}
+
 }  // namespace gullstall
--- a/gullstall/src/suspects/request_signature.hpp
+++ b/gullstall/src/suspects/request_signature.hpp
@@ -5,6 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include "gullstall/src/core/result.hpp"
+
 namespace gullstall {
 
 /// Hash of all that an upstream knows of a request but its id and its deadline. Requests
@@ -31,6 +33,10 @@
 /// \returns the signature as 16 hexadecimal digits
 std::string print_signature(request_signature it);
 
+/// Parses what print_signature returns.
+/// \returns the signature, or bad_syntax
+result<request_signature> parse_signature(std::string_view text);
+
 }  // namespace gullstall
 
 #endif
--- a/test/platform/formats.cpp
+++ b/test/platform/formats.cpp
@@ -5,6 +5,7 @@
 #include "platform/node_rows.hpp"
 #include "platform/operator_policy.hpp"
 #include "platform/store_http.hpp"
+#include "platform/suspect_rows.hpp"
 
 using namespace gullstall;
 
@@ -209,3 +210,42 @@
     CHECK_FALSE(succeeded(platform::read_chain_row(R"({"roster":"2"})")));
     CHECK_FALSE(succeeded(platform::read_chain_row(R"({"roster":-1})")));
 }
+
+TEST_CASE("suspect row, printed, is read back with its age")
+{
+    std::vector<kept_suspect> kept{{request_signature{0xfe}, 3, 1, milliseconds(200)},
+                                   {request_signature{~0ULL}, 2, 0, seconds(40)}};
+    auto read = platform::read_suspect_row(platform::print_suspect_row(kept, 5000), 5700);
+    REQUIRE(succeeded(read));
+    kept[0].age = milliseconds(900);
+    kept[1].age = milliseconds(40700);
+    CHECK(value_of(read) == kept);
+}
+
+// Guards against a quarantine that comes from a row of something else.
+TEST_CASE("suspect row, foreign, spoiled or from a later time, is refused")
+{
+    for (
+        const char *bad :
+        {"", "{", "[]", R"({"suspects":[]})", R"({"written-ms":0})",
+         R"({"written-ms":101,"suspects":[]})", R"({"written-ms":0,"suspects":[7]})",
+         R"({"written-ms":0,"suspects":[{"signature":"xyz","crashes":1,"blamed":0,"age-ms":0}]})",
+         R"({"written-ms":0,"suspects":[{"signature":"fe","crashes":1,"blamed":0,"age-ms":0}]})",
+         R"({"written-ms":0,"suspects":[{"signature":"00000000000000fe","crashes":1,"blamed":2,"age-ms":0}]})",
+         R"({"written-ms":0,"suspects":[{"signature":"00000000000000fe","crashes":-1,"blamed":0,"age-ms":0}]})",
+         R"({"written-ms":0,"suspects":[{"signature":"00000000000000fe","crashes":1,"blamed":0,"age-ms":-5}]})"}) {
+        INFO(bad);
+        CHECK_FALSE(succeeded(platform::read_suspect_row(bad, 100)));
+    }
+}
+
+TEST_CASE("suspect row, too long, is cut to the bound")
+{
+    std::vector<kept_suspect> kept;
+    for (std::uint64_t i = 1; i <= 10 * max_kept_suspects; ++i) {
+        kept.push_back(kept_suspect{request_signature{i}, 3, 1, seconds(1)});
+    }
+    auto read = platform::read_suspect_row(platform::print_suspect_row(kept, 1), 1);
+    REQUIRE(succeeded(read));
+    CHECK(value_of(read).size() == max_kept_suspects);
+}
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -93,6 +93,12 @@
     std::vector<mesh::write_line> log_lines;
     std::map<std::string, mesh::calls_per_run>
         stored_calls;  ///< calls per run in the store, by route
+    /// Suspects in the store, read by each node that starts, and when they were written.
+    std::vector<kept_suspect> stored_suspects;
+    time_point suspects_stored_at{};
+    std::uint64_t suspect_writes = 0;
+    duration store_delay = milliseconds(5);  ///< of a read or write of the suspects
+    time_point store_away_until{};           ///< until then no read or write of them succeeds
     /// Pairs (from, to) whose frames are held back until the pair is removed.
     std::set<std::pair<std::string, std::string>> partitions;
     std::set<std::string> paused_nodes;  ///< nodes whose process is paused
@@ -142,6 +148,8 @@
         auto incarnation = static_cast<std::uint64_t>(now.time_since_epoch().count());
         lose_links_of(name);
         nodes.insert_or_assign(name, make_mesh_node(settings, incarnation, random(), now));
+        nodes.at(name).stored_suspects.expected = true;
+        read_suspects(name, incarnation);
         run_node(name, [&](mesh::mesh_turn &t) {
             apply_policy(t, policy, "text", mesh::policy_source::store);
         });
@@ -601,6 +609,39 @@
         stored_calls[it.route] = it.calls;
     }
 
+    std::vector<kept_suspect> read_stored_suspects() const
+    {
+        std::vector<kept_suspect> out = stored_suspects;
+        for (kept_suspect &it : out) {
+            it.age += now - suspects_stored_at;
+        }
+        return out;
+    }
+
+    void read_suspects(const std::string &name, std::uint64_t incarnation)
+    {
+        schedule_at(std::max(now + store_delay, store_away_until), [this, name, incarnation] {
+            if (nodes.at(name).incarnation == incarnation) {
+                run_node(name, [row = read_stored_suspects()](mesh::mesh_turn &t) {
+                    handle_stored_suspects(t, row);
+                });
+            }
+        });
+    }
+
+    void perform(const std::string &name, mesh::store_suspects &it)
+    {
+        bool works = now >= store_away_until;
+        if (works) {
+            ++suspect_writes;
+            stored_suspects = it.suspects;
+            suspects_stored_at = now;
+        }
+        schedule_after(store_delay, [this, name, works] {
+            run_node(name, [works](mesh::mesh_turn &t) { handle_suspects_saved(t, works); });
+        });
+    }
+
     static constexpr duration connect_time = microseconds(100);
 
     std::priority_queue<event> queue_;
