Failing test: a zone notices the loss of both its watchers too late for a new policy

What callers would see: CONFIG, "handled by version N or older; version N was acked more than N ms before", in a zone that is cut off from the others while its two nodes on duty stand still, or are lost without their connections closing, just as a version is acknowledged.

--- a/test/unit/mesh_watchers.cpp
+++ b/test/unit/mesh_watchers.cpp
@@ -129,6 +129,23 @@
     CHECK(outdated().empty());
 }
 
+// Guards against a zone that notices the loss of both its watchers too late to read a policy in
+// time.
+TEST_CASE("policy changed, watchers of a cut-off zone paused at any moment, in time")
+{
+    for (int offset_ms = 0; offset_ms < 1000; offset_ms += 50) {
+        watched_store_fixture it;
+        it.world.run_for(milliseconds(offset_ms));
+        it.set_zone_cut(1, true);
+        INFO("offset ", offset_ms, " ms");
+        for (const std::string &watcher : it.watchers_of(1)) {
+            it.world.paused_nodes.insert(watcher);
+        }
+        it.publish_and_wait();
+        CHECK(it.outdated().empty());
+    }
+}
+
 TEST_CASE_FIXTURE(watched_store_fixture, "store back after an outage, all nodes, have the policy")
 {
     for (const auto &[name, node] : world.nodes) {
