Nodes of the own zone are probed after 0.7 s without a status

What callers saw or would see: a policy later than 2 s in a zone that is cut off while both of its watchers stand still (mesh_watchers, at 4 of 20 moments).

Cause: the zone's other nodes notice that at 1.5 s (age of a status) + 0.25 s (probe) + two ticks, then poll for their duty within 0.2 s: 2.15 s at worst. Relays of the other zones, which cover it otherwise, are the same two nodes. Class of fault: a bound that is the sum of time-outs, tested at one moment only.

Change: within a zone statuses come straight from each node twice a second, so 0.7 s without one is enough to ask. Other zones keep 1.5 s, since their statuses are relayed.

--- a/gullstall/src/mesh/directory.cpp
+++ b/gullstall/src/mesh/directory.cpp
@@ -28,6 +28,10 @@
 /// passed its statuses on are gone, or none of them hears it.
 constexpr duration stale_status_age = milliseconds(1500);
 
+/// The same for a node of the own zone. Its statuses come from itself twice a second, and it may
+/// be the one that watches the store for the zone.
+constexpr duration stale_status_age_in_zone = milliseconds(700);
+
 bool is_older(const mesh_wire::node_status_message &status,
               const mesh_wire::node_status_message &known)
 {
@@ -235,9 +239,12 @@
                                                time_point now)
 {
     std::vector<std::string> out;
+    std::string own_zone = it.nodes.at(own).address.zone;
     for (auto &[name, view] : it.nodes) {
         duration age = now - view.status_at;
-        bool is_quiet = (view.in_flight > 0 && age >= probe_delay) || age >= stale_status_age;
+        bool is_near = view.address.zone == own_zone;
+        duration max_age = is_near ? stale_status_age_in_zone : stale_status_age;
+        bool is_quiet = (view.in_flight > 0 && age >= probe_delay) || age >= max_age;
         if (name != own && view.linked && is_quiet && !view.probed_at) {
             view.probed_at = now;
             out.push_back(name);
