Upstreams try an isolated request one after the other

Cause: where all upstreams crashed within the news' delay, no request is blamed, and the held copies start at all gates at the moment half of the service is back. Class of fault: a decision that waits for an event, made by everybody at the event.

Change: gates rank themselves for the request by a hash and start trials 250 ms apart.

Why it works: the first trial's crash, or the run that ended, is known at the others before theirs.

--- a/gullstall/src/mesh/crash_guard.cpp
+++ b/gullstall/src/mesh/crash_guard.cpp
@@ -116,6 +116,41 @@
     return serving * 2 < known;
 }
 
+/// Time by which the gates of a service start their trials of an isolated request one after the
+/// other: it covers a run that crashes its upstream soon, and the news of that.
+constexpr duration trial_interval = milliseconds(250);
+
+/// Bounds the wait of an ordinary request whose other copies are at no earlier gate.
+constexpr int max_trial_rank = 3;
+
+/// \returns the number of upstreams of the service that try the request before the local one
+int trial_rank(const mesh_node &n, request_signature signature, time_point now)
+{
+    auto position = [&](const std::string &node) {
+        return hash_text(print_signature(signature) + node);
+    };
+    const std::string &service = n.upstream.latest->service;
+    const std::string &self = n.settings.node.name;
+    std::uint64_t own = position(self);
+    auto is_earlier = [&](const auto &entry) {
+        return entry.first != self && is_usable(entry.second, service, now) &&
+               position(entry.first) < own;
+    };
+    auto rank = std::count_if(n.nodes.nodes.begin(), n.nodes.nodes.end(), is_earlier);
+    return static_cast<int>(std::min<std::ptrdiff_t>(rank, max_trial_rank));
+}
+
+/// \returns whether the local upstream may try an isolated request: the upstreams that are back
+/// after crashes would otherwise all try it at once
+bool is_trial_due(const mesh_node &n, const local_run &run, time_point now)
+{
+    if (!n.features.ordered_trials) {
+        return true;
+    }
+    time_point possible_since = std::max(run.arrived_at, n.crashes.service_weak_at);
+    return now >= possible_since + trial_rank(n, run.signature, now) * trial_interval;
+}
+
 }  // namespace
 
 request_content content_of(const mesh_wire::call_message &call)
@@ -141,7 +176,9 @@
     if (level == suspicion::quarantined) {
         return suspect_verdict::refuse;
     }
-    if (n.crashes.probing || (level == suspicion::isolated && is_service_weak(n, now))) {
+    bool is_isolated = level == suspicion::isolated;
+    if (n.crashes.probing || (is_isolated && is_service_weak(n, now)) ||
+        (is_isolated && !is_trial_due(n, run, now))) {
         return suspect_verdict::hold;
     }
     bool is_blocked = std::any_of(n.runs.begin(), n.runs.end(), [&](const auto &entry) {
@@ -234,6 +271,9 @@
     expire_suspects(t.n.suspects, t.now);
     kept_suspects_tick(t);
     if (!t.n.held_runs.empty()) {
+        if (t.n.upstream.latest && is_service_weak(t.n, t.now)) {
+            t.n.crashes.service_weak_at = t.now;
+        }
         dispatch_queued(t);
     }
 }
--- a/gullstall/src/mesh/crash_watch.hpp
+++ b/gullstall/src/mesh/crash_watch.hpp
@@ -30,6 +30,7 @@
     std::vector<lost_run> lost;  ///< runs whose connection broke for a reason not known yet
     bool probing = false;
     std::string crashed_upstream;  ///< incarnation whose crash was last reported
+    time_point service_weak_at{};  ///< when most upstreams of the service were last seen missing
 };
 
 }  // namespace gullstall::mesh
--- a/gullstall/src/mesh/switches.cpp
+++ b/gullstall/src/mesh/switches.cpp
@@ -41,6 +41,7 @@
     named_flag{"store_watchers", &mesh_features::store_watchers},
     named_flag{"gate_grants", &mesh_features::gate_grants},
     named_flag{"crash_guard", &mesh_features::crash_guard},
+    named_flag{"ordered_trials", &mesh_features::ordered_trials},
     named_flag{"kept_suspects", &mesh_features::kept_suspects},
     named_flag{"upstream_limits", &mesh_features::upstream_limits},
     named_flag{"limit_placing", &mesh_features::limit_placing},
--- a/gullstall/src/mesh/switches.hpp
+++ b/gullstall/src/mesh/switches.hpp
@@ -37,6 +37,7 @@
     bool store_watchers = true;    ///< off: each node watches the store
     bool gate_grants = true;       ///< off: entry nodes limit all retries by themselves
     bool crash_guard = true;       ///< off: requests that crash upstreams are run again
+    bool ordered_trials = true;    ///< off: all upstreams try an isolated request at once
     bool kept_suspects = true;     ///< off: suspects of crashes are not kept in the store
     bool upstream_limits = true;   ///< off: what upstreams say of themselves has no effect
     bool limit_placing = true;     ///< off: nodes are chosen regardless of upstream limits
--- a/test/support/crash_load.hpp
+++ b/test/support/crash_load.hpp
@@ -14,6 +14,7 @@
 {
     std::string path;
     duration interval = milliseconds(700);
+    duration crash_delay = milliseconds(40);  ///< from the start of its run
 };
 
 /// Shape of a deployment and its load.
@@ -29,6 +30,7 @@
     /// When upstreams end with no request at fault, and how many; one every \c herd_gap.
     std::vector<std::pair<duration, int>> herds{};
     duration herd_gap{};
+    duration link_delay = milliseconds(1);
     mesh::mesh_features features;
     suspicion_rules rules;
 };
@@ -53,9 +55,9 @@
     {
         world.policy =
             policy_of(1, {route_of("read", "/read/", "books", idempotency::idempotent, 1)});
-        world.link_delay = milliseconds(1);
+        world.link_delay = what.link_delay;
         for (const repeated_request &it : what.crashing) {
-            world.crashing.push_back(crashing_request{it.path});
+            world.crashing.push_back(crashing_request{it.path, it.crash_delay});
         }
         for (int i = 0; i < what.upstreams; ++i) {
             world.add_node("books-" + std::to_string(i), zone(i),
--- a/test/unit/mesh_crash_guard.cpp
+++ b/test/unit/mesh_crash_guard.cpp
@@ -51,6 +51,23 @@
     }
 }
 
+// Guards against a crashing request that all upstreams run again as soon as they are back.
+TEST_CASE_FIXTURE(small_site_fixture,
+                  "request, all upstreams crashed at once, is tried by one of them")
+{
+    what.crashing = {{"/read/crash", milliseconds(10), milliseconds(60)}};
+    what.upstreams = 9;
+    what.polls_per_s = 400;
+    what.link_delay = milliseconds(30);
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        what.seed = seed;
+        test::crash_outcome out = play();
+        CHECK(out.runs_after_limit <= allowed_runs);
+        CHECK(out.crashes <= 10);
+        CHECK(out.refused == 0);
+    }
+}
+
 // Guards against frequent requests that are refused because they run at each crash.
 TEST_CASE_FIXTURE(small_site_fixture, "polls, all upstreams crashed three times, are not refused")
 {
