--- a/gullstall/src/mesh/kept_suspects.cpp
+++ b/gullstall/src/mesh/kept_suspects.cpp
@@ -38,20 +38,17 @@
 
 void log_read(mesh_turn &t, const std::vector<kept_suspect> &row)
 {
-    duration newest{};
-    duration oldest{};
-    for (const kept_suspect &it : row) {
-        newest = it == row.front() ? it.age : std::min(newest, it.age);
-        oldest = std::max(oldest, it.age);
-    }
+    auto is_younger = [](const kept_suspect &a, const kept_suspect &b) { return a.age < b.age; };
+    auto [newest, oldest] = std::minmax_element(row.begin(), row.end(), is_younger);
+    auto print_age = [&](auto it) { return std::to_string(it == row.end() ? 0 : to_ms(it->age)); };
     t.out.emplace_back(
         write_line{write_line::severity::info,
                    "upstream",
                    "suspects-read",
                    {{"suspects", std::to_string(row.size())},
                     {"quarantined", std::to_string(count_quarantined(t.n.suspects, t.now))},
-                    {"newest_age_ms", std::to_string(to_ms(newest))},
-                    {"oldest_age_ms", std::to_string(to_ms(oldest))},
+                    {"newest_age_ms", print_age(newest)},
+                    {"oldest_age_ms", print_age(oldest)},
                     {"after_start_ms", std::to_string(to_ms(t.now - t.n.started_at))}}});
 }
 
--- a/test/unit/mesh_crash_soak.cpp
+++ b/test/unit/mesh_crash_soak.cpp
@@ -33,6 +33,10 @@
             schedule_restart("shop-" + std::to_string(pick(10)));
             schedule_restart("books-" + std::to_string(pick(5)));
         }
+        int losses = pick(3);
+        for (int i = 0; i < losses; ++i) {
+            schedule_loss_of_all_nodes();
+        }
         return site_.play();
     }
 
@@ -63,13 +67,28 @@
     /// Restarts the process of a node, whose upstream stays.
     void schedule_restart(const std::string &node)
     {
-        site_.world.schedule_after(milliseconds(pick(20000)), [this, node] {
-            site_.world.start_node(node, site_.world.nodes.at(node).settings.node.zone);
-            site_.world.schedule_after(milliseconds(300), [this, node] {
-                if (!site_.world.is_dead(node)) {
-                    site_.world.send_heartbeat(node);
-                }
-            });
+        site_.world.schedule_after(milliseconds(pick(20000)), [this, node] { restart(node); });
+    }
+
+    /// Restarts the processes of all nodes at once; the store may be away for a while then.
+    void schedule_loss_of_all_nodes()
+    {
+        duration away = milliseconds(pick(2) * pick(2000));
+        site_.world.schedule_after(milliseconds(3000 + pick(17000)), [this, away] {
+            site_.world.store_away_until = site_.world.now + away;
+            for (const auto &[name, upstream] : site_.world.upstreams) {
+                restart(name);
+            }
+        });
+    }
+
+    void restart(const std::string &node)
+    {
+        site_.world.start_node(node, site_.world.nodes.at(node).settings.node.zone);
+        site_.world.schedule_after(milliseconds(300), [this, node] {
+            if (!site_.world.is_dead(node)) {
+                site_.world.send_heartbeat(node);
+            }
         });
     }
 
@@ -80,7 +99,7 @@
 }  // namespace
 
 // Guards against crashing requests that pass, and others that are refused in their place, among
-// ends of upstreams and restarts of nodes.
+// ends of upstreams, restarts of nodes and losses of all nodes at once.
 TEST_CASE("crashing requests, random ends and restarts, are not run again")
 {
     for (int seed = 1; seed <= seeds_to_play(); ++seed) {
