Calls are refused, not held, until the suspects have been read

Change: until the row is read, for 1 s at most after the first policy from the store, the upstream counts as absent; the others hear at once when it is there. A node that was given its policy by a peer doesn't wait.

--- a/gullstall/src/edge/mesh_daemon.hpp
+++ b/gullstall/src/edge/mesh_daemon.hpp
@@ -53,8 +53,8 @@
     /// saved.
     void set_chain_saver(std::function<void(mesh::store_chain &&)> keep);
 
-    /// Sets the function that saves the suspects of crashes in the store. From the first policy
-    /// on no run starts until they have been read or max_suspects_wait has passed.
+    /// Sets the function that saves the suspects of crashes in the store. After the
+    /// first policy the upstream gets no calls until they have been read, see max_suspects_wait.
     void set_suspects_saver(std::function<void(mesh::store_suspects &&)> save);
 
     /// Applies the suspects read from the store.
--- a/gullstall/src/mesh/crash_guard.cpp
+++ b/gullstall/src/mesh/crash_guard.cpp
@@ -166,9 +166,6 @@
     if (!n.features.crash_guard) {
         return suspect_verdict::start;
     }
-    if (awaits_suspects(n, now)) {
-        return suspect_verdict::hold;
-    }
     suspicion level = suspicion_of(n.suspects, run.signature, now);
     if (level == suspicion::none) {
         return suspect_verdict::start;
--- a/gullstall/src/mesh/kept_suspects.cpp
+++ b/gullstall/src/mesh/kept_suspects.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gullstall/src/mesh/mesh_node.hpp"
+#include "gullstall/src/mesh/status_relay.hpp"
 #include "gullstall/src/mesh/zone_duty.hpp"
 
 namespace gullstall::mesh {
@@ -57,7 +58,7 @@
 bool awaits_suspects(const mesh_node &n, time_point now)
 {
     const kept_suspects &it = n.stored_suspects;
-    return n.features.kept_suspects && it.expected && !it.has_read && n.policy &&
+    return n.features.crash_guard && n.features.kept_suspects && it.expected && !it.has_read &&
            now < it.wait_ends_at;
 }
 
@@ -74,9 +75,13 @@
     }
     it.stored = std::move(read);
     it.stored_at = t.now;
-    it.has_read = true;
+    bool is_first = !std::exchange(it.has_read, true);
     log_read(t, row);
     dispatch_queued(t);
+    if (is_first && t.n.upstream.latest) {
+        send_status_to_callers(t);
+        dispatch_waiting_calls(t);
+    }
 }
 
 void handle_suspects_saved(mesh_turn &t, bool written)
--- a/gullstall/src/mesh/kept_suspects.hpp
+++ b/gullstall/src/mesh/kept_suspects.hpp
@@ -25,14 +25,16 @@
     std::unordered_map<request_signature, crash_suspect> writing;
     time_point stored_at{};
     time_point next_write_at{};
-    time_point wait_ends_at{};  ///< valid when there is a policy
+    time_point wait_ends_at{};  ///< not set if a peer told the first policy
 };
 
-/// Maximum time after the first policy for which a node that has not read the suspects starts no
-/// run. The row is read with the policy; only where one of the two calls fails are they apart.
+/// Maximum time after the first policy for which a node that has not read the suspects takes no
+/// calls for its upstream. The row is read with the policy; only where one of the two calls fails
+/// are they apart. A node that got the policy from a peer was told the suspects by it before.
 constexpr duration max_suspects_wait = seconds(1);
 
-/// \returns whether runs wait until the suspects have been read
+/// \returns whether the local upstream gets no calls until the suspects have been read. Calls are
+/// refused and not held: held ones would all start at the end of a wait in vain.
 bool awaits_suspects(const mesh_node &n, time_point now);
 
 /// Applies the content of the row, read at the start or after a conflicting write. What this
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -297,7 +297,8 @@
     if (!is_newer) {
         return false;
     }
-    if (!t.n.policy) {
+    bool is_first_from_store = !t.n.policy && source == policy_source::store;
+    if (is_first_from_store) {
         t.n.stored_suspects.wait_ends_at = t.now + max_suspects_wait;
     }
     t.n.policy = std::move(policy);
--- a/test/support/crash_load.hpp
+++ b/test/support/crash_load.hpp
@@ -31,6 +31,9 @@
     std::vector<std::pair<duration, int>> herds{};
     duration herd_gap{};
     duration link_delay = milliseconds(1);
+    std::vector<duration> losses{};  ///< when the processes of all nodes are restarted
+    duration store_delay = milliseconds(5);
+    bool awaits_suspects = true;  ///< nodes start no run before they have read the suspects
     mesh::mesh_features features;
     suspicion_rules rules;
 };
@@ -56,6 +59,9 @@
         world.policy =
             policy_of(1, {route_of("read", "/read/", "books", idempotency::idempotent, 1)});
         world.link_delay = what.link_delay;
+        world.features = what.features;
+        world.store_delay = what.store_delay;
+        world.nodes_await_suspects = what.awaits_suspects;
         for (const repeated_request &it : what.crashing) {
             world.crashing.push_back(crashing_request{it.path, it.crash_delay});
         }
@@ -68,7 +74,6 @@
             world.add_node(callers_.back(), zone(i), upstream_model{"shop"});
         }
         for (auto &[name, node] : world.nodes) {
-            node.features = what.features;
             node.suspects.rules = what.rules;
         }
         world.run_for(seconds(2));
@@ -91,10 +96,32 @@
                 });
             }
         }
+        for (duration at : what_.losses) {
+            world.schedule_after(at, [this] { restart_all(); });
+        }
         world.run_for(what_.length + time_left + seconds(1));
         return measure();
     }
 
+    /// Restarts the process of a node, whose upstream stays.
+    void restart(const std::string &node)
+    {
+        world.start_node(node, world.nodes.at(node).settings.node.zone);
+        world.schedule_after(milliseconds(300), [this, node] {
+            if (!world.is_dead(node)) {
+                world.send_heartbeat(node);
+            }
+        });
+    }
+
+    /// Restarts the processes of all nodes at once.
+    void restart_all()
+    {
+        for (const auto &[name, upstream] : world.upstreams) {
+            restart(name);
+        }
+    }
+
     mesh_simulation world;
 
 private:
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -92,13 +92,15 @@
     std::vector<upstream_crash> crashes;
     std::vector<mesh::write_line> log_lines;
     std::map<std::string, mesh::calls_per_run>
-        stored_calls;  ///< calls per run in the store, by route
+        stored_calls;              ///< calls per run in the store, by route
+    mesh::mesh_features features;  ///< of the nodes started from now on
     /// Suspects in the store, read by each node that starts, and when they were written.
     std::vector<kept_suspect> stored_suspects;
     time_point suspects_stored_at{};
     std::uint64_t suspect_writes = 0;
     duration store_delay = milliseconds(5);  ///< of a read or write of the suspects
     time_point store_away_until{};           ///< until then no read or write of them succeeds
+    bool nodes_await_suspects = true;        ///< nodes start no run before they have read them
     /// Pairs (from, to) whose frames are held back until the pair is removed.
     std::set<std::pair<std::string, std::string>> partitions;
     std::set<std::string> paused_nodes;  ///< nodes whose process is paused
@@ -148,7 +150,8 @@
         auto incarnation = static_cast<std::uint64_t>(now.time_since_epoch().count());
         lose_links_of(name);
         nodes.insert_or_assign(name, make_mesh_node(settings, incarnation, random(), now));
-        nodes.at(name).stored_suspects.expected = true;
+        nodes.at(name).features = features;
+        nodes.at(name).stored_suspects.expected = nodes_await_suspects;
         read_suspects(name, incarnation);
         run_node(name, [&](mesh::mesh_turn &t) {
             apply_policy(t, policy, "text", mesh::policy_source::store);
--- a/test/unit/mesh_crash_soak.cpp
+++ b/test/unit/mesh_crash_soak.cpp
@@ -67,7 +67,8 @@
     /// Restarts the process of a node, whose upstream stays.
     void schedule_restart(const std::string &node)
     {
-        site_.world.schedule_after(milliseconds(pick(20000)), [this, node] { restart(node); });
+        site_.world.schedule_after(milliseconds(pick(20000)),
+                                   [this, node] { site_.restart(node); });
     }
 
     /// Restarts the processes of all nodes at once; the store may be away for a while then.
@@ -76,19 +77,7 @@
         duration away = milliseconds(pick(2) * pick(2000));
         site_.world.schedule_after(milliseconds(3000 + pick(17000)), [this, away] {
             site_.world.store_away_until = site_.world.now + away;
-            for (const auto &[name, upstream] : site_.world.upstreams) {
-                restart(name);
-            }
-        });
-    }
-
-    void restart(const std::string &node)
-    {
-        site_.world.start_node(node, site_.world.nodes.at(node).settings.node.zone);
-        site_.world.schedule_after(milliseconds(300), [this, node] {
-            if (!site_.world.is_dead(node)) {
-                site_.world.send_heartbeat(node);
-            }
+            site_.restart_all();
         });
     }
 
