--- a/gullstall/src/suspects/crash_suspects.cpp
+++ b/gullstall/src/suspects/crash_suspects.cpp
@@ -163,6 +163,7 @@
     });
     chosen.resize(std::min(chosen.size(), max_kept_suspects));
     std::vector<kept_suspect> out;
+    out.reserve(chosen.size());
     for (const auto &[signature, known] : chosen) {
         out.push_back(
             kept_suspect{signature, known.crashes, known.blamed, now - known.last_crash_at});
