--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -101,7 +101,7 @@
     duration store_delay = milliseconds(5);  ///< of a read or write of the suspects
     time_point store_away_until{};           ///< until then no read or write of them succeeds
     bool policy_in_store = false;            ///< so that a node that starts then has none
-    bool nodes_await_suspects = false;       ///< upstreams get no calls before they are read
+    bool nodes_await_suspects = true;        ///< upstreams get no calls before they are read
     /// Pairs (from, to) whose frames are held back until the pair is removed.
     std::set<std::pair<std::string, std::string>> partitions;
     std::set<std::string> paused_nodes;  ///< nodes whose process is paused
