Quotas: log lines and metrics of accounts, members and token flow

Lines quota-account-opened (what a new keeper takes for used) and quota-members (the set that a node sees, as a hash); quota-used-up names what was granted, lent, borrowed and returned; metrics of the same. No decision changes: test_mesh_quota and test_quota_tokens pass.

--- a/gullstall/src/mesh/quota_keeper.cpp
+++ b/gullstall/src/mesh/quota_keeper.cpp
@@ -48,6 +48,35 @@
     return choose_quota_keeper(n.quotas.members.zone, customer_name) == own_name(n);
 }
 
+/// Counts tokens of an account and of the node.
+void count_tokens(mesh_turn &t, quota_account &account, std::uint64_t quota_flow::*kind,
+                  std::uint32_t tokens)
+{
+    account.flow.*kind += tokens;
+    t.n.quotas.flow.*kind += tokens;
+}
+
+/// \returns the customer's account as of now; opens it if this node has none
+quota_account &account_of(mesh_turn &t, const customer &who)
+{
+    quota_ledger &ledger = t.n.quotas.ledger;
+    bool is_new = ledger.accounts.count(who.name) == 0;
+    quota_limits limits = limits_of(t.n, who);
+    quota_account &out = open_account(ledger, who.name, limits, t.now);
+    if (is_new) {
+        t.out.emplace_back(write_line{
+            write_line::severity::info,
+            "quota",
+            "quota-account-opened",
+            {{"customer", who.name},
+             {"members_since_ms", std::to_string(to_ms(t.now - ledger.members_since))},
+             {"in_window", std::to_string(out.sum)},
+             {"limit", std::to_string(limits.in_window)},
+             {"tokens", std::to_string(out.tokens)}}});
+    }
+    return out;
+}
+
 /// \returns the tokens that a request of this priority leaves to more urgent ones
 double reserve_for(const customer &who, const quota_limits &limits, std::uint32_t priority)
 {
@@ -95,15 +124,21 @@
                                    {"in_window", std::to_string(account.sum)},
                                    {"limit", std::to_string(limits.in_window)},
                                    {"tokens", std::to_string(account.tokens)},
+                                   {"granted", std::to_string(account.flow.granted)},
+                                   {"lent", std::to_string(account.flow.lent)},
+                                   {"borrowed", std::to_string(account.flow.borrowed)},
+                                   {"returned", std::to_string(account.flow.returned)},
                                    {"reachable_in_zone", std::to_string(members.zone.size())},
                                    {"known_nodes", std::to_string(members.known)}}});
 }
 
-token_grant grant_tokens(mesh_turn &t, const customer &who, const token_request &request)
+token_grant grant_tokens(mesh_turn &t, const customer &who, const token_request &request,
+                         bool is_loan)
 {
     quota_limits limits = limits_of(t.n, who);
-    quota_account &account = open_account(t.n.quotas.ledger, who.name, limits, t.now);
+    quota_account &account = account_of(t, who);
     token_grant out = draw_tokens(account, limits, request);
+    count_tokens(t, account, is_loan ? &quota_flow::lent : &quota_flow::granted, out.tokens);
     if (available_tokens(account, limits) < std::max(1.0, borrow_below * limits.burst)) {
         borrow_tokens(t, who, account, limits);
     }
@@ -113,6 +148,32 @@
     return out;
 }
 
+void take_back_tokens(mesh_turn &t, const customer &who, std::uint32_t tokens)
+{
+    quota_account &account = account_of(t, who);
+    add_tokens(account, tokens);
+    count_tokens(t, account, &quota_flow::returned, tokens);
+}
+
+/// Logs the members among which the quotas are divided, and which customers have left.
+void report_members(mesh_turn &t, std::size_t accounts_before)
+{
+    const quota_members &members = t.n.quotas.members;
+    std::size_t accounts = t.n.quotas.ledger.accounts.size();
+    std::string names;
+    for (const std::string &it : members.zone) {
+        names += it + '/';
+    }
+    t.out.emplace_back(write_line{write_line::severity::info,
+                                  "quota",
+                                  "quota-members",
+                                  {{"reachable_in_zone", std::to_string(members.zone.size())},
+                                   {"known_nodes", std::to_string(members.known)},
+                                   {"members_hash", std::to_string(hash_text(names))},
+                                   {"accounts", std::to_string(accounts)},
+                                   {"moved", std::to_string(accounts_before - accounts)}}});
+}
+
 bool takes_part(const node_view &it, time_point now)
 {
     return is_responsive(it, now) && it.status.keeps_quotas;
@@ -126,9 +187,11 @@
     return who != nullptr && who->quota.rate_per_s > 0 ? who : nullptr;
 }
 
-void deposit_tokens(mesh_turn &t, const customer &who, std::uint32_t tokens)
+void deposit_loan(mesh_turn &t, const customer &who, std::uint32_t tokens)
 {
-    add_tokens(open_account(t.n.quotas.ledger, who.name, limits_of(t.n, who), t.now), tokens);
+    quota_account &account = account_of(t, who);
+    add_tokens(account, tokens);
+    count_tokens(t, account, &quota_flow::borrowed, tokens);
 }
 
 void handle_quota_ask(mesh_turn &t, link_ref link, const mesh_wire::quota_ask_message &ask)
@@ -142,12 +205,12 @@
         reply.tokens = ask.tokens;
     } else if (who != nullptr && is_keeper(t.n, ask.customer)) {
         if (ask.returned > 0) {
-            deposit_tokens(t, *who, ask.returned);
+            take_back_tokens(t, *who, ask.returned);
         }
         quota_limits limits = limits_of(t.n, *who);
         double reserve =
             ask.limited ? lending_reserve * limits.burst : reserve_for(*who, limits, ask.priority);
-        token_grant granted = grant_tokens(t, *who, token_request{ask.tokens, reserve});
+        token_grant granted = grant_tokens(t, *who, token_request{ask.tokens, reserve}, ask.limited);
         reply.known = true;
         reply.tokens = granted.tokens;
         reply.retry_after_us = static_cast<std::uint64_t>(granted.retry_after.count());
@@ -187,8 +250,11 @@
         return;
     }
     quotas.ledger.members_since = t.now;
+    std::size_t accounts = quotas.ledger.accounts.size();
     std::erase_if(quotas.ledger.accounts,
                   [&](const auto &entry) { return !is_keeper(t.n, entry.first); });
+    ++quotas.member_changes;
+    report_members(t, accounts);
 }
 
 }  // namespace gullstall::mesh
--- a/gullstall/src/mesh/quota_keeper.hpp
+++ b/gullstall/src/mesh/quota_keeper.hpp
@@ -14,8 +14,8 @@
 /// \returns the customer, nullptr if it is unknown or has no quota
 const customer *find_limited_customer(const mesh_node &n, const std::string &name);
 
-/// Adds tokens that were returned, or lent by another zone.
-void deposit_tokens(mesh_turn &t, const customer &who, std::uint32_t tokens);
+/// Adds tokens that the keeper of another zone has lent.
+void deposit_loan(mesh_turn &t, const customer &who, std::uint32_t tokens);
 
 void handle_quota_ask(mesh_turn &t, link_ref link, const mesh_wire::quota_ask_message &ask);
 
--- a/gullstall/src/mesh/quota_state.hpp
+++ b/gullstall/src/mesh/quota_state.hpp
@@ -28,6 +28,8 @@
     quota_members members;
     std::map<std::string, std::vector<std::string>> other_zones;  ///< reachable nodes by zone
     quota_ledger ledger;                                          ///< as a keeper
+    quota_flow flow;                                              ///< of all accounts
+    std::uint64_t member_changes = 0;                             ///< of the own zone
     std::map<std::string, quota_queue> queues;                    ///< as an entry, by customer
     std::map<std::string, std::uint64_t> refused;                 ///< requests by customer
 };
--- a/gullstall/src/mesh/report.cpp
+++ b/gullstall/src/mesh/report.cpp
@@ -30,6 +30,25 @@
     }
 }
 
+void add_quotas(std::string &out, const quota_state &it)
+{
+    out += "# TYPE gullstall_quota_refused_total counter\n";
+    for (const auto &[name, count] : it.refused) {
+        out += "gullstall_quota_refused_total{customer=\"" + name + "\"} " + std::to_string(count) +
+               "\n";
+    }
+    out += "# TYPE gullstall_quota_tokens_total counter\n";
+    for (auto [kind, count] :
+         {std::pair("granted", it.flow.granted), std::pair("lent", it.flow.lent),
+          std::pair("borrowed", it.flow.borrowed), std::pair("returned", it.flow.returned)}) {
+        out += std::string("gullstall_quota_tokens_total{kind=\"") + kind + "\"} " +
+               std::to_string(count) + "\n";
+    }
+    add(out, "gullstall_quota_accounts", "gauge", static_cast<double>(it.ledger.accounts.size()));
+    add(out, "gullstall_quota_member_changes_total", "counter",
+        static_cast<double>(it.member_changes));
+}
+
 }  // namespace
 
 std::string print_metrics(const mesh_node &n, time_point now)
@@ -38,11 +57,7 @@
     for (const auto &[labels, count] : n.counters.answers) {
         out += "gullstall_requests_total{" + labels + "} " + std::to_string(count) + "\n";
     }
-    out += "# TYPE gullstall_quota_refused_total counter\n";
-    for (const auto &[name, count] : n.quotas.refused) {
-        out += "gullstall_quota_refused_total{customer=\"" + name + "\"} " + std::to_string(count) +
-               "\n";
-    }
+    add_quotas(out, n.quotas);
     add(out, "gullstall_repeats_total", "counter", static_cast<double>(n.counters.repeats));
     add(out, "gullstall_repeats_denied_total", "counter",
         static_cast<double>(n.counters.repeats_denied));
--- a/gullstall/src/quota/quota_ledger.hpp
+++ b/gullstall/src/quota/quota_ledger.hpp
@@ -40,6 +40,17 @@
 /// Slots into which the account divides a window.
 constexpr std::size_t slots_per_window = 50;
 
+/// Tokens that an account has passed on and got since it was opened.
+struct quota_flow
+{
+    std::uint64_t granted = 0;   ///< to entry nodes of the own zone
+    std::uint64_t lent = 0;      ///< to keepers of other zones
+    std::uint64_t borrowed = 0;  ///< from keepers of other zones
+    std::uint64_t returned = 0;  ///< by entry nodes, not used
+
+    bool operator==(const quota_flow &) const = default;
+};
+
 /// Tokens of one customer at its keeper. A token admits one request. The slots count the
 /// tokens handed out in the last window; the additional one covers the part of the oldest
 /// slot that is still in the window. A token bucket spreads the tokens over the window, since
@@ -53,6 +64,7 @@
     double sum = 0;
     time_point borrowed_at{};  ///< when tokens were last asked of another zone
     time_point reported_at{};  ///< when its exhaustion was last logged
+    quota_flow flow;
 };
 
 /// The accounts that a node keeps.
