--- a/gullstall/src/mesh/quota_keeper.cpp
+++ b/gullstall/src/mesh/quota_keeper.cpp
@@ -64,15 +64,15 @@
     quota_limits limits = limits_of(t.n, who);
     quota_account &out = open_account(ledger, who.name, limits, t.now);
     if (is_new) {
-        t.out.emplace_back(write_line{
-            write_line::severity::info,
-            "quota",
-            "quota-account-opened",
-            {{"customer", who.name},
-             {"members_since_ms", std::to_string(to_ms(t.now - ledger.members_since))},
-             {"in_window", std::to_string(out.sum)},
-             {"limit", std::to_string(limits.in_window)},
-             {"tokens", std::to_string(out.tokens)}}});
+        t.out.emplace_back(
+            write_line{write_line::severity::info,
+                       "quota",
+                       "quota-account-opened",
+                       {{"customer", who.name},
+                        {"members_since_ms", std::to_string(to_ms(t.now - ledger.members_since))},
+                        {"in_window", std::to_string(out.sum)},
+                        {"limit", std::to_string(limits.in_window)},
+                        {"tokens", std::to_string(out.tokens)}}});
     }
     return out;
 }
@@ -210,7 +210,8 @@
         quota_limits limits = limits_of(t.n, *who);
         double reserve =
             ask.limited ? lending_reserve * limits.burst : reserve_for(*who, limits, ask.priority);
-        token_grant granted = grant_tokens(t, *who, token_request{ask.tokens, reserve}, ask.limited);
+        token_grant granted =
+            grant_tokens(t, *who, token_request{ask.tokens, reserve}, ask.limited);
         reply.known = true;
         reply.tokens = granted.tokens;
         reply.retry_after_us = static_cast<std::uint64_t>(granted.retry_after.count());
--- a/test/unit/mesh_quota.cpp
+++ b/test/unit/mesh_quota.cpp
@@ -2,130 +2,12 @@
 
 #include <algorithm>
 
-#include "test/support/mesh_zones.hpp"
+#include "test/support/quota_zones.hpp"
 
 using namespace gullstall;
 
-namespace {
-
-constexpr double quota_overage = 0.1;
-constexpr double quota_slack = 20;
-constexpr duration quota_window = seconds(5);
-
-customer_declaration declared(const std::string &name, double rate, double burst)
-{
-    return customer_declaration{customer{name, std::nullopt, request_quota{rate, burst}},
-                                {name + "-key"}};
-}
-
-/// Four zones of six nodes and customers with quotas.
-struct quota_fixture : test::zones_fixture
-{
-    static constexpr double big_rate = 120;
-    static constexpr double small_rate = 6;
-
-    std::map<std::string, int> sent;
-
-    quota_fixture()
-    {
-        publish(1, big_rate);
-        start();
-        for (auto &[name, node] : world.nodes) {
-            set_limits(node);
-        }
-        world.run_for(seconds(3));
-    }
-
-    static void set_limits(mesh::mesh_node &node)
-    {
-        node.settings.limits.quota_overage = quota_overage;
-        node.settings.limits.quota_slack = quota_slack;
-    }
-
-    /// Puts a policy in force at all nodes that are not cut off.
-    void publish(std::uint64_t version, double rate)
-    {
-        std::vector<traffic_route> routes{
-            test::route_of("read", "/read/", "reads", idempotency::idempotent)};
-        world.policy = test::policy_of(
-            version, routes,
-            {declared("big", rate, rate), declared("small", small_rate, small_rate)});
-        for (auto &[name, node] : world.nodes) {
-            world.run_node(name, [&](mesh::mesh_turn &t) {
-                apply_policy(t, world.policy, "text", mesh::policy_source::store);
-            });
-        }
-    }
-
-    /// Sends requests of a customer at random times to random nodes.
-    void send(const std::string &customer, double per_s, duration length,
-              const std::vector<std::string> &entries)
-    {
-        auto n = static_cast<int>(per_s * to_seconds(length));
-        for (int i = 0; i < n; ++i) {
-            auto when = duration(static_cast<std::int64_t>(draw_fraction(world.random) *
-                                                           static_cast<double>(length.count())));
-            world.schedule_at(world.now + when, [this, customer, entries] {
-                const std::string &node = entries[draw_below(world.random, entries.size())];
-                world.api_key = customer + "-key";
-                world.send_request(node, customer + "-" + std::to_string(++sent[customer]),
-                                   "/read/x", seconds(2));
-            });
-        }
-    }
-
-    std::vector<std::string> all_nodes()
-    {
-        std::vector<std::string> out;
-        for (int zone = 0; zone < zone_count; ++zone) {
-            std::vector<std::string> nodes = nodes_of(zone);
-            out.insert(out.end(), nodes.begin(), nodes.end());
-        }
-        return out;
-    }
-
-    /// \returns the most requests of a customer that ran within one window
-    std::size_t highest_sum(const std::string &customer, time_point since = {})
-    {
-        std::vector<time_point> runs;
-        for (const test::upstream_run &it : world.runs) {
-            if (it.customer == customer && world.results[it.request_id].sent_at >= since) {
-                runs.push_back(it.at);
-            }
-        }
-        std::sort(runs.begin(), runs.end());
-        std::size_t out = 0;
-        for (auto it = runs.begin(); it != runs.end(); ++it) {
-            auto end = std::lower_bound(it, runs.end(), *it + quota_window);
-            out = std::max(out, static_cast<std::size_t>(end - it));
-        }
-        return out;
-    }
-
-    static double allowed_sum(double rate)
-    {
-        return (rate * to_seconds(quota_window) + rate) * (1 + quota_overage) + quota_slack;
-    }
-
-    /// \returns the share of a customer's requests sent since then that were served
-    double served(const std::string &customer, time_point since)
-    {
-        double all = 0;
-        double good = 0;
-        for (const auto &[id, it] : world.results) {
-            if (id.rfind(customer + "-", 0) == 0 && it.sent_at >= since) {
-                ++all;
-                good += it.status == 200 ? 1 : 0;
-            }
-        }
-        return all > 0 ? good / all : 1;
-    }
-};
-
-}  // namespace
-
 // Guards against requests that run without a key or under an unknown one.
-TEST_CASE_FIXTURE(quota_fixture, "request, unknown key or none, is answered 401 and not run")
+TEST_CASE_FIXTURE(test::quota_fixture, "request, unknown key or none, is answered 401 and not run")
 {
     world.api_key = "guess";
     world.send_request(node_name(0, 0), "unknown", "/read/x", seconds(2));
@@ -145,7 +27,7 @@
 }
 
 // Guards against a key that works after it was taken away.
-TEST_CASE_FIXTURE(quota_fixture, "request, key taken away by a new version, is answered 401")
+TEST_CASE_FIXTURE(test::quota_fixture, "request, key taken away by a new version, is answered 401")
 {
     world.policy =
         test::policy_of(2, {test::route_of("read", "/read/", "reads", idempotency::idempotent)},
@@ -161,7 +43,7 @@
 }
 
 // Guards against refusing what a customer is entitled to.
-TEST_CASE_FIXTURE(quota_fixture, "customers below their quotas, all requests are served")
+TEST_CASE_FIXTURE(test::quota_fixture, "customers below their quotas, all requests are served")
 {
     time_point begin = world.now;
     send("big", 0.8 * big_rate, seconds(20), all_nodes());
@@ -173,7 +55,7 @@
 
 // Guards against refusing a customer whose callers use one zone: the keepers of the other
 // zones lend their tokens.
-TEST_CASE_FIXTURE(quota_fixture, "customer in one zone, below its quota, is served")
+TEST_CASE_FIXTURE(test::quota_fixture, "customer in one zone, below its quota, is served")
 {
     time_point begin = world.now;
     send("big", 0.7 * big_rate, seconds(20), nodes_of(1));
@@ -182,7 +64,8 @@
 }
 
 // Guards against a hot customer that gets more than its quota.
-TEST_CASE_FIXTURE(quota_fixture, "customer far beyond its quota, gets the quota and is told 429")
+TEST_CASE_FIXTURE(test::quota_fixture,
+                  "customer far beyond its quota, gets the quota and is told 429")
 {
     time_point begin = world.now;
     send("big", 6 * big_rate, seconds(15), all_nodes());
@@ -199,7 +82,8 @@
 
 // Guards against sums beyond the quota while zones and nodes are cut off, processes stand
 // still, and keepers restart.
-TEST_CASE_FIXTURE(quota_fixture, "hot customer, cuts, pauses and restarts, sum stays within quota")
+TEST_CASE_FIXTURE(test::quota_fixture,
+                  "hot customer, cuts, pauses and restarts, sum stays within quota")
 {
     send("big", 6 * big_rate, seconds(30), all_nodes());
     world.schedule_after(seconds(2), [&] { set_zone_cut(0, true); });
@@ -228,7 +112,7 @@
 }
 
 // Guards against a lowered quota that does not bind.
-TEST_CASE_FIXTURE(quota_fixture, "hot customer, lowered quota, binds after one window")
+TEST_CASE_FIXTURE(test::quota_fixture, "hot customer, lowered quota, binds after one window")
 {
     send("big", 2 * big_rate, seconds(20), all_nodes());
     constexpr double lower_rate = big_rate / 10;
@@ -240,7 +124,7 @@
 }
 
 // Guards against a customer that is refused for long after the loss of its keepers.
-TEST_CASE_FIXTURE(quota_fixture, "keepers cut off, customer below its quota, is served on")
+TEST_CASE_FIXTURE(test::quota_fixture, "keepers cut off, customer below its quota, is served on")
 {
     std::vector<std::string> entries = nodes_of(1);
     std::erase(entries, choose_quota_keeper(nodes_of(1), "small"));
