Quotas: returned tokens leave the window with their grant

A customer whose requests are refused after their token was granted (a full service, a request that ends while it waits) could get more than its quota.

Cause: a returned token lowered the sum of the slot in which it came back, up to 0.7 s later than the grant was counted. When the grant had left the window the return was still in it, and what was granted again in its place was returned again. The same at the entry node: a spare token admitted a request up to 0.2 s later than the window it was granted for. Class: two entries of one token in two windows.

Now an ask carries the sender's time, the grant repeats it, and a return says how old its oldest token is; the keeper takes it out of the slot of the grant, 100 ms further back for the way.

--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -67,7 +67,7 @@
     std::uint32_t dispatch_count = 0;  ///< upstreams that received it, or may have
     bool may_have_run = false;
     bool waits_for_token = false;               ///< of the customer's quota
-    std::optional<time_point> token_at;         ///< when a token was obtained
+    std::optional<time_point> token_asked_at;   ///< if a token was obtained
     std::optional<duration> quota_retry_after;  ///< if refused because of the quota
     mesh_wire::reason last_reason = mesh_wire::reason::no_upstream;
     /// Upstream error response that triggered a retry. Returned to the caller if the retry
--- a/gullstall/src/mesh/quota_control.cpp
+++ b/gullstall/src/mesh/quota_control.cpp
@@ -17,13 +17,6 @@
 /// Longest wait of a request for a token. Longer than the detection of a lost keeper.
 constexpr duration max_token_wait = milliseconds(900);
 
-/// Time for which spare tokens are kept for the next request before they are returned.
-constexpr duration spare_time = milliseconds(200);
-
-/// Age up to which unused tokens are returned. Older ones count for the window in which
-/// they were granted.
-constexpr duration max_return_age = milliseconds(500);
-
 /// Maximum number of customers that are counted by name.
 constexpr std::size_t max_counted_customers = 100;
 
@@ -53,11 +46,11 @@
     });
 }
 
-void admit_with_token(mesh_turn &t, call_ref id)
+void admit_with_token(mesh_turn &t, call_ref id, time_point asked_at)
 {
     entry_call &call = t.n.calls.at(id);
     call.waits_for_token = false;
-    call.token_at = t.now;
+    call.token_asked_at = asked_at;
     place_admitted_call(t, id);
 }
 
@@ -79,6 +72,7 @@
     mesh_wire::quota_ask_message ask;
     ask.customer = customer_name;
     ask.tokens = queue.asked_tokens;
+    ask.asked_us = frame_time_us(t.now);
     ask.priority = static_cast<std::uint16_t>(t.n.calls.at(queue.calls.front()).call.priority);
     // The answer of the local keeper clears the name before the call returns.
     send_to_keeper(t, std::string(queue.keeper), std::move(ask));
@@ -94,25 +88,39 @@
     }
 }
 
-void use_spare_tokens(mesh_turn &t, quota_queue &queue)
+void add_spare_tokens(quota_queue &queue, std::uint32_t tokens, time_point asked_at)
+{
+    queue.spare_asked_at = queue.spare == 0 ? asked_at : std::min(queue.spare_asked_at, asked_at);
+    queue.spare += tokens;
+}
+
+/// Admits waiting calls with the tokens of an ask.
+/// \returns the number of tokens left
+std::uint32_t use_tokens(mesh_turn &t, quota_queue &queue, std::uint32_t tokens,
+                         time_point asked_at)
 {
     tidy_queue(t.n, queue);
-    while (queue.spare > 0 && !queue.calls.empty()) {
+    for (; tokens > 0 && !queue.calls.empty(); --tokens) {
         call_ref id = queue.calls.front();
         queue.calls.erase(queue.calls.begin());
-        --queue.spare;
-        admit_with_token(t, id);
+        admit_with_token(t, id, asked_at);
     }
-    queue.spare_since = t.now;
+    return tokens;
+}
+
+/// \returns when the tokens of a grant were asked for
+time_point asked_time(const mesh_wire::quota_grant_message &grant, time_point now)
+{
+    return grant.asked_us == 0 ? now - max_token_wait : time_point(duration(grant.asked_us));
 }
 
 void on_grant(mesh_turn &t, const std::string &customer_name, quota_queue &queue,
               const mesh_wire::quota_grant_message &grant)
 {
     std::uint32_t asked = queue.asked_tokens;
+    time_point asked_at = asked_time(grant, t.now);
     queue.keeper.clear();
-    queue.spare += grant.tokens;
-    use_spare_tokens(t, queue);
+    add_spare_tokens(queue, use_tokens(t, queue, grant.tokens, asked_at), asked_at);
     if (!grant.known) {
         return;  // asked again on the next tick
     }
@@ -123,12 +131,14 @@
     }
 }
 
-/// Sends spare tokens back to the keeper.
+/// Sends spare tokens back to the keeper. They are not kept for later requests: the keeper counts
+/// them for the window in which it granted them.
 void return_spare_tokens(mesh_turn &t, const std::string &customer_name, quota_queue &queue)
 {
     mesh_wire::quota_ask_message ask;
     ask.customer = customer_name;
     ask.returned = std::exchange(queue.spare, 0);
+    ask.returned_age_us = static_cast<std::uint64_t>((t.now - queue.spare_asked_at).count());
     send_to_keeper(t, choose_quota_keeper(t.n.quotas.members.zone, customer_name), std::move(ask));
 }
 
@@ -156,11 +166,6 @@
         return true;
     }
     quota_queue &queue = t.n.quotas.queues[name];
-    if (queue.spare > 0 && queue.calls.empty()) {
-        --queue.spare;
-        call.token_at = t.now;
-        return true;
-    }
     call.waits_for_token = true;
     queue.calls.push_back(id);
     if (queue.keeper.empty()) {
@@ -171,12 +176,9 @@
 
 void return_token(mesh_turn &t, const entry_call &call)
 {
-    if (!call.token_at || t.now - *call.token_at > max_return_age) {
-        return;
+    if (call.token_asked_at) {
+        add_spare_tokens(t.n.quotas.queues[call.call.customer], 1, *call.token_asked_at);
     }
-    quota_queue &queue = t.n.quotas.queues[call.call.customer];
-    queue.spare_since = queue.spare == 0 ? t.now : queue.spare_since;
-    ++queue.spare;
 }
 
 void handle_quota_grant(mesh_turn &t, const std::string &from,
@@ -199,7 +201,8 @@
     if (found->second.keeper == from) {
         on_grant(t, grant.customer, found->second, grant);
     } else {
-        found->second.spare += grant.tokens;  // of an ask that was repeated elsewhere
+        // Of an ask that was repeated elsewhere.
+        add_spare_tokens(found->second, grant.tokens, asked_time(grant, t.now));
     }
 }
 
@@ -213,14 +216,11 @@
     for (const std::string &name : names) {
         quota_queue &queue = t.n.quotas.queues.at(name);
         refuse_unanswered(t, queue);
-        if (queue.spare > 0 && !queue.calls.empty()) {
-            use_spare_tokens(t, queue);
-        }
         bool is_moved = choose_quota_keeper(t.n.quotas.members.zone, name) != queue.keeper;
         if (!queue.calls.empty() && (is_moved || t.now - queue.asked_at >= ask_timeout)) {
             ask_keeper(t, name, queue);
         }
-        if (queue.spare > 0 && t.now - queue.spare_since >= spare_time) {
+        if (queue.spare > 0) {
             return_spare_tokens(t, name, queue);
         }
         if (queue.calls.empty() && queue.spare == 0 && queue.keeper.empty()) {
--- a/gullstall/src/mesh/quota_keeper.cpp
+++ b/gullstall/src/mesh/quota_keeper.cpp
@@ -26,6 +26,9 @@
 constexpr double class_reserve = 0.1;
 constexpr std::uint32_t max_reserved_classes = 3;
 
+/// Time for which returned tokens are assumed to be under way.
+constexpr duration max_return_delay = milliseconds(100);
+
 /// Minimum interval of log lines about the same customer at its keeper.
 constexpr duration report_interval = seconds(1);
 
@@ -101,6 +104,7 @@
     ask.customer = who.name;
     ask.tokens = static_cast<std::uint32_t>(std::ceil(borrowed_fraction * limits.in_window));
     ask.limited = true;
+    ask.asked_us = frame_time_us(t.now);
     t.out.emplace_back(
         send_to_node{choose_quota_keeper(zone->second, who.name), mesh_frame(std::move(ask))});
 }
@@ -148,10 +152,10 @@
     return out;
 }
 
-void take_back_tokens(mesh_turn &t, const customer &who, std::uint32_t tokens)
+void take_back_tokens(mesh_turn &t, const customer &who, std::uint32_t tokens, duration age)
 {
     quota_account &account = account_of(t, who);
-    add_tokens(account, tokens);
+    return_tokens(account, limits_of(t.n, who).window, tokens, age + max_return_delay);
     count_tokens(t, account, &quota_flow::returned, tokens);
 }
 
@@ -209,6 +213,7 @@
 {
     mesh_wire::quota_grant_message reply;
     reply.customer = ask.customer;
+    reply.asked_us = ask.asked_us;
     const customer *who = find_limited_customer(t.n, ask.customer);
     if (who == nullptr && t.n.policy &&
         find_customer_by_name(t.n.policy->customers, ask.customer)) {
@@ -216,7 +221,8 @@
         reply.tokens = ask.tokens;
     } else if (who != nullptr && is_keeper(t.n, ask.customer)) {
         if (ask.returned > 0) {
-            take_back_tokens(t, *who, ask.returned);
+            take_back_tokens(t, *who, ask.returned,
+                             duration(static_cast<std::int64_t>(ask.returned_age_us)));
         }
         quota_limits limits = limits_of(t.n, *who);
         double reserve =
--- a/gullstall/src/mesh/quota_state.hpp
+++ b/gullstall/src/mesh/quota_state.hpp
@@ -18,8 +18,8 @@
     std::string keeper;           ///< asked for tokens; empty if no answer is outstanding
     time_point asked_at{};
     std::uint32_t asked_tokens = 0;
-    std::uint32_t spare = 0;  ///< tokens granted and not used
-    time_point spare_since{};
+    std::uint32_t spare = 0;      ///< tokens granted and not used
+    time_point spare_asked_at{};  ///< when the oldest of them was asked for
 };
 
 /// State of the quotas at one node.
--- a/gullstall/src/quota/quota_ledger.cpp
+++ b/gullstall/src/quota/quota_ledger.cpp
@@ -31,12 +31,17 @@
     return at.time_since_epoch() / slot_length(window);
 }
 
-/// \returns the slots of the handover time, rounded up
-std::int64_t handover_slots(duration window)
+/// \returns the slots that \a d covers, rounded up
+std::int64_t slots_of(duration d, duration window)
 {
     duration slot = slot_length(window);
-    auto slots = static_cast<std::int64_t>((handover_time + slot - duration(1)) / slot);
-    return std::min(slots, static_cast<std::int64_t>(slots_per_window));
+    return (d + slot - duration(1)) / slot;
+}
+
+/// \returns the slots of the handover time, those of a window at most
+std::int64_t handover_slots(duration window)
+{
+    return std::min(slots_of(handover_time, window), static_cast<std::int64_t>(slots_per_window));
 }
 
 /// Forgets the slots that no window with the current one includes.
@@ -162,4 +167,15 @@
     it.tokens += tokens;
 }
 
+void return_tokens(quota_account &it, duration window, std::uint32_t tokens, duration age)
+{
+    std::int64_t slots = slots_of(age, window);
+    if (slots > static_cast<std::int64_t>(slots_per_window)) {
+        return;
+    }
+    it.used[index_of(it.newest - slots)] -= tokens;
+    it.sum -= tokens;
+    it.tokens += tokens;
+}
+
 }  // namespace gullstall
--- a/gullstall/src/quota/quota_ledger.hpp
+++ b/gullstall/src/quota/quota_ledger.hpp
@@ -114,9 +114,14 @@
 /// \returns the number of tokens that may be handed out now
 double available_tokens(const quota_account &it, const quota_limits &limits);
 
-/// Gives back tokens that were granted and not used, or adds those lent by another zone.
+/// Adds tokens lent by another zone.
 void add_tokens(quota_account &it, std::uint32_t tokens);
 
+/// Gives back tokens that were granted and not used. They leave the window with the grant or
+/// before it, so that no window counts the one without the other.
+/// \param age time since they were granted, at least
+void return_tokens(quota_account &it, duration window, std::uint32_t tokens, duration age);
+
 }  // namespace gullstall
 
 #endif
--- a/test/unit/quota_tokens.cpp
+++ b/test/unit/quota_tokens.cpp
@@ -90,6 +90,27 @@
     CHECK(draw(start + seconds(1), 100) == 7);
 }
 
+// Guards against a window that is exceeded by what was returned for grants before it.
+TEST_CASE_FIXTURE(ledger_fixture, "account, tokens returned late, window stays within the limit")
+{
+    constexpr duration return_delay = milliseconds(500);
+    constexpr duration step = milliseconds(10);
+    limits = quota_limits{500, 100, window};
+    time_point used_from = start + 2 * window;
+    std::map<time_point, std::uint32_t> grants;
+    std::uint32_t used = 0;
+    for (time_point now = start; now < used_from + window; now += step) {
+        grants[now] = draw(now, 1000);
+        used += now >= used_from ? grants[now] : 0;
+        time_point returned = now - return_delay;
+        if (returned >= start && returned < used_from) {
+            return_tokens(ledger.accounts.at("c"), window, grants[returned], return_delay);
+        }
+    }
+    CHECK(used <= static_cast<std::uint32_t>(limits.in_window));
+    CHECK(used >= 450);
+}
+
 // Guards against callers that are told to come back and find no token until the window ends.
 TEST_CASE_FIXTURE(ledger_fixture, "account, burst used up, grants the rest spread over the window")
 {
