Quotas: a loan expires, and counts at the lender for a window after that

A customer could get more than its quota where keepers of zones lend each other tokens.

Cause: a loan counted at the lender from the moment of the grant and lowered the borrower's sum from its arrival, both for a window; it could be used up to a window later. Then the lender handed out the same tokens again while the use was still in the window, and the borrower's sum rose above its limit when the loan left it. Class: as for returned tokens, two entries of one token in two windows.

A borrower now holds a loan beside its own tokens, uses it first and for 500 ms after it was asked for at most, and does not lend it on. The lender counts it in the slot in which it expires.

--- a/gullstall/src/mesh/quota_control.cpp
+++ b/gullstall/src/mesh/quota_control.cpp
@@ -190,7 +190,7 @@
     if (is_loan) {
         const customer *who = find_limited_customer(t.n, grant.customer);
         if (who != nullptr && grant.tokens > 0) {
-            deposit_loan(t, *who, grant.tokens);
+            deposit_loan(t, *who, grant.tokens, asked_time(grant, t.now));
         }
         return;
     }
--- a/gullstall/src/mesh/quota_keeper.cpp
+++ b/gullstall/src/mesh/quota_keeper.cpp
@@ -136,13 +136,13 @@
                                    {"known_nodes", std::to_string(members.known)}}});
 }
 
-token_grant grant_tokens(mesh_turn &t, const customer &who, const token_request &request,
-                         bool is_loan)
+token_grant grant_tokens(mesh_turn &t, const customer &who, const token_request &request)
 {
     quota_limits limits = limits_of(t.n, who);
     quota_account &account = account_of(t, who);
     token_grant out = draw_tokens(account, limits, request);
-    count_tokens(t, account, is_loan ? &quota_flow::lent : &quota_flow::granted, out.tokens);
+    count_tokens(t, account, request.is_loan ? &quota_flow::lent : &quota_flow::granted,
+                 out.tokens);
     if (available_tokens(account, limits) < std::max(1.0, borrow_below * limits.burst)) {
         borrow_tokens(t, who, account, limits);
     }
@@ -202,10 +202,10 @@
     return who != nullptr && who->quota.rate_per_s > 0 ? who : nullptr;
 }
 
-void deposit_loan(mesh_turn &t, const customer &who, std::uint32_t tokens)
+void deposit_loan(mesh_turn &t, const customer &who, std::uint32_t tokens, time_point asked_at)
 {
     quota_account &account = account_of(t, who);
-    add_tokens(account, tokens);
+    add_loan(account, tokens, asked_at + loan_time);
     count_tokens(t, account, &quota_flow::borrowed, tokens);
 }
 
@@ -228,7 +228,7 @@
         double reserve =
             ask.limited ? lending_reserve * limits.burst : reserve_for(*who, limits, ask.priority);
         token_grant granted =
-            grant_tokens(t, *who, token_request{ask.tokens, reserve}, ask.limited);
+            grant_tokens(t, *who, token_request{ask.tokens, reserve, ask.limited});
         reply.known = true;
         reply.tokens = granted.tokens;
         reply.retry_after_us = static_cast<std::uint64_t>(granted.retry_after.count());
--- a/gullstall/src/mesh/quota_keeper.hpp
+++ b/gullstall/src/mesh/quota_keeper.hpp
@@ -15,7 +15,8 @@
 const customer *find_limited_customer(const mesh_node &n, const std::string &name);
 
 /// Adds tokens that the keeper of another zone has lent.
-void deposit_loan(mesh_turn &t, const customer &who, std::uint32_t tokens);
+/// \param asked_at when they were asked for
+void deposit_loan(mesh_turn &t, const customer &who, std::uint32_t tokens, time_point asked_at);
 
 void handle_quota_ask(mesh_turn &t, link_ref link, const mesh_wire::quota_ask_message &ask);
 
--- a/gullstall/src/quota/quota_ledger.cpp
+++ b/gullstall/src/quota/quota_ledger.cpp
@@ -38,10 +38,10 @@
     return (d + slot - duration(1)) / slot;
 }
 
-/// \returns the slots of the handover time, those of a window at most
-std::int64_t handover_slots(duration window)
+/// \returns the slots to come that \a d covers, as far as an account holds them
+std::int64_t slots_ahead(duration d, duration window)
 {
-    return std::min(slots_of(handover_time, window), static_cast<std::int64_t>(slots_per_window));
+    return std::min(slots_of(d, window), static_cast<std::int64_t>(slots_per_window));
 }
 
 /// Forgets the slots that no window with the current one includes.
@@ -75,7 +75,7 @@
     double per_slot = part * limits.in_window / static_cast<double>(slots_per_window);
     double left = part * limits.in_window;
     double n = std::min(left, part * limits.burst + per_slot);
-    std::int64_t last = it.newest + handover_slots(limits.window);
+    std::int64_t last = it.newest + slots_ahead(handover_time, limits.window);
     for (std::int64_t i = last; i >= it.newest - static_cast<std::int64_t>(slots_per_window); --i) {
         it.used[index_of(i)] += n;
         it.sum += n;
@@ -84,6 +84,37 @@
     }
 }
 
+double own_tokens(const quota_account &it, const quota_limits &limits)
+{
+    return std::max(0.0, std::min(it.tokens, limits.in_window - it.sum));
+}
+
+double lent_tokens(const quota_account &it)
+{
+    double out = 0;
+    for (const quota_loan &loan : it.loans) {
+        out += loan.tokens;
+    }
+    return out;
+}
+
+/// Uses up to \a n tokens of loans, those that expire first.
+/// \returns the number used
+double use_loans(quota_account &it, double n)
+{
+    double used = 0;
+    while (used < n && !it.loans.empty()) {
+        quota_loan &loan = it.loans.front();
+        double part = std::min(loan.tokens, n - used);
+        used += part;
+        loan.tokens -= part;
+        if (loan.tokens <= 0) {
+            it.loans.pop_front();
+        }
+    }
+    return used;
+}
+
 /// Applies the share of the limits.
 void update_share(quota_account &it, const quota_limits &limits)
 {
@@ -131,6 +162,9 @@
     }
     advance(out, slot);
     update_share(out, limits);
+    while (!out.loans.empty() && out.loans.front().expires <= now) {
+        out.loans.pop_front();
+    }
     double per_s = limits.in_window / to_seconds(limits.window);
     out.tokens += per_s * std::max(0.0, to_seconds(now - out.refilled_at));
     out.tokens = std::min(out.tokens, limits.burst);
@@ -140,16 +174,19 @@
 
 double available_tokens(const quota_account &it, const quota_limits &limits)
 {
-    return std::max(0.0, std::min(it.tokens, limits.in_window - it.sum));
+    return own_tokens(it, limits) + lent_tokens(it);
 }
 
 token_grant draw_tokens(quota_account &it, const quota_limits &limits, const token_request &request)
 {
-    double available = std::floor(std::max(0.0, available_tokens(it, limits) - request.reserve));
+    double all = own_tokens(it, limits) + (request.is_loan ? 0 : lent_tokens(it));
+    double available = std::floor(std::max(0.0, all - request.reserve));
     double granted = std::min(available, static_cast<double>(request.tokens));
-    it.used[index_of(it.newest)] += granted;
-    it.sum += granted;
-    it.tokens -= granted;
+    double own = granted - (request.is_loan ? 0 : use_loans(it, granted));
+    std::int64_t slots = request.is_loan ? slots_ahead(loan_time, limits.window) : 0;
+    it.used[index_of(it.newest + slots)] += own;
+    it.sum += own;
+    it.tokens -= own;
     if (granted > 0) {
         return token_grant{static_cast<std::uint32_t>(granted), {}};
     }
@@ -160,11 +197,12 @@
     return token_grant{0, std::max(window_end, refill)};
 }
 
-void add_tokens(quota_account &it, std::uint32_t tokens)
+void add_loan(quota_account &it, std::uint32_t tokens, time_point expires)
 {
-    it.used[index_of(it.newest)] -= tokens;
-    it.sum -= tokens;
-    it.tokens += tokens;
+    auto later = std::upper_bound(
+        it.loans.begin(), it.loans.end(), expires,
+        [](time_point when, const quota_loan &loan) { return when < loan.expires; });
+    it.loans.insert(later, quota_loan{expires, static_cast<double>(tokens)});
 }
 
 void return_tokens(quota_account &it, duration window, std::uint32_t tokens, duration age)
--- a/gullstall/src/quota/quota_ledger.hpp
+++ b/gullstall/src/quota/quota_ledger.hpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <unordered_map>
 
@@ -55,6 +56,19 @@
     bool operator==(const quota_flow &) const = default;
 };
 
+/// Time for which a keeper may use tokens that another zone has lent. The lender counts them for
+/// a window after that.
+constexpr duration loan_time = milliseconds(500);
+
+/// Tokens lent by another zone and not used yet.
+struct quota_loan
+{
+    time_point expires{};
+    double tokens = 0;
+
+    bool operator==(const quota_loan &) const = default;
+};
+
 /// Tokens of one customer at its keeper. A token admits one request. The slots count the
 /// tokens handed out in the last window and those that other nodes may still hand out. A token
 /// bucket spreads the tokens over the window, since otherwise callers that come back find none
@@ -67,6 +81,7 @@
     std::int64_t newest = 0;                ///< number of the current slot
     double sum = 0;                         ///< of all slots
     double share = 0;                       ///< of the quota, that it divides
+    std::deque<quota_loan> loans;           ///< in the order of their expiry
     time_point borrowed_at{};               ///< when tokens were last asked of another zone
     time_point reported_at{};               ///< when its exhaustion was last logged
     quota_flow flow;
@@ -85,7 +100,8 @@
 struct token_request
 {
     std::uint32_t tokens = 1;
-    double reserve = 0;  ///< tokens that must remain
+    double reserve = 0;    ///< tokens that must remain
+    bool is_loan = false;  ///< for the keeper of another zone
 
     bool operator==(const token_request &) const = default;
 };
@@ -111,11 +127,13 @@
 token_grant draw_tokens(quota_account &it, const quota_limits &limits,
                         const token_request &request);
 
-/// \returns the number of tokens that may be handed out now
+/// \returns the number of tokens that may be handed out now, those of loans included
 double available_tokens(const quota_account &it, const quota_limits &limits);
 
-/// Adds tokens lent by another zone.
-void add_tokens(quota_account &it, std::uint32_t tokens);
+/// Adds tokens lent by another zone. They are used before the own ones, which they do not count
+/// with, and are not lent on.
+/// \param expires at most loan_time after they were lent
+void add_loan(quota_account &it, std::uint32_t tokens, time_point expires);
 
 /// Gives back tokens that were granted and not used. They leave the window with the grant or
 /// before it, so that no window counts the one without the other.
--- a/test/unit/quota_tokens.cpp
+++ b/test/unit/quota_tokens.cpp
@@ -83,13 +83,53 @@
     CHECK(draw(start, 100) == 20);
 }
 
-TEST_CASE_FIXTURE(ledger_fixture, "account, tokens given back or lent, are granted again")
+TEST_CASE_FIXTURE(ledger_fixture, "account, tokens given back, are granted again")
 {
     CHECK(draw(start, 100) == 50);
-    add_tokens(ledger.accounts.at("c"), 7);
+    return_tokens(ledger.accounts.at("c"), window, 7, milliseconds(300));
     CHECK(draw(start + seconds(1), 100) == 7);
 }
 
+TEST_CASE_FIXTURE(ledger_fixture,
+                  "account, tokens lent by another zone, are granted until they expire")
+{
+    CHECK(draw(start, 100) == 50);
+    add_loan(ledger.accounts.at("c"), 7, start + loan_time);
+    add_loan(ledger.accounts.at("c"), 2, start + loan_time / 2);
+    CHECK(draw(start, 1) == 1);
+    CHECK(draw(start + loan_time / 2, 3) == 3);
+    CHECK(draw(start + loan_time, 100) == 0);
+}
+
+// Guards against tokens that lender and borrower both hand out: a loan that is used late is still
+// in the window when the lender no longer counts it.
+TEST_CASE_FIXTURE(ledger_fixture, "loan, used late, both zones stay within their limits")
+{
+    quota_ledger borrower;
+    limits = quota_limits{500, 100, window};
+    constexpr duration step = milliseconds(10);
+    constexpr std::uint32_t lent = 90;
+    open_account(ledger, "c", limits, start);
+    quota_account &account = open_account(borrower, "c", limits, start);
+    draw_tokens(account, limits, token_request{1000});
+    quota_account &lender = open_account(ledger, "c", limits, start);
+    REQUIRE(draw_tokens(lender, limits, token_request{lent, 0, true}).tokens == lent);
+    add_loan(account, lent, start + loan_time);
+    for (time_point begin :
+         {start + loan_time - step, start + loan_time + step, start + seconds(4)}) {
+        quota_ledger first = borrower;
+        quota_ledger second = ledger;
+        std::uint32_t used = 0;
+        for (time_point now = begin; now < begin + window; now += step) {
+            for (quota_ledger *it : {&first, &second}) {
+                quota_account &each = open_account(*it, "c", limits, now);
+                used += draw_tokens(each, limits, token_request{1000}).tokens;
+            }
+        }
+        CHECK(used <= static_cast<std::uint32_t>(2 * limits.in_window));
+    }
+}
+
 // Guards against a window that is exceeded by what was returned for grants before it.
 TEST_CASE_FIXTURE(ledger_fixture, "account, tokens returned late, window stays within the limit")
 {
