Quotas: a late grant admits only requests received before its ask

Cause: an entry node used the tokens of a grant for whatever waited when the grant arrived. Over a narrow link that was up to 6.6 s after the keeper had counted them, for requests received since. The rule counts requests by when they are sent and run, so that the tokens of one window were used in another.

Now a grant admits calls received at or before its ask; later ones have an ask of their own, and what is left goes back. A grant of an ask that was repeated meanwhile does not refuse calls either. The test failed before ("after" ran) and passes now.

--- a/gullstall/src/mesh/quota_control.cpp
+++ b/gullstall/src/mesh/quota_control.cpp
@@ -94,33 +94,40 @@
     queue.spare += tokens;
 }
 
-/// Admits waiting calls with the tokens of an ask.
+/// Admits waiting calls with the tokens of an ask, those that were received before it: the keeper
+/// has counted the tokens when it got the ask, which may be long ago.
 /// \returns the number of tokens left
 std::uint32_t use_tokens(mesh_turn &t, quota_queue &queue, std::uint32_t tokens,
                          time_point asked_at)
 {
     tidy_queue(t.n, queue);
-    for (; tokens > 0 && !queue.calls.empty(); --tokens) {
-        call_ref id = queue.calls.front();
-        queue.calls.erase(queue.calls.begin());
-        admit_with_token(t, id, asked_at);
+    for (call_ref id : std::vector<call_ref>(queue.calls)) {
+        if (tokens > 0 && t.n.calls.at(id).received_at <= asked_at) {
+            std::erase(queue.calls, id);
+            --tokens;
+            admit_with_token(t, id, asked_at);
+        }
     }
     return tokens;
 }
 
 /// \returns when the tokens of a grant were asked for
-time_point asked_time(const mesh_wire::quota_grant_message &grant, time_point now)
+/// \param otherwise for a grant of a node that does not tell
+time_point asked_time(const mesh_wire::quota_grant_message &grant, time_point otherwise)
 {
-    return grant.asked_us == 0 ? now - max_token_wait : time_point(duration(grant.asked_us));
+    return grant.asked_us == 0 ? otherwise : time_point(duration(grant.asked_us));
 }
 
 void on_grant(mesh_turn &t, const std::string &customer_name, quota_queue &queue,
               const mesh_wire::quota_grant_message &grant)
 {
     std::uint32_t asked = queue.asked_tokens;
-    time_point asked_at = asked_time(grant, t.now);
-    queue.keeper.clear();
+    time_point asked_at = asked_time(grant, queue.asked_at);
     add_spare_tokens(queue, use_tokens(t, queue, grant.tokens, asked_at), asked_at);
+    if (asked_at != queue.asked_at) {
+        return;  // the ask has been repeated
+    }
+    queue.keeper.clear();
     if (!grant.known) {
         return;  // asked again on the next tick
     }
@@ -190,7 +197,7 @@
     if (is_loan) {
         const customer *who = find_limited_customer(t.n, grant.customer);
         if (who != nullptr && grant.tokens > 0) {
-            deposit_loan(t, *who, grant.tokens, asked_time(grant, t.now));
+            deposit_loan(t, *who, grant.tokens, asked_time(grant, t.now - loan_time));
         }
         return;
     }
@@ -198,12 +205,14 @@
     if (found == t.n.quotas.queues.end()) {
         return;
     }
-    if (found->second.keeper == from) {
-        on_grant(t, grant.customer, found->second, grant);
-    } else {
-        // Of an ask that was repeated elsewhere.
-        add_spare_tokens(found->second, grant.tokens, asked_time(grant, t.now));
+    quota_queue &queue = found->second;
+    if (queue.keeper == from) {
+        on_grant(t, grant.customer, queue, grant);
+        return;
     }
+    // Of an ask that was repeated elsewhere.
+    time_point asked_at = asked_time(grant, t.now - max_token_wait);
+    add_spare_tokens(queue, use_tokens(t, queue, grant.tokens, asked_at), asked_at);
 }
 
 void quota_tick(mesh_turn &t)
--- a/test/unit/mesh_quota.cpp
+++ b/test/unit/mesh_quota.cpp
@@ -144,3 +144,27 @@
     world.run_for(seconds(32));
     CHECK(served("small", begin + seconds(8)) > 0.9);
 }
+
+// Guards against a grant that arrives late, for example over a narrow link, and admits requests
+// that came after it: they run in another window than the one that it was counted in.
+TEST_CASE_FIXTURE(test::quota_fixture,
+                  "grant, late, does not admit requests received after its ask")
+{
+    std::string keeper = choose_quota_keeper(nodes_of(0), "big");
+    std::string entry = keeper == node_name(0, 0) ? node_name(0, 1) : node_name(0, 0);
+    world.paused_nodes.insert(keeper);
+    world.api_key = "big-key";
+    world.send_request(entry, "before", "/read/x", seconds(2));
+    time_point asked_at = world.now;
+    world.run_for(milliseconds(20));
+    world.send_request(entry, "after", "/read/x", seconds(2));
+    mesh_wire::quota_grant_message grant;
+    grant.customer = "big";
+    grant.tokens = 2;
+    grant.known = true;
+    grant.asked_us = mesh::frame_time_us(asked_at);
+    world.run_node(entry, [&](mesh::mesh_turn &t) { mesh::handle_quota_grant(t, keeper, grant); });
+    world.run_for(milliseconds(50));
+    CHECK(world.runs_of("before") == 1);
+    CHECK(world.runs_of("after") == 0);
+}
