Quotas: the next keeper of a customer is told its account

Customers within their quota were refused (429) each time a node was stopped or started as planned: the next keeper takes all of the window for used, and grants nothing for half a second and burst / rate of the window more. And a node that had just started, and heard nobody yet, refused its callers by the share of one node.

A node that is no longer the keeper, since it shuts down or another node has started, sends its account with a quota_ask to the next one and grants no more. The next one takes it in place of its assumption if it has handed out none of its own tokens. A node that hears no other of its zone lets its callers wait for 0.8 s after its start in place of refusing them.

--- a/gullstall/src/mesh/quota_control.cpp
+++ b/gullstall/src/mesh/quota_control.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "gullstall/src/mesh/entry_answers.hpp"
+#include "gullstall/src/mesh/quota_handover.hpp"
 #include "gullstall/src/mesh/quota_keeper.hpp"
 
 namespace gullstall::mesh {
@@ -218,6 +219,7 @@
 void quota_tick(mesh_turn &t)
 {
     update_quota_members(t);
+    forget_old_histories(t);
     std::vector<std::string> names;
     for (const auto &[name, queue] : t.n.quotas.queues) {
         names.push_back(name);
--- a/gullstall/src/mesh/quota_keeper.cpp
+++ b/gullstall/src/mesh/quota_keeper.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "gullstall/src/mesh/quota_control.hpp"
+#include "gullstall/src/mesh/quota_handover.hpp"
 #include "gullstall/src/mesh/zone_duty.hpp"
 
 namespace gullstall::mesh {
@@ -26,6 +27,9 @@
 constexpr double class_reserve = 0.1;
 constexpr std::uint32_t max_reserved_classes = 3;
 
+/// Time after the start before a node takes itself for the only one of its zone.
+constexpr duration lone_keeper_delay = milliseconds(800);
+
 /// Time for which returned tokens are assumed to be under way.
 constexpr duration max_return_delay = milliseconds(100);
 
@@ -77,9 +81,17 @@
                         {"limit", std::to_string(limits.in_window)},
                         {"tokens", std::to_string(out.tokens)}}});
     }
+    apply_history(t, who.name, limits, out);
     return out;
 }
 
+/// \returns whether the node hears others of its zone, or has run for long enough to take itself
+/// for the only one. Its callers wait until then, rather than being refused by its small share.
+bool knows_zone(const mesh_turn &t)
+{
+    return t.n.quotas.members.zone.size() > 1 || t.now - t.n.started_at >= lone_keeper_delay;
+}
+
 /// \returns the tokens that a request of this priority leaves to more urgent ones
 double reserve_for(const customer &who, const quota_limits &limits, std::uint32_t priority)
 {
@@ -159,14 +171,21 @@
     count_tokens(t, account, &quota_flow::returned, tokens);
 }
 
-/// Applies the share of this node to its accounts at once, so that a customer which comes back
-/// later finds the tokens that it has gathered since.
-void update_shares(mesh_turn &t)
+/// Passes on the accounts that other nodes keep now, and applies the share of this node to its
+/// own ones at once, so that a customer which comes back later finds the tokens gathered since.
+void update_accounts(mesh_turn &t)
 {
-    for (auto &[name, account] : t.n.quotas.ledger.accounts) {
-        if (const customer *who = find_limited_customer(t.n, name)) {
-            open_account(t.n.quotas.ledger, name, limits_of(t.n, *who), t.now);
+    auto &accounts = t.n.quotas.ledger.accounts;
+    for (auto it = accounts.begin(); it != accounts.end();) {
+        const customer *who = find_limited_customer(t.n, it->first);
+        bool is_kept = is_keeper(t.n, it->first);
+        if (who != nullptr) {
+            open_account(t.n.quotas.ledger, it->first, limits_of(t.n, *who), t.now);
+        }
+        if (who != nullptr && !is_kept) {
+            pass_on_account(t, it->first, it->second);
         }
+        it = is_kept ? std::next(it) : accounts.erase(it);
     }
 }
 
@@ -214,12 +233,16 @@
     mesh_wire::quota_grant_message reply;
     reply.customer = ask.customer;
     reply.asked_us = ask.asked_us;
+    if (ask.history) {
+        handle_quota_history(t, ask.customer, *ask.history);
+        return;
+    }
     const customer *who = find_limited_customer(t.n, ask.customer);
     if (who == nullptr && t.n.policy &&
         find_customer_by_name(t.n.policy->customers, ask.customer)) {
         reply.known = true;  // the limit has been lifted
         reply.tokens = ask.tokens;
-    } else if (who != nullptr && is_keeper(t.n, ask.customer)) {
+    } else if (who != nullptr && is_keeper(t.n, ask.customer) && knows_zone(t)) {
         if (ask.returned > 0) {
             take_back_tokens(t, *who, ask.returned,
                              duration(static_cast<std::int64_t>(ask.returned_age_us)));
@@ -265,16 +288,13 @@
     if (seen == quotas.members) {
         return;
     }
-    bool is_same_zone = seen.zone == quotas.members.zone;
-    quotas.members = std::move(seen);
-    std::size_t accounts = quotas.ledger.accounts.size();
-    if (!is_same_zone) {
+    if (seen.zone != quotas.members.zone) {
         quotas.ledger.members_since = t.now;
         ++quotas.member_changes;
-        std::erase_if(quotas.ledger.accounts,
-                      [&](const auto &entry) { return !is_keeper(t.n, entry.first); });
     }
-    update_shares(t);
+    quotas.members = std::move(seen);
+    std::size_t accounts = quotas.ledger.accounts.size();
+    update_accounts(t);
     report_members(t, accounts);
 }
 
--- a/gullstall/src/mesh/quota_state.hpp
+++ b/gullstall/src/mesh/quota_state.hpp
@@ -22,6 +22,13 @@
     time_point spare_asked_at{};  ///< when the oldest of them was asked for
 };
 
+/// History of an account, passed on by its previous keeper.
+struct told_history
+{
+    quota_history history;
+    time_point at{};
+};
+
 /// State of the quotas at one node.
 struct quota_state
 {
@@ -30,6 +37,7 @@
     quota_ledger ledger;                                          ///< as a keeper
     quota_flow flow;                                              ///< of all accounts
     std::uint64_t member_changes = 0;                             ///< of the own zone
+    std::map<std::string, told_history> histories;                ///< by customer, not applied yet
     std::map<std::string, quota_queue> queues;                    ///< as an entry, by customer
     std::map<std::string, std::uint64_t> refused;                 ///< requests by customer
 };
--- a/gullstall/src/quota/quota_ledger.cpp
+++ b/gullstall/src/quota/quota_ledger.cpp
@@ -187,6 +187,7 @@
     it.used[index_of(it.newest + slots)] += own;
     it.sum += own;
     it.tokens -= own;
+    it.is_untouched = it.is_untouched && own == 0;
     if (granted > 0) {
         return token_grant{static_cast<std::uint32_t>(granted), {}};
     }
@@ -216,4 +217,37 @@
     it.tokens += tokens;
 }
 
+quota_history history_of(const quota_account &it)
+{
+    quota_history out{it.share, it.tokens, {}};
+    auto slots = static_cast<std::int64_t>(slots_per_window);
+    for (std::int64_t i = it.newest - slots; i <= it.newest + slots; ++i) {
+        out.used.push_back(it.used[index_of(i)]);
+    }
+    while (!out.used.empty() && out.used.back() == 0) {
+        out.used.pop_back();
+    }
+    return out;
+}
+
+bool is_valid(const quota_history &it)
+{
+    return it.share > 0 && it.share <= 1 && std::isfinite(it.tokens) &&
+           it.used.size() <= slots_kept &&
+           std::all_of(it.used.begin(), it.used.end(), [](double n) { return std::isfinite(n); });
+}
+
+void adopt_history(quota_account &it, const quota_history &history)
+{
+    it.used.fill(0);
+    it.sum = 0;
+    std::int64_t slot = it.newest - static_cast<std::int64_t>(slots_per_window);
+    for (double n : history.used) {
+        it.used[index_of(slot++)] = n;
+        it.sum += n;
+    }
+    it.tokens = history.tokens;
+    it.share = history.share;
+}
+
 }  // namespace gullstall
--- a/gullstall/src/quota/quota_ledger.hpp
+++ b/gullstall/src/quota/quota_ledger.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "gullstall/src/core/time.hpp"
 #include "gullstall/src/customers/customer_index.hpp"
@@ -82,11 +83,22 @@
     double sum = 0;                         ///< of all slots
     double share = 0;                       ///< of the quota, that it divides
     std::deque<quota_loan> loans;           ///< in the order of their expiry
+    bool is_untouched = true;               ///< none of its own tokens has been handed out
     time_point borrowed_at{};               ///< when tokens were last asked of another zone
     time_point reported_at{};               ///< when its exhaustion was last logged
     quota_flow flow;
 };
 
+/// What the next keeper of a customer needs to know of an account.
+struct quota_history
+{
+    double share = 0;          ///< of the quota
+    double tokens = 0;         ///< in the bucket
+    std::vector<double> used;  ///< by slot, the oldest first, up to the last one in use
+
+    bool operator==(const quota_history &) const = default;
+};
+
 /// The accounts that a node keeps.
 struct quota_ledger
 {
@@ -140,6 +152,16 @@
 /// \param age time since they were granted, at least
 void return_tokens(quota_account &it, duration window, std::uint32_t tokens, duration age);
 
+/// \returns what the account holds, without its loans
+quota_history history_of(const quota_account &it);
+
+/// \returns whether the numbers of a history that another node sent make sense
+bool is_valid(const quota_history &it);
+
+/// Replaces what the account assumes of the time before it was opened by what its previous keeper
+/// tells. The next open_account applies the difference of the shares.
+void adopt_history(quota_account &it, const quota_history &history);
+
 }  // namespace gullstall
 
 #endif
--- a/test/support/quota_zones.hpp
+++ b/test/support/quota_zones.hpp
@@ -142,6 +142,20 @@
         return (rate * to_seconds(quota_window) + rate) * (1 + quota_overage) + quota_slack;
     }
 
+    /// \returns the share of a customer's requests sent since then that were refused for its quota
+    double over_quota(const std::string &customer, time_point since)
+    {
+        double all = 0;
+        double refused = 0;
+        for (const auto &[id, it] : world.results) {
+            if (id.rfind(customer + "-", 0) == 0 && it.sent_at >= since) {
+                ++all;
+                refused += it.refusal_reason == mesh_wire::reason::over_quota ? 1 : 0;
+            }
+        }
+        return all > 0 ? refused / all : 0;
+    }
+
     /// \returns the share of a customer's requests sent since then that were served
     double served(const std::string &customer, time_point since)
     {
--- a/test/unit/mesh_quota.cpp
+++ b/test/unit/mesh_quota.cpp
@@ -168,3 +168,28 @@
     CHECK(world.runs_of("before") == 1);
     CHECK(world.runs_of("after") == 0);
 }
+
+// Guards against a customer within its quota that is refused each time its keeper is stopped and
+// started as planned, since the next keeper takes all of the window for used.
+TEST_CASE_FIXTURE(test::quota_fixture, "rolling stops, customer below its quota, is not over it")
+{
+    constexpr duration stop_interval = milliseconds(1500);
+    time_point begin = world.now;
+    int stops = 0;
+    for (int i = 0; i < nodes_per_zone; ++i) {
+        for (int zone = 0; zone < zone_count; ++zone) {
+            std::string node = node_name(zone, i);
+            world.schedule_after(stops * stop_interval, [this, node] {
+                world.run_node(node, [](mesh::mesh_turn &t) { stop_node(t); });
+            });
+            world.schedule_after(stops * stop_interval + seconds(1),
+                                 [this, node] { restart(node); });
+            ++stops;
+        }
+    }
+    duration length = stops * stop_interval;
+    send("big", 0.7 * big_rate, length, all_nodes());
+    world.run_for(length + seconds(3));
+    CHECK(over_quota("big", begin) <= 0.002);
+    CHECK(static_cast<double>(highest_sum_by_rule("big")) <= allowed_sum(big_rate));
+}
