Quotas: no line of members from nodes that keep no account; ended calls are passed over

From a last read of the change: quota-members was logged on deployments without quotas too; and a call that has ended while another one of its queue was admitted is looked up no more. No test showed either. test_mesh_quota and the short mesh_quota_soak pass.

--- a/bench/exp_quota_moves.cpp
+++ b/bench/exp_quota_moves.cpp
@@ -21,10 +21,10 @@
 
 enum class takeover
 {
-    evenly_used,    ///< the window before is taken for evenly used
-    with_margin,    ///< the same, with limits so low that the rule holds
-    at_most_used,   ///< the most that the limits allowed for each window
-    told            ///< the previous keeper passes on its account
+    evenly_used,   ///< the window before is taken for evenly used
+    with_margin,   ///< the same, with limits so low that the rule holds
+    at_most_used,  ///< the most that the limits allowed for each window
+    told           ///< the previous keeper passes on its account
 };
 
 constexpr std::array ways{takeover::evenly_used, takeover::with_margin, takeover::at_most_used,
--- a/gullstall/src/mesh/quota_control.cpp
+++ b/gullstall/src/mesh/quota_control.cpp
@@ -103,7 +103,7 @@
 {
     tidy_queue(t.n, queue);
     for (call_ref id : std::vector<call_ref>(queue.calls)) {
-        if (tokens > 0 && t.n.calls.at(id).received_at <= asked_at) {
+        if (tokens > 0 && is_waiting(t.n, id) && t.n.calls.at(id).received_at <= asked_at) {
             std::erase(queue.calls, id);
             --tokens;
             admit_with_token(t, id, asked_at);
--- a/gullstall/src/mesh/quota_handover.cpp
+++ b/gullstall/src/mesh/quota_handover.cpp
@@ -76,9 +76,8 @@
 
 void forget_old_histories(mesh_turn &t)
 {
-    std::erase_if(t.n.quotas.histories, [&](const auto &entry) {
-        return t.now - entry.second.at >= max_history_age;
-    });
+    std::erase_if(t.n.quotas.histories,
+                  [&](const auto &entry) { return t.now - entry.second.at >= max_history_age; });
 }
 
 }  // namespace gullstall::mesh
--- a/gullstall/src/mesh/quota_keeper.cpp
+++ b/gullstall/src/mesh/quota_keeper.cpp
@@ -295,7 +295,9 @@
     quotas.members = std::move(seen);
     std::size_t accounts = quotas.ledger.accounts.size();
     update_accounts(t);
-    report_members(t, accounts);
+    if (accounts > 0) {
+        report_members(t, accounts);
+    }
 }
 
 }  // namespace gullstall::mesh
