A node tells its service that it is ready once the suspects are read

Cause: a node answers hello with its status, which says absent until the stored suspects are read, 5 ms after the start. Then it told its own zone and recent callers; a node of the same service in another zone, whose stop waits for it, heard by relay, up to a second later.

The first read now sends the status to the nodes of the own service too.

--- a/gullstall/src/mesh/kept_suspects.cpp
+++ b/gullstall/src/mesh/kept_suspects.cpp
@@ -79,7 +79,7 @@
     log_read(t, row);
     dispatch_queued(t);
     if (is_first && t.n.upstream.latest) {
-        send_status_to_callers(t);
+        send_status_to_service(t);  // the status sent in reply to hello said that it was absent
         dispatch_waiting_calls(t);
     }
 }
--- a/gullstall/src/mesh/status_relay.cpp
+++ b/gullstall/src/mesh/status_relay.cpp
@@ -132,6 +132,11 @@
     return !n.features.relayed_statuses || !it.relays_statuses || it.zone == n.settings.node.zone;
 }
 
+bool hears_or_calls(const mesh_turn &t, const incoming_link &it)
+{
+    return hears_directly(t.n, it) || t.now - it.last_call_at <= caller_memory;
+}
+
 /// Sends this node's status over the connections for which \a is_receiver holds.
 template <class Predicate>
 void send_own_status(mesh_turn &t, Predicate is_receiver)
@@ -158,9 +163,17 @@
 }
 
 void send_status_to_callers(mesh_turn &t)
+{
+    send_own_status(t, [&](const incoming_link &it) { return hears_or_calls(t, it); });
+}
+
+void send_status_to_service(mesh_turn &t)
 {
     send_own_status(t, [&](const incoming_link &it) {
-        return hears_directly(t.n, it) || t.now - it.last_call_at <= caller_memory;
+        auto peer = t.n.nodes.nodes.find(it.node);
+        bool is_same_service = peer != t.n.nodes.nodes.end() &&
+                               peer->second.status.service == t.n.settings.node.service;
+        return is_same_service || hears_or_calls(t, it);
     });
 }
 
--- a/gullstall/src/mesh/status_relay.hpp
+++ b/gullstall/src/mesh/status_relay.hpp
@@ -21,6 +21,10 @@
 /// calls lately. For changes after which such a call would be refused.
 void send_status_to_callers(mesh_turn &t);
 
+/// Sends this node's status to those, and to the nodes of the own service in all zones, whose stops
+/// are ordered by it.
+void send_status_to_service(mesh_turn &t);
+
 /// Passes on statuses received from other zones and, on a relay, sends the statuses of
 /// this zone to the other zones. To be called on each tick.
 void relay_statuses(mesh_turn &t);
