--- a/test/support/quota_zones.hpp
+++ b/test/support/quota_zones.hpp
@@ -114,6 +114,7 @@
             }
         }
         std::vector<std::pair<time_point, time_point>> runs;  // sent, run
+        runs.reserve(run_at.size());
         for (const auto &[id, at] : run_at) {
             runs.emplace_back(world.results.at(id).sent_at, at);
         }
