Quota tests: one count of a customer's requests; comments that say what the functions do

over_quota and served of the fixture had the same loop twice; two comments of the soak stood at the wrong function.

--- a/bench/exp_quota_moves.cpp
+++ b/bench/exp_quota_moves.cpp
@@ -45,7 +45,7 @@
     return "";
 }
 
-/// Part of the limits that keeps the standing way within the rule in all cases played.
+/// Part of the limits that the way with a margin hands out.
 constexpr double margin_factor = 0.80;
 
 struct quota_load
--- a/test/support/quota_zones.hpp
+++ b/test/support/quota_zones.hpp
@@ -143,31 +143,33 @@
         return (rate * to_seconds(quota_window) + rate) * (1 + quota_overage) + quota_slack;
     }
 
+    /// \returns the number of a customer's requests sent since then for which \a holds is true
+    template <class Predicate>
+    double count_requests(const std::string &customer, time_point since, Predicate holds) const
+    {
+        return static_cast<double>(
+            std::count_if(world.results.begin(), world.results.end(), [&](const auto &entry) {
+                const auto &[id, it] = entry;
+                return id.rfind(customer + "-", 0) == 0 && it.sent_at >= since && holds(it);
+            }));
+    }
+
     /// \returns the share of a customer's requests sent since then that were refused for its quota
-    double over_quota(const std::string &customer, time_point since)
+    double over_quota(const std::string &customer, time_point since) const
     {
-        double all = 0;
-        double refused = 0;
-        for (const auto &[id, it] : world.results) {
-            if (id.rfind(customer + "-", 0) == 0 && it.sent_at >= since) {
-                ++all;
-                refused += it.refusal_reason == mesh_wire::reason::over_quota ? 1 : 0;
-            }
-        }
+        double all = count_requests(customer, since, [](const caller_result &) { return true; });
+        double refused = count_requests(customer, since, [](const caller_result &it) {
+            return it.refusal_reason == mesh_wire::reason::over_quota;
+        });
         return all > 0 ? refused / all : 0;
     }
 
     /// \returns the share of a customer's requests sent since then that were served
-    double served(const std::string &customer, time_point since)
+    double served(const std::string &customer, time_point since) const
     {
-        double all = 0;
-        double good = 0;
-        for (const auto &[id, it] : world.results) {
-            if (id.rfind(customer + "-", 0) == 0 && it.sent_at >= since) {
-                ++all;
-                good += it.status == 200 ? 1 : 0;
-            }
-        }
+        double all = count_requests(customer, since, [](const caller_result &) { return true; });
+        double good = count_requests(customer, since,
+                                     [](const caller_result &it) { return it.status == 200; });
         return all > 0 ? good / all : 1;
     }
 };
--- a/test/unit/mesh_quota_soak.cpp
+++ b/test/unit/mesh_quota_soak.cpp
@@ -11,8 +11,8 @@
 
 constexpr duration day_length = seconds(24);
 
-/// Seeds that are played of each kind of day; more by hand with GULLSTALL_SOAK_SEEDS, from
-/// GULLSTALL_SOAK_FIRST on.
+/// \returns the number in an environment variable
+/// \param otherwise if it is not set
 int number_from_environment(const char *name, int otherwise)
 {
     const char *text = std::getenv(name);
@@ -167,7 +167,8 @@
     test::quota_fixture site_;
 };
 
-/// \returns the seeds whose highest sum is beyond what is allowed
+/// Plays days of these kinds of disruption; more by hand with GULLSTALL_SOAK_SEEDS, from the seed
+/// GULLSTALL_SOAK_FIRST on.
 void check_days(const std::vector<disruption> &kinds)
 {
     constexpr int default_seeds = 2;
