Logs and metrics tell a silent store from a quiet one

store-lost of the policy's watch names the call, why no answer came, its time and the time since the store last answered; metrics show who watches and since when nothing came; request-answered and upstream-error name the version of the policy that chose the route, and request-failed names that one in place of the one in force at the answer. Test: store_watch (a line without them failed to compile before).

--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -319,6 +319,11 @@
     step([&](mesh_turn &t) { mesh::set_store_lost(t, lost); });
 }
 
+void mesh_daemon::record_store_answer()
+{
+    node_.store_answered_at = now();
+}
+
 void mesh_daemon::set_chain_saver(std::function<void(mesh::store_chain &&)> keep)
 {
     save_chain_ = std::move(keep);
--- a/gullstall/src/edge/mesh_daemon.hpp
+++ b/gullstall/src/edge/mesh_daemon.hpp
@@ -48,6 +48,8 @@
     bool watches_store() const;
     /// Records whether the platform's store can be reached.
     void set_store_lost(bool lost);
+    /// Records that the platform's store has answered a call of the watch of the policy.
+    void record_store_answer();
 
     /// Sets the function that saves call chains in the store. Without it they are not
     /// saved.
--- a/gullstall/src/edge/store_watch.cpp
+++ b/gullstall/src/edge/store_watch.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "gullstall/src/edge/clock.hpp"
+
 namespace gullstall::edge {
 
 namespace asio = boost::asio;
@@ -20,13 +22,27 @@
 /// Interval at which a watch that is not wanted checks whether it is.
 constexpr duration wanted_poll_interval = milliseconds(200);
 
-void report_state(const store_watch &it, bool works, const platform_answer &response)
+/// A call of a watch that has ended, as it is logged.
+struct watch_call
+{
+    const char *kind;  ///< "scan" or "feed"
+    time_point sent_at{};
+    time_point answered_at{};  ///< when the store had last answered a call of this watch
+};
+
+void report_state(const store_watch &it, bool works, const platform_answer &response,
+                  const watch_call &call)
 {
-    it.handlers.log(write_line{
-        works ? write_line::severity::info : write_line::severity::warning,
-        "store",
-        works ? "store-regained" : "store-lost",
-        {{"table", it.prefix}, {"status", std::to_string(static_cast<int>(response.status))}}});
+    time_point at = now();
+    it.handlers.log(write_line{works ? write_line::severity::info : write_line::severity::warning,
+                               "store",
+                               works ? "store-regained" : "store-lost",
+                               {{"table", it.prefix},
+                                {"status", std::to_string(static_cast<int>(response.status))},
+                                {"call", call.kind},
+                                {"why", response.failure},
+                                {"after_ms", std::to_string(to_ms(at - call.sent_at))},
+                                {"unanswered_ms", std::to_string(to_ms(at - call.answered_at))}}});
     it.handlers.on_reachable(works);
 }
 
@@ -61,6 +77,7 @@
     std::uint64_t last_version = 0;
     bool has_snapshot = false;
     std::uint32_t failures = 0;
+    time_point answered_at = now();
     while (true) {
         if (has_snapshot) {
             co_await wait_until_wanted(io, it);
@@ -68,12 +85,15 @@
         platform_request next =
             has_snapshot ? platform_request(table_feed{it.prefix, last_version, it.wait_ms})
                          : platform_request(table_scan{it.prefix});
+        watch_call call{has_snapshot ? "feed" : "scan", now(), answered_at};
         platform_answer response = co_await it.call(std::move(next));
         if (response.status == platform_status::done) {
             if (failures > 0) {
-                report_state(it, true, response);
+                report_state(it, true, response, call);
             }
             failures = 0;
+            answered_at = now();
+            it.handlers.on_answer();
             has_snapshot = true;
             last_version = std::max(last_version, response.version);
             for (const table_row &row : response.rows) {
@@ -85,7 +105,7 @@
         // whereas a feed returns only with the next change.
         has_snapshot = false;
         if (++failures == 1) {
-            report_state(it, false, response);
+            report_state(it, false, response, call);
         }
         co_await async_sleep(io, draw_store_backoff(it.random, failures));
     }
--- a/gullstall/src/edge/store_watch.hpp
+++ b/gullstall/src/edge/store_watch.hpp
@@ -22,6 +22,8 @@
     std::function<bool()> is_wanted;
     /// The store has become unreachable (false) or reachable (true).
     std::function<void(bool works)> on_reachable;
+    /// The store has answered.
+    std::function<void()> on_answer;
     std::function<void(const mesh::write_line &)> log;
 };
 
--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -291,6 +291,7 @@
     }
     call.id = id;
     call.route = route->name;
+    call.policy_version = t.n.policy->version;
     call.call.route = route->name;
     call.max_attempts = std::max(1U, route->max_attempts);
     call.received_at = t.now;
--- a/gullstall/src/mesh/entry_answers.cpp
+++ b/gullstall/src/mesh/entry_answers.cpp
@@ -172,7 +172,7 @@
                     {"after_ms", std::to_string(to_ms(t.now - call.received_at))},
                     {"left_ms", std::to_string(to_ms(call.deadline - t.now))},
                     {"load", std::to_string(service_load(t.n.nodes, call.call.service, t.now))},
-                    {"policy", std::to_string(t.n.policy ? t.n.policy->version : 0)}}});
+                    {"policy", std::to_string(call.policy_version)}}});
     note_latency(t.n.latencies.call, t.now - call.received_at);
     t.out.emplace_back(answer_caller{id, std::move(answer)});
     remove_call(t, id);
@@ -204,7 +204,8 @@
                         {"status", std::to_string(reply.status)},
                         {"route", call.route},
                         {"peer", call.tried.empty() ? "" : call.tried.back()},
-                        {"after_ms", std::to_string(to_ms(t.now - call.received_at))}}});
+                        {"after_ms", std::to_string(to_ms(t.now - call.received_at))},
+                        {"policy", std::to_string(call.policy_version)}}});
     }
     note_latency(t.n.latencies.call, t.now - call.received_at);
     t.out.emplace_back(answer_caller{id, std::move(answer)});
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -53,6 +53,7 @@
     std::optional<run_ref> parent;  ///< local run that makes the call
     mesh_wire::call_message call;   ///< correlation, times and repeat flag are set per transmission
     std::string route;
+    std::uint64_t policy_version = 0;  ///< of the policy that chose the route
     std::uint32_t max_attempts = 1;
     time_point received_at{};
     time_point deadline{};  ///< end of the caller's wait
@@ -148,8 +149,9 @@
     std::optional<announced_policy> newer_policy;
     /// Since when peers have a later policy than this node.
     std::optional<time_point> policy_behind_since;
-    bool store_lost = false;  ///< the last call to the platform's store failed
-    std::string policy_text;  ///< source text, for peers that lack it
+    bool store_lost = false;                      ///< the last call to the platform's store failed
+    std::optional<time_point> store_answered_at;  ///< by the platform's store, if ever
+    std::string policy_text;                      ///< source text, for peers that lack it
     time_point policy_at{};
     directory nodes;
     own_upstream upstream;
--- a/gullstall/src/mesh/report.cpp
+++ b/gullstall/src/mesh/report.cpp
@@ -1,4 +1,5 @@
 #include "gullstall/src/mesh/mesh_node.hpp"
+#include "gullstall/src/mesh/zone_duty.hpp"
 
 namespace gullstall::mesh {
 
@@ -97,6 +98,9 @@
         n.policy ? static_cast<double>(n.policy->version) : 0);
     add(out, "gullstall_policy_age_seconds", "gauge",
         n.policy ? std::chrono::duration<double>(now - n.policy_at).count() : 0);
+    add(out, "gullstall_store_watched", "gauge", watches_store(n, now) ? 1 : 0);
+    add(out, "gullstall_store_unanswered_seconds", "gauge",
+        n.store_answered_at ? to_seconds(now - *n.store_answered_at) : 0);
     std::map<std::string, std::uint32_t> members;
     for (const auto &[name, view] : n.nodes.nodes) {
         std::string state = !view.linked ? "unlinked"
--- a/gullstall/src/platform/request.hpp
+++ b/gullstall/src/platform/request.hpp
@@ -107,6 +107,7 @@
     std::uint64_t version = 0;  ///< of the whole store: where a feed goes on
     bool has_more = false;      ///< a scan found more rows than one answer holds
     std::uint64_t now_ms = 0;   ///< the store's steady clock, milliseconds; 0: not told
+    std::string failure{};      ///< why no whole answer came, empty if one came
 
     bool operator==(const platform_answer &) const = default;
 };
--- a/test/runtime/store_watch.cpp
+++ b/test/runtime/store_watch.cpp
@@ -23,6 +23,7 @@
     std::vector<platform_request> requests;
     std::vector<std::string> seen;
     std::vector<bool> reachable;
+    std::vector<mesh::write_line> lines;
     int polls_until_wanted = 0;
 
     bool is_wanted()
@@ -43,7 +44,7 @@
             [this](platform_request what) { return answer(std::move(what)); },
             {[this](const table_row &row) { seen.push_back(row.value); },
              [this] { return is_wanted(); }, [this](bool works) { reachable.push_back(works); },
-             [](const mesh::write_line &) {}},
+             [] {}, [this](const mesh::write_line &line) { lines.push_back(line); }},
             random_source(1)};
         asio::co_spawn(io, edge::run_watch(io, std::move(it)), asio::detached);
         io.run();
@@ -70,6 +71,16 @@
     }
 };
 
+std::string field_of(const mesh::write_line &line, const std::string &name)
+{
+    for (const mesh::log_field &it : line.fields) {
+        if (it.name == name) {
+            return it.value;
+        }
+    }
+    return "";
+}
+
 }  // namespace
 
 TEST_CASE_FIXTURE(watch_fixture, "watch, rows and then changes, are reported in order")
@@ -126,6 +137,19 @@
     CHECK(reachable[1]);
 }
 
+// Guards against a lost store whose log line does not say which call failed, and why.
+TEST_CASE_FIXTURE(watch_fixture, "watch, store lost, line names the call and the reason")
+{
+    platform_answer lost{platform_status::lost, {}, {}};
+    lost.failure = "Connection timed out";
+    answers = {rows(4, "a"), lost, rows(9, "c")};
+    run();
+    REQUIRE(lines.size() >= 1);
+    CHECK(lines[0].event == "store-lost");
+    CHECK(field_of(lines[0], "call") == "feed");
+    CHECK(field_of(lines[0], "why") == "Connection timed out");
+}
+
 // The store is unreachable and does not accept connections. A feed may wait ten
 // seconds for its response, but not for its connection, or the node would retry only
 // long after the store has recovered.
