Watchers of the store notice a silent connection in 1.5 s: shorter feeds that end in turn

What callers saw: requests handled by a configuration older than one acknowledged 2 s before. Cause: a feed waited for up to 10 s, rightly without a byte; silence of its connection showed by the kernel's probes after 2 to 4 s, or by the feed's time-out after 11.5 s, and all watchers began a feed at the same change, so that none noticed sooner. Change: a feed waits 2 s; its answer has to come within 0.5 s of that, more while the store is slow; the ends of the feeds are spread over the watchers of a zone, and over the zones, by the store's clock, which all of them are told, so that they neither fall into step at a change nor drift. A feed also finds a store that acknowledges segments and answers nothing.

--- a/gullstall/mesh.hpp
+++ b/gullstall/mesh.hpp
@@ -18,6 +18,7 @@
 #include "gullstall/src/mesh/retry_grant.hpp"
 #include "gullstall/src/mesh/run_gate.hpp"
 #include "gullstall/src/mesh/status_relay.hpp"
+#include "gullstall/src/mesh/store_feed.hpp"
 #include "gullstall/src/mesh/switches.hpp"
 #include "gullstall/src/mesh/traffic_split.hpp"
 #include "gullstall/src/mesh/upstream_notice.hpp"
--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -314,6 +314,11 @@
     return mesh::watches_store(node_, now());
 }
 
+mesh::feed_timing mesh_daemon::store_feed_timing() const
+{
+    return mesh::own_feed_timing(node_, now());
+}
+
 void mesh_daemon::set_store_lost(bool lost)
 {
     step([&](mesh_turn &t) { mesh::set_store_lost(t, lost); });
--- a/gullstall/src/edge/mesh_daemon.hpp
+++ b/gullstall/src/edge/mesh_daemon.hpp
@@ -46,6 +46,8 @@
 
     /// \returns whether this node has to watch the platform's store for a newer policy
     bool watches_store() const;
+    /// \returns when this node's feeds of the platform's store are to end
+    mesh::feed_timing store_feed_timing() const;
     /// Records whether the platform's store can be reached.
     void set_store_lost(bool lost);
     /// Records that the platform's store has answered a call of the watch of the policy.
--- a/gullstall/src/edge/store_watch.cpp
+++ b/gullstall/src/edge/store_watch.cpp
@@ -46,6 +46,29 @@
     it.handlers.on_reachable(works);
 }
 
+/// What the last answer to a watch has shown.
+struct last_answer
+{
+    time_point at{};
+    duration delay{};            ///< beyond the time that the call was to wait
+    std::uint64_t store_ms = 0;  ///< clock of the store, 0: not told
+};
+
+duration next_wait(const store_watch &it, const last_answer &last)
+{
+    std::uint64_t passed_ms = static_cast<std::uint64_t>(to_ms(now() - last.at));
+    std::uint64_t store_ms = last.store_ms == 0 ? 0 : last.store_ms + passed_ms;
+    return mesh::feed_wait(it.handlers.timing(), store_ms);
+}
+
+platform_request feed_request(const store_watch &it, std::uint64_t after, duration wait,
+                              const last_answer &last)
+{
+    duration margin = mesh::answer_margin(last.delay, it.max_answer_margin);
+    return table_feed{it.prefix, after, static_cast<std::uint32_t>(to_ms(wait)),
+                      static_cast<std::uint32_t>(to_ms(margin))};
+}
+
 asio::awaitable<void> wait_until_wanted(asio::io_context &io, const store_watch &it)
 {
     while (!it.handlers.is_wanted()) {
@@ -77,25 +100,26 @@
     std::uint64_t last_version = 0;
     bool has_snapshot = false;
     std::uint32_t failures = 0;
-    time_point answered_at = now();
+    last_answer last{now(), {}, 0};
     while (true) {
         if (has_snapshot) {
             co_await wait_until_wanted(io, it);
         }
-        platform_request next =
-            has_snapshot ? platform_request(table_feed{it.prefix, last_version, it.wait_ms})
-                         : platform_request(table_scan{it.prefix});
-        watch_call call{has_snapshot ? "feed" : "scan", now(), answered_at};
+        duration wait = has_snapshot ? next_wait(it, last) : duration{};
+        platform_request next = has_snapshot ? feed_request(it, last_version, wait, last)
+                                             : platform_request(table_scan{it.prefix});
+        watch_call call{has_snapshot ? "feed" : "scan", now(), last.at};
         platform_answer response = co_await it.call(std::move(next));
         if (response.status == platform_status::done) {
             if (failures > 0) {
                 report_state(it, true, response, call);
             }
             failures = 0;
-            answered_at = now();
-            it.handlers.on_answer();
             has_snapshot = true;
             last_version = std::max(last_version, response.version);
+            last = last_answer{now(), std::max(duration{}, now() - call.sent_at - wait),
+                               response.now_ms};
+            it.handlers.on_answer();
             for (const table_row &row : response.rows) {
                 it.handlers.on_row(row);
             }
--- a/gullstall/src/edge/store_watch.hpp
+++ b/gullstall/src/edge/store_watch.hpp
@@ -20,6 +20,8 @@
     std::function<void(const table_row &)> on_row;
     /// Whether changes are waited for. While they are not, no calls are made.
     std::function<bool()> is_wanted;
+    /// When the feeds are to end.
+    std::function<mesh::feed_timing()> timing;
     /// The store has become unreachable (false) or reachable (true).
     std::function<void(bool works)> on_reachable;
     /// The store has answered.
@@ -32,7 +34,7 @@
 struct store_watch
 {
     std::string prefix;
-    std::uint32_t wait_ms;
+    duration max_answer_margin{};  ///< of a feed, when the store has been slow
     store_call call;
     store_watch_handlers handlers;
     random_source random;
--- a/gullstall/src/mesh/zone_duty.cpp
+++ b/gullstall/src/mesh/zone_duty.cpp
@@ -1,6 +1,7 @@
 #include "gullstall/src/mesh/zone_duty.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace gullstall::mesh {
 
@@ -81,6 +82,23 @@
     return std::find(watchers.begin(), watchers.end(), n.settings.node.name) != watchers.end();
 }
 
+feed_timing own_feed_timing(const mesh_node &n, time_point now)
+{
+    const auto &self = n.settings.node;
+    std::vector<std::string> watchers = choose_watchers(n, now);
+    auto own = std::find(watchers.begin(), watchers.end(), self.name);
+    auto rank = own == watchers.end() ? 0 : own - watchers.begin();
+    std::set<std::string> zones;
+    for (const auto &[name, view] : n.nodes.nodes) {
+        zones.insert(view.address.zone);
+    }
+    auto zone = std::distance(zones.begin(), zones.find(self.zone));
+    auto place = rank * static_cast<std::ptrdiff_t>(zones.size()) + zone;
+    double places = static_cast<double>(nodes_on_duty * zones.size());
+    return feed_timing{milliseconds(n.settings.store.feed_wait_ms),
+                       static_cast<double>(place) / places};
+}
+
 bool is_first_watcher(const mesh_node &n, time_point now)
 {
     std::vector<std::string> watchers = choose_watchers(n, now);
--- a/gullstall/src/mesh/zone_duty.hpp
+++ b/gullstall/src/mesh/zone_duty.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "gullstall/src/mesh/mesh_node.hpp"
+#include "gullstall/src/mesh/store_feed.hpp"
 
 namespace gullstall::mesh {
 
@@ -31,6 +32,10 @@
 /// nodes hear of it from those that do
 bool watches_store(const mesh_node &n, time_point now);
 
+/// \returns when this node's feeds of the store end: those of a zone's watchers in turn, and the
+/// zones one after the other
+feed_timing own_feed_timing(const mesh_node &n, time_point now);
+
 /// \returns whether this node writes to the store what its zone has learned
 bool is_first_watcher(const mesh_node &n, time_point now);
 
--- a/gullstall/src/platform/request.hpp
+++ b/gullstall/src/platform/request.hpp
@@ -42,6 +42,8 @@
     std::string prefix;
     std::uint64_t after;    ///< version of the answer to go on from
     std::uint32_t wait_ms;  ///< without changes the answer comes after this time
+    /// Time beyond that in which the answer has to come; 0: the adapter's own
+    std::uint32_t margin_ms = 0;
 
     bool operator==(const table_feed &) const = default;
 };
--- a/test/runtime/store_watch.cpp
+++ b/test/runtime/store_watch.cpp
@@ -38,14 +38,17 @@
     /// Runs the watch until all scripted responses are used.
     void run()
     {
-        edge::store_watch it{
-            "t/",
-            1000,
-            [this](platform_request what) { return answer(std::move(what)); },
-            {[this](const table_row &row) { seen.push_back(row.value); },
-             [this] { return is_wanted(); }, [this](bool works) { reachable.push_back(works); },
-             [] {}, [this](const mesh::write_line &line) { lines.push_back(line); }},
-            random_source(1)};
+        edge::store_watch it{"t/",
+                             milliseconds(1500),
+                             [this](platform_request what) { return answer(std::move(what)); },
+                             {[this](const table_row &row) { seen.push_back(row.value); },
+                              [this] { return is_wanted(); },
+                              [] {
+                                  return mesh::feed_timing{milliseconds(1000), 0};
+                              },
+                              [this](bool works) { reachable.push_back(works); }, [] {},
+                              [this](const mesh::write_line &line) { lines.push_back(line); }},
+                             random_source(1)};
         asio::co_spawn(io, edge::run_watch(io, std::move(it)), asio::detached);
         io.run();
     }
@@ -90,8 +93,8 @@
     CHECK(seen == std::vector<std::string>{"a", "b"});
     REQUIRE(requests.size() == 3);
     CHECK(requests[0] == platform_request(table_scan{"t/"}));
-    CHECK(requests[1] == platform_request(table_feed{"t/", 4, 1000}));
-    CHECK(requests[2] == platform_request(table_feed{"t/", 6, 1000}));
+    CHECK(requests[1] == platform_request(table_feed{"t/", 4, 1000, 500}));
+    CHECK(requests[2] == platform_request(table_feed{"t/", 6, 1000, 500}));
 }
 
 // The store stops responding and recovers. A node that resumed its feed would see a
@@ -104,7 +107,7 @@
     CHECK(seen == std::vector<std::string>{"a", "c"});
     REQUIRE(requests.size() == 4);
     CHECK(requests[2] == platform_request(table_scan{"t/"}));
-    CHECK(requests[3] == platform_request(table_feed{"t/", 9, 1000}));
+    CHECK(requests[3] == platform_request(table_feed{"t/", 9, 1000, 500}));
 }
 
 TEST_CASE_FIXTURE(watch_fixture, "watch whose history is gone, rescans all rows")
@@ -123,7 +126,7 @@
     run();
     CHECK(polls_until_wanted == 0);
     REQUIRE(requests.size() == 3);
-    CHECK(requests[1] == platform_request(table_feed{"t/", 4, 1000}));
+    CHECK(requests[1] == platform_request(table_feed{"t/", 4, 1000, 500}));
 }
 
 // Another node has to take over from one that has lost the store.
--- a/test/unit/mesh_store_feeds.cpp
+++ b/test/unit/mesh_store_feeds.cpp
@@ -80,8 +80,8 @@
     bool is_lost(const std::string &name, const waiting_feed &it) const
     {
         const auto &store = world.nodes.at(name).settings.store;
-        return it.silent_at && world.now >= std::min(it.answer_due(milliseconds(store.timeout_ms)),
-                                                     it.probes_lost());
+        duration margin = mesh::answer_margin({}, milliseconds(store.timeout_ms));
+        return it.silent_at && world.now >= std::min(it.answer_due(margin), it.probes_lost());
     }
 
     bool is_answered(const std::string &name, const waiting_feed &it) const
@@ -107,7 +107,8 @@
 
     duration feed_wait(const mesh::mesh_node &n) const
     {
-        return milliseconds(n.settings.store.feed_wait_ms);
+        auto store_ms = static_cast<std::uint64_t>(to_ms(world.now.time_since_epoch()));
+        return mesh::feed_wait(own_feed_timing(n, world.now), store_ms);
     }
 
     void publish()
