Store calls do not go over connections that rested or that went silent with another

What callers saw: the same as before. Cause: the client of the store uses the connection that was used last; the calls at the start leave up to four idle. Test: silent_connections, failed before.

--- a/gullstall/src/runtime/http_client.cpp
+++ b/gullstall/src/runtime/http_client.cpp
@@ -35,18 +35,20 @@
 
 }  // namespace
 
-http_client::http_client(asio::io_context &io, asio::ip::tcp::endpoint to, std::uint64_t body_limit)
-    : io_(io), to_(std::move(to)), body_limit_(body_limit)
+http_client::http_client(asio::io_context &io, asio::ip::tcp::endpoint to, std::uint64_t body_limit,
+                         std::chrono::steady_clock::duration max_idle_time)
+    : io_(io), to_(std::move(to)), body_limit_(body_limit), max_idle_time_(max_idle_time)
 {
 }
 
 std::unique_ptr<beast::tcp_stream> http_client::take_idle()
 {
+    auto now = std::chrono::steady_clock::now();
     while (!idle_.empty()) {
-        std::unique_ptr<beast::tcp_stream> stream = std::move(idle_.back());
+        idle_connection it = std::move(idle_.back());
         idle_.pop_back();
-        if (is_fresh(stream->socket())) {
-            return stream;
+        if (now - it.since <= max_idle_time_ && is_fresh(it.stream->socket())) {
+            return std::move(it.stream);
         }
     }
     return nullptr;
@@ -73,9 +75,8 @@
         }
     }
     stream->expires_after(timeout);
-    bool cancelled = handle && handle->cancelled;
     bool reusable = false;
-    if (!ec && !cancelled) {
+    if (!ec && !(handle && handle->cancelled)) {
         out.end = exchange_end::lost;
         request.prepare_payload();
         co_await http::async_write(*stream, request, asio::redirect_error(asio::use_awaitable, ec));
@@ -94,12 +95,16 @@
         }
     }
     out.error = ec;
+    bool cancelled = handle && handle->cancelled;
     if (handle) {
         handle->stream = nullptr;
     }
     if (reusable) {
         stream->expires_never();
-        idle_.push_back(std::move(stream));
+        idle_.push_back(idle_connection{std::move(stream), std::chrono::steady_clock::now()});
+    }
+    if (out.end == exchange_end::lost && !cancelled) {
+        idle_.clear();
     }
     co_return out;
 }
--- a/gullstall/src/runtime/http_client.hpp
+++ b/gullstall/src/runtime/http_client.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/system/error_code.hpp>
+#include <chrono>
 #include <memory>
 #include <vector>
 
@@ -36,12 +37,16 @@
     bool cancelled = false;
 };
 
-/// HTTP/1.1 client to one server; connections are kept and used again.
+/// HTTP/1.1 client to one server; connections are kept and used again. An exchange that is lost
+/// ends the idle ones, which may be as dead as its own.
 class http_client
 {
 public:
+    /// \param max_idle_time after which a connection is not used again
     http_client(boost::asio::io_context &io, boost::asio::ip::tcp::endpoint to,
-                std::uint64_t body_limit);
+                std::uint64_t body_limit,
+                std::chrono::steady_clock::duration max_idle_time =
+                    std::chrono::steady_clock::duration::max());
 
     /// Sends \a request and reads the response, within \a timeout.
     /// \param handle lets cancel() break the exchange off, may be null
@@ -52,12 +57,19 @@
     static void cancel(exchange_handle &handle);
 
 private:
+    struct idle_connection
+    {
+        std::unique_ptr<boost::beast::tcp_stream> stream;
+        std::chrono::steady_clock::time_point since;
+    };
+
     std::unique_ptr<boost::beast::tcp_stream> take_idle();
 
     boost::asio::io_context &io_;
     boost::asio::ip::tcp::endpoint to_;
     std::uint64_t body_limit_;
-    std::vector<std::unique_ptr<boost::beast::tcp_stream>> idle_;
+    std::chrono::steady_clock::duration max_idle_time_;
+    std::vector<idle_connection> idle_;
 };
 
 }  // namespace gullstall::runtime
--- a/test/runtime/silent_connections.cpp
+++ b/test/runtime/silent_connections.cpp
@@ -108,3 +108,13 @@
         CHECK(co_await call(client) == exchange_end::answered);
     }());
 }
+
+// Guards against a call over a connection that went silent while it rested.
+TEST_CASE_FIXTURE(silent_server_fixture, "connections rested beyond the limit, call, is answered")
+{
+    runtime::http_client client(io, acceptor.local_endpoint(), max_body_bytes, answer_delay);
+    run([&]() -> asio::awaitable<void> {
+        co_await open_two(client);
+        CHECK(co_await call(client) == exchange_end::answered);
+    }());
+}
