Needs of requests: sums over the call graph, not over its paths

Cause: add_needs() followed every path of the learned calls to a depth of 24; with four routes that call each other about 3^24 paths, in the one thread; a graph without cycles, 22 layers of two routes, has 2^22. Class: work over a learned graph without a bound. Change: the routes are put in order by their strongly connected components (call_graph); needs and slot times are summed in one walk, each call once, or a bounded number of rounds where routes call each other, and a sum that has no end is cut at 1,000 runs.

--- a/gullstall/src/mesh/service_levels.cpp
+++ b/gullstall/src/mesh/service_levels.cpp
@@ -4,15 +4,13 @@
 #include <cmath>
 #include <set>
 
+#include "gullstall/src/mesh/call_graph.hpp"
 #include "gullstall/src/mesh/gate_demand.hpp"
 
 namespace gullstall::mesh {
 
 namespace {
 
-/// Maximum depth of nested calls that is followed; also ends cycles in the call graph.
-constexpr int max_call_depth = 24;
-
 /// Runs per request below which a service is treated as not used by the route.
 constexpr double min_runs_per_request = 0.1;
 
@@ -20,6 +18,9 @@
 /// values come from traffic splits or from calls that only some runs make.
 constexpr double always_needed_runs = 0.95;
 
+/// Runs per request that count as none.
+constexpr double negligible_runs = 1e-6;
+
 /// What one request needs of each service.
 struct request_needs
 {
@@ -38,31 +39,79 @@
     return cost == known->second.end() ? 0 : cost->second;
 }
 
-void add_needs(const admission_plan &it, const traffic_policy &policy, const std::string &route,
-               double times, int depth, request_needs &out)
+/// Services of a policy, and the columns of route_values that hold their runs and slot times.
+struct service_columns
 {
-    const traffic_route *known = find_route_by_name(policy, route);
-    if (known == nullptr || depth > max_call_depth) {
-        return;
+    std::map<std::string, std::size_t> index;
+    bool has_costs = false;  ///< without costs there are no columns of slot times
+
+    std::size_t count() const
+    {
+        return has_costs ? 2 * index.size() : index.size();
+    }
+    std::size_t runs(const std::string &service) const
+    {
+        return index.at(service);
     }
+    std::size_t slot_us(const std::string &service) const
+    {
+        return index.size() + index.at(service);
+    }
+};
+
+service_columns columns_of(const traffic_policy &policy, bool has_costs)
+{
+    service_columns out{{}, has_costs};
+    for (const traffic_route &route : policy.routes) {
+        for (const weighted_service &part : route.services) {
+            out.index.emplace(part.service, out.index.size());
+        }
+    }
+    return out;
+}
+
+/// \returns what a run of the route needs without its calls
+std::vector<double> own_needs(const admission_plan &it, const traffic_route &route,
+                              const service_columns &columns)
+{
+    std::vector<double> out(columns.count());
     double total = 0;
-    for (const weighted_service &part : known->services) {
+    for (const weighted_service &part : route.services) {
         total += part.weight;
     }
-    for (const weighted_service &part : known->services) {
-        double runs = total > 0 ? times * part.weight / total : 0;
-        out.runs[part.service] += runs;
-        if (double cost = cost_of_run(it, part.service, route); cost > 0) {
-            out.slot_us[part.service] += runs * cost;
+    for (const weighted_service &part : route.services) {
+        double runs = total > 0 ? part.weight / total : 0;
+        out[columns.runs(part.service)] += runs;
+        if (columns.has_costs) {
+            out[columns.slot_us(part.service)] += runs * cost_of_run(it, part.service, route.name);
         }
     }
-    auto calls = it.calls.find(route);
-    if (calls == it.calls.end()) {
-        return;
+    return out;
+}
+
+/// \returns the needs of a request of each route, by index of the route
+std::vector<request_needs> needs_of_routes(const admission_plan &it, const traffic_policy &policy)
+{
+    service_columns columns = columns_of(policy, !it.costs.empty());
+    route_values own;
+    for (const traffic_route &route : policy.routes) {
+        own.push_back(own_needs(it, route, columns));
     }
-    for (const auto &[child, n] : calls->second) {
-        add_needs(it, policy, child, times * n, depth + 1, out);
+    route_values sums = sum_over_calls(make_call_graph(policy, it.calls), std::move(own));
+    std::vector<request_needs> out(sums.size());
+    for (std::size_t i = 0; i < sums.size(); ++i) {
+        for (const auto &[service, column] : columns.index) {
+            double runs = sums[i][columns.runs(service)];
+            double slot_us = columns.has_costs ? sums[i][columns.slot_us(service)] : 0;
+            if (runs > negligible_runs) {
+                out[i].runs.emplace(service, runs);
+            }
+            if (slot_us > 0) {
+                out[i].slot_us.emplace(service, slot_us);
+            }
+        }
     }
+    return out;
 }
 
 /// Routes that are called by runs. They get no weight of their own: their calls are
@@ -215,13 +264,13 @@
         on.run_costs ? services_counted_by_cost(policy, it.cost_spread) : std::set<std::string>{};
     std::set<std::string> called = nested_routes(it);
     std::map<std::string, std::vector<route_usage>> users;
-    for (const traffic_route &route : policy.routes) {
-        request_needs needs;
-        add_needs(it, policy, route.name, 1, 0, needs);
+    std::vector<request_needs> needs = needs_of_routes(it, policy);
+    for (std::size_t i = 0; i < needs.size(); ++i) {
+        const traffic_route &route = policy.routes[i];
         if (called.count(route.name) == 0) {
-            add_users(policy, route, needs, users);
+            add_users(policy, route, needs[i], users);
         }
-        it.runs_per_request[route.name] = std::move(needs.runs);
+        it.runs_per_request[route.name] = std::move(needs[i].runs);
     }
     for (auto &[service, all] : users) {
         bool has_costs = it.counted_by_cost.count(service) > 0 && use_slot_times(all);
