--- a/gullstall/src/mesh/admission.cpp
+++ b/gullstall/src/mesh/admission.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 #include "gullstall/src/mesh/mesh_node.hpp"
 #include "gullstall/src/mesh/status_relay.hpp"
@@ -35,7 +36,7 @@
     });
 }
 
-mesh_wire::chain_news_message to_chain_news(const std::map<std::string, calls_per_run> &calls)
+mesh_wire::chain_news_message to_chain_news(const known_chains &calls)
 {
     mesh_wire::chain_news_message out;
     for (const auto &[route, children] : calls) {
@@ -252,8 +253,7 @@
 {
     const auto &self = t.n.settings.node;
     bool is_near = !t.n.features.relayed_statuses || t.n.links.at(link).zone == self.zone;
-    const std::map<std::string, calls_per_run> &calls =
-        is_near ? t.n.announced_calls : t.n.plan.calls;
+    const known_chains &calls = is_near ? t.n.announced_calls : t.n.plan.calls;
     if (!calls.empty() && (is_near || is_relay(t.n, t.now))) {
         t.out.emplace_back(send_to_link{link, mesh_frame(to_chain_news(calls))});
     }
@@ -261,19 +261,31 @@
 
 void restore_chain(mesh_turn &t, const std::string &route, const calls_per_run &calls)
 {
-    t.n.stored_calls[route] = calls;
-    if (!t.n.features.kept_chains) {
+    calls_per_run kept = calls;
+    keep_most_frequent(kept);
+    if (calls_per_run *stored = find_or_add_chain(t.n.stored_calls, route)) {
+        *stored = kept;
+    }
+    if (!t.n.features.kept_chains || t.n.plan.calls.count(route) > 0) {
         return;
     }
-    if (t.n.plan.calls.emplace(route, calls).second) {
+    if (calls_per_run *known = find_or_add_chain(t.n.plan.calls, route)) {
+        *known = std::move(kept);
         t.n.plan_outdated = true;
     }
 }
 
 void handle_chain_news(mesh_turn &t, const mesh_wire::chain_news_message &news)
 {
+    std::set<std::string> changed;
     for (const auto &entry : news.entries) {
-        t.n.plan.calls[entry->route][entry->child] = entry->calls_milli / milli;
+        if (calls_per_run *known = find_or_add_chain(t.n.plan.calls, entry->route)) {
+            (*known)[entry->child] = entry->calls_milli / milli;
+            changed.insert(entry->route);
+        }
+    }
+    for (const std::string &route : changed) {
+        keep_most_frequent(t.n.plan.calls.at(route));
     }
     t.n.plan_outdated = true;
 }
--- a/gullstall/src/mesh/call_chain.hpp
+++ b/gullstall/src/mesh/call_chain.hpp
@@ -13,6 +13,20 @@
 /// Mean number of calls made by one run of a route, by the route of the calls.
 using calls_per_run = std::map<std::string, double>;
 
+/// Bounds on what is kept of calls, whoever has told it: calls of a route, the rarest ones are left
+/// out, and routes.
+inline constexpr std::size_t max_calls_per_route = 64;
+inline constexpr std::size_t max_known_chains = 4096;
+
+/// Calls of runs, by the route of the runs; at most max_known_chains.
+using known_chains = std::map<std::string, calls_per_run>;
+
+/// Leaves the most frequent calls.
+void keep_most_frequent(calls_per_run &it);
+
+/// \returns the calls of \a route, which is added if there is room; otherwise null
+calls_per_run *find_or_add_chain(known_chains &it, const std::string &route);
+
 /// Associates calls made by local runs with these runs, and learns how many calls the runs
 /// of each route make. Calls carry no reference to their run, but upstreams derive the
 /// request ids of their calls from the id of the run. A call whose id does not match is
--- a/gullstall/src/mesh/call_graph.cpp
+++ b/gullstall/src/mesh/call_graph.cpp
@@ -146,8 +146,7 @@
 
 }  // namespace
 
-call_graph make_call_graph(const traffic_policy &policy,
-                           const std::map<std::string, calls_per_run> &calls)
+call_graph make_call_graph(const traffic_policy &policy, const known_chains &calls)
 {
     call_graph out;
     std::size_t n = policy.routes.size();
--- a/gullstall/src/mesh/call_graph.hpp
+++ b/gullstall/src/mesh/call_graph.hpp
@@ -30,8 +30,7 @@
 };
 
 /// \param policy has to outlive the graph
-call_graph make_call_graph(const traffic_policy &policy,
-                           const std::map<std::string, calls_per_run> &calls);
+call_graph make_call_graph(const traffic_policy &policy, const known_chains &calls);
 
 /// Values of routes, by index of the route and then by column.
 using route_values = std::vector<std::vector<double>>;
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -170,11 +170,10 @@
     double announced_demand = 0;                       ///< value last announced to peers
     call_chain chain;
     admission_plan plan;
-    bool plan_outdated = true;  ///< the policy or the learned call rates have changed
-    std::map<std::string, calls_per_run>
-        announced_calls;                                ///< last announced, of the local upstream
-    std::map<std::string, calls_per_run> stored_calls;  ///< by route, as persisted in the store
-    std::map<std::string, service_state> states;        ///< by service, at states_at
+    bool plan_outdated = true;     ///< the policy or the learned call rates have changed
+    known_chains announced_calls;  ///< last announced, of the local upstream
+    known_chains stored_calls;     ///< by route, as persisted in the store
+    std::map<std::string, service_state> states;  ///< by service, at states_at
     time_point states_at{};
     zone_plan zones;
     traffic_split split;
--- a/gullstall/src/mesh/service_levels.hpp
+++ b/gullstall/src/mesh/service_levels.hpp
@@ -40,7 +40,7 @@
 /// requests are admitted when a service is short of capacity.
 struct admission_plan
 {
-    std::map<std::string, calls_per_run> calls;            ///< learned calls per run, by route
+    known_chains calls;                                    ///< learned calls per run, by route
     std::map<std::string, service_runs> runs_per_request;  ///< runs per request, by route
     double cost_spread = 0;                                ///< limits.cost_spread
     std::set<std::string> counted_by_cost;     ///< services, see services_counted_by_cost
--- a/gullstall/src/mesh/zone_plan.cpp
+++ b/gullstall/src/mesh/zone_plan.cpp
@@ -84,8 +84,7 @@
 
 }  // namespace
 
-zone_plan make_zone_plan(const traffic_policy &policy,
-                         const std::map<std::string, calls_per_run> &calls,
+zone_plan make_zone_plan(const traffic_policy &policy, const known_chains &calls,
                          const service_zones &present)
 {
     call_graph graph = make_call_graph(policy, calls);
--- a/gullstall/src/mesh/zone_plan.hpp
+++ b/gullstall/src/mesh/zone_plan.hpp
@@ -27,8 +27,7 @@
 
 /// \param calls learned calls per run, by route
 /// \param present zones in which each service has an upstream
-zone_plan make_zone_plan(const traffic_policy &policy,
-                         const std::map<std::string, calls_per_run> &calls,
+zone_plan make_zone_plan(const traffic_policy &policy, const known_chains &calls,
                          const service_zones &present);
 
 /// \returns the expected cross-zone calls below a run of \a route in \a zone; 0 if they
--- a/test/unit/mesh_chain.cpp
+++ b/test/unit/mesh_chain.cpp
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "gullstall/src/mesh/call_chain.hpp"
+#include "test/support/mesh_world.hpp"
 
 using namespace gullstall;
 
@@ -54,3 +54,35 @@
     REQUIRE(calls);
     CHECK(calls->at("deep") < 4);
 }
+
+// Guards against a plan whose work grows with whatever the store or another node tells.
+TEST_CASE("call chain: calls and routes told beyond the bounds, the most frequent calls are kept")
+{
+    mesh::mesh_actions out;
+    mesh::mesh_node node = mesh::make_mesh_node({}, 1, 1, time_point{});
+    mesh::mesh_turn turn{node, time_point{}, out};
+    mesh::calls_per_run many;
+    constexpr int count = 3 * static_cast<int>(mesh::max_calls_per_route);
+    for (int i = 0; i < count; ++i) {
+        many["called-" + std::to_string(i)] = i;
+    }
+    for (std::size_t i = 0; i < mesh::max_known_chains + 100; ++i) {
+        restore_chain(turn, "route-" + std::to_string(i), many);
+    }
+    CHECK(node.plan.calls.size() == mesh::max_known_chains);
+    CHECK(node.stored_calls.size() == mesh::max_known_chains);
+    const mesh::calls_per_run &kept = node.plan.calls.at("route-0");
+    CHECK(kept.size() == mesh::max_calls_per_route);
+    CHECK(kept.count("called-" + std::to_string(count - 1)) == 1);
+
+    mesh_wire::chain_news_message news;
+    for (const auto &[child, n] : many) {
+        auto entry = std::make_unique<mesh_wire::route_calls_message>();
+        entry->route = "route-1";
+        entry->child = child;
+        entry->calls_milli = static_cast<std::uint32_t>(n);
+        news.entries.push_back(std::move(entry));
+    }
+    handle_chain_news(turn, news);
+    CHECK(node.plan.calls.at("route-1").size() == mesh::max_calls_per_route);
+}
