Plans are made on the tick, and the zone plan only when what it is made of has changed

Both are made on the tick now, the first also when a policy comes into force; weights by cost are logged when they are made.

--- a/gullstall/src/mesh/admission.cpp
+++ b/gullstall/src/mesh/admission.cpp
@@ -51,16 +51,6 @@
     return out;
 }
 
-void refresh_plan(mesh_turn &t)
-{
-    double spread = t.n.settings.limits.cost_spread;
-    if (t.n.plan_outdated || t.n.plan.cost_spread != spread) {
-        t.n.plan.cost_spread = spread;
-        update_admission_plan(t.n.plan, *t.n.policy, t.n.features);
-        t.n.plan_outdated = false;
-    }
-}
-
 /// \returns the values as name=value
 std::string print_values(const std::map<std::string, double> &it)
 {
@@ -80,14 +70,8 @@
     return out;
 }
 
-/// Updates the plan to the costs that the upstreams tell.
-void adopt_costs(mesh_turn &t)
+void log_weights_by_cost(mesh_turn &t)
 {
-    if (!update_costs(t.n.plan, t.n.states)) {
-        return;
-    }
-    t.n.plan_outdated = true;
-    refresh_plan(t);
     for (const std::string &service : t.n.plan.counted_by_cost) {
         t.out.emplace_back(write_line{write_line::severity::info,
                                       "entry",
@@ -98,6 +82,15 @@
     }
 }
 
+/// Notes the costs that the upstreams tell.
+void adopt_costs(mesh_turn &t)
+{
+    if (update_costs(t.n.plan, t.n.states)) {
+        t.n.plan_outdated = true;
+        t.n.costs_changed = true;
+    }
+}
+
 /// \returns the cost of a run that the local upstream has not run yet: that of its service,
 /// else the mean of the local runs
 double usual_held_us(const mesh_node &n, const std::string &route)
@@ -156,7 +149,6 @@
 admission_decision admit_request(mesh_turn &t, const std::string &route, const std::string &root,
                                  double place)
 {
-    refresh_plan(t);
     if (t.now - t.n.states_at >= service_states_ttl) {
         update_own_status(t);
         t.n.states = compute_service_states(t.n.nodes, t.now);
@@ -176,6 +168,22 @@
     return admission_decision{std::nullopt, share};
 }
 
+void refresh_plan(mesh_turn &t)
+{
+    double spread = t.n.settings.limits.cost_spread;
+    if (!t.n.policy || (!t.n.plan_outdated && t.n.plan.cost_spread == spread)) {
+        return;
+    }
+    t.n.plan.cost_spread = spread;
+    update_admission_plan(t.n.plan, *t.n.policy, t.n.features);
+    t.n.plan_outdated = false;
+    t.n.zones_outdated = true;
+    if (t.n.costs_changed) {
+        t.n.costs_changed = false;
+        log_weights_by_cost(t);
+    }
+}
+
 bool counts_by_cost(const mesh_node &n)
 {
     return n.upstream.latest && n.plan.counted_by_cost.count(n.upstream.latest->service) > 0;
@@ -208,7 +216,6 @@
     if (!t.n.policy || !t.n.upstream.latest || !update_gate_demand(t.n.demand, t.now)) {
         return;
     }
-    refresh_plan(t);
     t.n.capacity = own_capacity(t.n);
     t.n.demand_parts = demand_by_weight(t.n.demand, t.n.plan.weights[t.n.upstream.latest->service]);
     double demand = total_demand(t.n.demand_parts);
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -309,6 +309,7 @@
         t.n.newer_policy.reset();
     }
     t.n.plan_outdated = true;
+    refresh_plan(t);
     std::erase_if(t.n.costs.by_route, [&](const auto &entry) {
         return find_route_by_name(*t.n.policy, entry.first) == nullptr;
     });
@@ -369,15 +370,27 @@
     }
 }
 
+void refresh_zone_plan(mesh_turn &t)
+{
+    if (!t.n.policy || !t.n.features.zone_plan) {
+        return;
+    }
+    service_zones present = zones_by_service(t.n.nodes, t.now);
+    if (t.n.zones_outdated || present != t.n.zones_present) {
+        t.n.zones = make_zone_plan(*t.n.policy, t.n.plan.calls, present);
+        t.n.zones_present = std::move(present);
+        t.n.zones_outdated = false;
+    }
+}
+
 }  // namespace
 
 void members_tick(mesh_turn &t)
 {
     ask_quiet_nodes(t);
     log_silence_changes(t);
-    if (t.n.policy && t.n.features.zone_plan) {
-        t.n.zones = make_zone_plan(*t.n.policy, t.n.plan.calls, zones_by_service(t.n.nodes, t.now));
-    }
+    refresh_plan(t);
+    refresh_zone_plan(t);
     if (t.now - t.n.status_sent_at >= status_interval) {
         send_status_nearby(t);
         broadcast_chain_news(t);
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -170,7 +170,10 @@
     double announced_demand = 0;                       ///< value last announced to peers
     call_chain chain;
     admission_plan plan;
-    bool plan_outdated = true;     ///< the policy or the learned call rates have changed
+    bool plan_outdated = true;     ///< the policy, the learned calls or the costs have changed
+    bool costs_changed = false;    ///< since the plan was made
+    bool zones_outdated = true;    ///< the plan has been made anew
+    service_zones zones_present;   ///< that `zones` was made for
     known_chains announced_calls;  ///< last announced, of the local upstream
     known_chains stored_calls;     ///< by route, as persisted in the store
     std::map<std::string, service_state> states;  ///< by service, at states_at
@@ -252,6 +255,9 @@
                                  double place);
 /// \returns whether the runs of the local upstream count by their cost
 bool counts_by_cost(const mesh_node &n);
+/// Makes the plan anew if what it is made of has changed. It takes milliseconds with hundreds of
+/// routes: not to be called for a request.
+void refresh_plan(mesh_turn &t);
 /// \returns the load of one run of \a route on the local upstream: 1, or slot milliseconds if
 /// runs count by cost
 double load_of_run(const mesh_node &n, const std::string &route);
