A request with a key is a client's, and keys are checked whatever a request's id

Cause: the id, which the client chooses, decided that key, customer, quota and admission were skipped. Class: authorization by something that the caller chooses.

--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -261,9 +261,8 @@
         return;
     }
     entry_call call;
-    inherit_from_run(t, call, request, route->name);
     const customer *who = nullptr;
-    if (!call.call.inner && has_customers(*t.n.policy)) {
+    if (has_customers(*t.n.policy)) {
         who = find_customer(t.n.policy->customers, request.credentials.api_key);
         if (who == nullptr && !route->is_public) {
             refuse_request(t, id, request, reason::bad_key);
@@ -271,6 +270,10 @@
         }
         call.call.customer = who == nullptr ? "" : who->name;
     }
+    // Calls of runs carry no key: a request that has one is a client's, whatever its id.
+    if (request.credentials.found == caller_credentials::state::absent) {
+        inherit_from_run(t, call, request, route->name);
+    }
     call.deadline = t.now + request.time_left.value_or(route->timeout);
     call.expires = std::min(call.deadline, t.now + route->timeout);
     if (!call.call.inner && !accepts_callers(t.n, t.now, call.expires)) {
