Peers that read slowly are not taken for dead

Cause: TCP_USER_TIMEOUT of 2 s, meant for dead paths, also ends a peer that acknowledges with a closed window. The limit on the time of one answer, 10 s, would have ended steady readers of large answers, too. Change: no TCP_USER_TIMEOUT on callers' connections, and the 10 s count from the last byte that was taken; connections to upstreams have 10 s while a body of over 4 KB is written.

--- a/gullstall/src/edge/edge_connection.cpp
+++ b/gullstall/src/edge/edge_connection.cpp
@@ -28,8 +28,10 @@
 /// client reads it.
 constexpr duration linger_time = seconds(1);
 
-/// Longest time to write one response to a client that does not read.
-constexpr duration write_timeout = seconds(10);
+/// Longest time in which a client takes no byte of a response.
+constexpr duration write_stall_timeout = seconds(10);
+
+constexpr std::size_t max_write_bytes = 65536;
 
 /// The timeout for a request with a body, as a multiple of the header timeout.
 constexpr int body_timeout_factor = 4;
@@ -204,7 +206,11 @@
     write_since_ = now();
     exchange &front = pipeline_.front();
     std::array<asio::const_buffer, 2> bytes{asio::buffer(*front.head), asio::buffer(front.body)};
-    asio::async_write(socket_, bytes, [self = shared_from_this()](const error_code &ec, auto) {
+    auto note_progress = [self = shared_from_this()](const error_code &ec, std::size_t) {
+        self->write_since_ = now();
+        return ec ? 0 : max_write_bytes;
+    };
+    auto on_written = [self = shared_from_this()](const error_code &ec, auto) {
         self->writing_ = false;
         self->write_since_.reset();
         if (ec || self->closed_) {
@@ -220,7 +226,8 @@
             return;
         }
         self->write_next_response();
-    });
+    };
+    asio::async_write(socket_, bytes, note_progress, on_written);
 }
 
 /// Half-closes the connection when it is idle or has sent a response with
@@ -297,7 +304,7 @@
         partial_request_since_ = at;
     }
     bool linger_expired = closing_since_ && at - *closing_since_ > linger_time;
-    bool write_stalled = write_since_ && at - *write_since_ > write_timeout;
+    bool write_stalled = write_since_ && at - *write_since_ > write_stall_timeout;
     if (linger_expired || write_stalled) {
         close_connection();
     } else if (has_partial_request && partial_request_since_) {
--- a/gullstall/src/edge/peer_connection.cpp
+++ b/gullstall/src/edge/peer_connection.cpp
@@ -38,6 +38,7 @@
     : socket_(std::move(socket)), handlers_(std::move(handlers)), last_received_at_(now())
 {
     runtime::set_tcp_options(socket_);
+    runtime::limit_unacknowledged_time(socket_, runtime::unacknowledged_limit);
 }
 
 asio::awaitable<void> peer_connection::run()
--- a/gullstall/src/edge/upstream_client.cpp
+++ b/gullstall/src/edge/upstream_client.cpp
@@ -79,6 +79,7 @@
     if (ec || !runtime::set_tcp_options(*socket)) {
         co_return mesh::upstream_probe::unknown;
     }
+    runtime::limit_unacknowledged_time(*socket, runtime::unacknowledged_limit);
     if (generation == generation_) {
         idle_.push_back({std::move(*socket), now(), default_keep_alive_time});
     }
--- a/gullstall/src/edge/upstream_exchange.cpp
+++ b/gullstall/src/edge/upstream_exchange.cpp
@@ -26,6 +26,12 @@
 constexpr std::uint32_t max_response_header_bytes = 65536;
 constexpr std::uint64_t max_response_body_bytes = 64U << 20U;
 
+/// Bodies beyond this may fill the window of an upstream that is alive and reads slowly.
+constexpr std::size_t max_prompt_body_bytes = 4096;
+
+/// Time for which such an upstream may read nothing.
+constexpr duration slow_reader_limit = seconds(10);
+
 /// Number of late responses to earlier requests that are skipped before the expected
 /// one: an upstream may send a second response to a request.
 constexpr int max_stale_responses = 4;
@@ -83,7 +89,11 @@
 {
     ++owner_.connections_opened_;
     error_code ec = co_await connect_upstream(socket_, owner_.endpoint_, shared_from_this());
-    co_return !ec && runtime::set_tcp_options(socket_);
+    if (ec || !runtime::set_tcp_options(socket_)) {
+        co_return false;
+    }
+    runtime::limit_unacknowledged_time(socket_, runtime::unacknowledged_limit);
+    co_return true;
 }
 
 void upstream_exchange::write_request()
@@ -102,6 +112,9 @@
     }
     head_ += "\r\n";
     std::array<asio::const_buffer, 2> bytes{asio::buffer(head_), asio::buffer(call.body)};
+    if (call.body.size() > max_prompt_body_bytes) {
+        runtime::limit_unacknowledged_time(socket_, slow_reader_limit);
+    }
     // Write concurrently with the read: an upstream may respond before it has read the
     // whole body.
     asio::async_write(socket_, bytes, [self = shared_from_this()](const error_code &ec, auto) {
@@ -214,6 +227,9 @@
     completed_ = true;
     error_code ec;
     if (reusable_) {
+        if (order_.call.body.size() > max_prompt_body_bytes) {
+            runtime::limit_unacknowledged_time(socket_, runtime::unacknowledged_limit);
+        }
         owner_.idle_.push_back({std::move(socket_), now(), keep_alive_time_});
     } else {
         socket_.close(ec);
--- a/gullstall/src/runtime/http_client.cpp
+++ b/gullstall/src/runtime/http_client.cpp
@@ -72,6 +72,7 @@
         co_await stream->async_connect(to_, asio::redirect_error(asio::use_awaitable, ec));
         if (!ec) {
             set_tcp_options(stream->socket());
+            limit_unacknowledged_time(stream->socket(), unacknowledged_limit);
         }
     }
     stream->expires_after(timeout);
--- a/gullstall/src/runtime/tcp_options.cpp
+++ b/gullstall/src/runtime/tcp_options.cpp
@@ -21,10 +21,6 @@
 constexpr int probe_interval_s = 1;
 constexpr int probe_count = 2;
 
-/// Bytes without an acknowledgement for this long end the connection. Three
-/// losses in a row on a link that loses 3 in 100 are rarer than one in 30,000.
-constexpr int unacknowledged_ms = 2000;
-
 }  // namespace
 
 bool set_tcp_options(asio::ip::tcp::socket &socket)
@@ -36,10 +32,15 @@
     socket.set_option(tcp_option<TCP_KEEPIDLE>(probe_after_s), ec);
     socket.set_option(tcp_option<TCP_KEEPINTVL>(probe_interval_s), ec);
     socket.set_option(tcp_option<TCP_KEEPCNT>(probe_count), ec);
-    socket.set_option(tcp_option<TCP_USER_TIMEOUT>(unacknowledged_ms), ec);
     return good;
 }
 
+void limit_unacknowledged_time(asio::ip::tcp::socket &socket, duration limit)
+{
+    boost::system::error_code ec;
+    socket.set_option(tcp_option<TCP_USER_TIMEOUT>(static_cast<int>(to_ms(limit))), ec);
+}
+
 void ignore_new_clients(asio::ip::tcp::acceptor &acceptor)
 {
     constexpr std::uint32_t flags_offset = 13;  // in the TCP header
--- a/gullstall/src/runtime/tcp_options.hpp
+++ b/gullstall/src/runtime/tcp_options.hpp
@@ -3,16 +3,25 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include "gullstall/core.hpp"
 #include "gullstall/settings.hpp"
 
 namespace gullstall::runtime {
 
-/// Sets what all connections share: no delay of small writes, and keep-alive
-/// probes with a bound on unacknowledged bytes. A connection can fall silent
-/// for good while new ones work, and without these it would look healthy.
+/// Sets what all connections share: no delay of small writes, and keep-alive probes. An idle
+/// connection can fall silent for good while new ones work, and without probes it would look
+/// healthy.
 /// \returns false when the connection is gone already
 bool set_tcp_options(boost::asio::ip::tcp::socket &socket);
 
+/// Time without an acknowledgement after which a connection counts as dead. Three losses in a
+/// row on a link that loses 3 in 100 are rarer than one in 30,000.
+inline constexpr duration unacknowledged_limit = seconds(2);
+
+/// Ends the connection when sent bytes are not acknowledged, or the peer takes none, for \a limit.
+/// Not for peers that may read slowly: a closed window counts, too.
+void limit_unacknowledged_time(boost::asio::ip::tcp::socket &socket, duration limit);
+
 /// Lets a listening socket ignore clients that begin to connect. Those that have begun
 /// still complete and can be accepted; the others try again, and are refused once the
 /// socket is closed.
