A keeper of quotas is asked only for calls that still wait

Cause: ask_keeper() looked up the call at the front of the queue, which had ended; the exception ended the coroutine of the connection without a sign. The queue is tidied before the ask. Test: mesh_quota, 'node without a keeper', threw before.

--- a/gullstall/src/mesh/quota_control.cpp
+++ b/gullstall/src/mesh/quota_control.cpp
@@ -64,9 +64,13 @@
     t.out.emplace_back(send_to_node{keeper, mesh_frame(std::move(ask))});
 }
 
-/// Asks the keeper for a token for each waiting call.
+/// Asks the keeper for a token for each waiting call, if any is left.
 void ask_keeper(mesh_turn &t, const std::string &customer_name, quota_queue &queue)
 {
+    tidy_queue(t.n, queue);
+    if (queue.calls.empty()) {
+        return;
+    }
     queue.keeper = choose_quota_keeper(t.n.quotas.members.zone, customer_name);
     queue.asked_at = t.now;
     queue.asked_tokens = static_cast<std::uint32_t>(queue.calls.size());
--- a/test/unit/mesh_quota.cpp
+++ b/test/unit/mesh_quota.cpp
@@ -193,3 +193,21 @@
     CHECK(over_quota("big", begin) <= 0.002);
     CHECK(static_cast<double>(highest_sum_by_rule("big")) <= allowed_sum(big_rate));
 }
+
+// Guards against an ask in the name of a call that has ended: its caller left before any keeper
+// could be asked.
+TEST_CASE("node without a keeper, foremost waiting caller leaves, next request, is answered")
+{
+    test::mesh_simulation world{7};
+    world.policy =
+        test::policy_of(1, {test::route_of("read", "/read/", "reads", idempotency::idempotent)},
+                        {test::declared("big", 10, 10)});
+    world.add_node("n", "a", {"reads"});
+    world.run_for(milliseconds(300));
+    world.api_key = "big-key";
+    world.send_request("n", "first", "/read/x", seconds(3));
+    world.close_caller("n", "first");
+    world.send_request("n", "second", "/read/x", seconds(3));
+    world.run_for(seconds(4));
+    CHECK(world.results["second"].status != 0);
+}
