No exception of a coroutine is lost

Cause: coroutines were spawned with asio::detached, which drops what they throw. Class: a part that dies while the rest goes on as if it were there.

--- a/gullstall/src/edge/edge_connection.hpp
+++ b/gullstall/src/edge/edge_connection.hpp
@@ -24,6 +24,8 @@
     void respond(call_ref id, edge_answer &&response);
     void sweep(time_point now);
     void start_draining();
+    /// Closes the connection; its unanswered requests are reported as abandoned.
+    void close_connection();
 
     /// \returns whether any request is unanswered or any response is not fully written
     bool has_work() const
@@ -54,7 +56,6 @@
     void reject_unparsable(const boost::system::error_code &ec);
     void write_next_response();
     void begin_lingering_close();
-    void close_connection();
     bool is_idle() const;
 
     http_edge &owner_;
--- a/gullstall/src/edge/http_edge.cpp
+++ b/gullstall/src/edge/http_edge.cpp
@@ -1,13 +1,12 @@
 #include "gullstall/src/edge/http_edge.hpp"
 
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "gullstall/src/edge/edge_connection.hpp"
+#include "gullstall/src/edge/spawn.hpp"
 
 namespace gullstall::edge {
 
@@ -55,7 +54,7 @@
                      edge_handlers handlers)
     : io_(io), acceptor_(io, at), limits_(limits), handlers_(std::move(handlers))
 {
-    asio::co_spawn(io_, accept_loop(), asio::detached);
+    spawn_essential(io_, accept_loop());
 }
 
 asio::awaitable<void> http_edge::accept_loop()
@@ -75,8 +74,12 @@
         std::uint64_t id = ++last_id_;
         auto connection = std::make_shared<edge_connection>(*this, id, std::move(socket));
         connections_[id] = connection;
-        asio::co_spawn(
-            io_, [connection] { return connection->run(); }, asio::detached);
+        spawn(
+            io_, [connection] { return connection->run(); },
+            [this, connection](const std::string &what) {
+                connection->close_connection();
+                handlers_.on_exception(what);
+            });
     }
 }
 
--- a/gullstall/src/edge/http_edge.hpp
+++ b/gullstall/src/edge/http_edge.hpp
@@ -55,6 +55,8 @@
     std::function<void(call_ref, edge_request &&)> on_request;
     /// Called when the client of an unanswered request has disconnected.
     std::function<void(call_ref)> on_abandoned;
+    /// Called when a connection has ended since its coroutine, or a handler, threw.
+    std::function<void(const std::string &what)> on_exception = [](const std::string &) {};
 };
 
 class edge_connection;
--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -72,7 +72,8 @@
       callers_(io, listen_endpoint(settings.listen.callers), edge_limits{},
                edge_handlers{
                    [this](call_ref id, edge_request &&it) { on_request(id, std::move(it)); },
-                   [this](call_ref id) { step([&](mesh_turn &t) { abandon_request(t, id); }); }}),
+                   [this](call_ref id) { step([&](mesh_turn &t) { abandon_request(t, id); }); },
+                   exception_reporter("callers")}),
       metrics_(io, listen_endpoint(settings.listen.metrics), edge_limits{},
                edge_handlers{[this](call_ref id, edge_request &&) {
                                  std::string text = print_metrics(node_, now());
@@ -93,7 +94,8 @@
           },
           [this](std::optional<run_ref> id, const mesh::upstream_notice &notice) {
               step([&](mesh_turn &t) { handle_upstream_notice(t, id, notice); });
-          }),
+          },
+          exception_reporter("upstream")),
       peers_(
           io, listen_endpoint(settings.listen.peers),
           peer_link_handlers{[this](const std::string &to) { return own_hello(node_, to, now()); },
@@ -116,7 +118,8 @@
                              },
                              [this](mesh::link_ref link) {
                                  step([&](mesh_turn &t) { handle_link_closed(t, link); });
-                             }},
+                             },
+                             exception_reporter("peers")},
           features.packed_frames),
       expiry_timer_(io),
       tick_timer_(io)
@@ -125,6 +128,15 @@
     schedule_tick();
 }
 
+std::function<void(const std::string &)> mesh_daemon::exception_reporter(const char *at)
+{
+    return [this, at](const std::string &what) {
+        ++node_.counters.exceptions;
+        log(write_line{
+            write_line::severity::warning, "node", "exception", {{"at", at}, {"what", what}}});
+    };
+}
+
 void mesh_daemon::step(const std::function<void(mesh_turn &)> &what)
 {
     mesh::mesh_actions out;
--- a/gullstall/src/edge/mesh_daemon.hpp
+++ b/gullstall/src/edge/mesh_daemon.hpp
@@ -94,6 +94,8 @@
     void step(const std::function<void(mesh::mesh_turn &)> &what);
     void execute(mesh::mesh_action &&what);
     void send_to_node(const mesh::send_to_node &order);
+    /// \returns what logs and counts an exception that has ended a connection
+    std::function<void(const std::string &)> exception_reporter(const char *at);
     void schedule_expiry();
     void schedule_tick();
     void tick();
--- a/gullstall/src/edge/peer_links.cpp
+++ b/gullstall/src/edge/peer_links.cpp
@@ -1,12 +1,11 @@
 #include "gullstall/src/edge/peer_links.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "gullstall/src/edge/clock.hpp"
+#include "gullstall/src/edge/spawn.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
 #include "gullstall/src/wire/frame_codec.hpp"
 
@@ -57,7 +56,7 @@
       handlers_(std::move(handlers)),
       compress_between_zones_(compress_between_zones)
 {
-    asio::co_spawn(io_, accept_loop(), asio::detached);
+    spawn_essential(io_, accept_loop());
 }
 
 asio::awaitable<void> peer_links::accept_loop()
@@ -82,8 +81,7 @@
                                           handlers_.on_link_closed(link);
                                       }});
         accepted_[link] = connection;
-        asio::co_spawn(
-            io_, [connection] { return connection->run(); }, asio::detached);
+        run(connection);
     }
 }
 
@@ -144,8 +142,7 @@
     it.connection = connection;
     it.established = false;
     it.last_ping_at = now();
-    asio::co_spawn(
-        io_, [connection] { return connection->run(); }, asio::detached);
+    run(connection);
     mesh_wire::hello_message hello = handlers_.make_hello(node);
     if (hello.zone != it.address.zone) {
         mark_between_zones(*connection);
@@ -154,6 +151,16 @@
     send(*connection, frame, encode_frame_of<mesh_wire::frame>(frame));
 }
 
+void peer_links::run(const std::shared_ptr<peer_connection> &connection)
+{
+    spawn(
+        io_, [connection] { return connection->run(); },
+        [this, connection](const std::string &what) {
+            connection->close("exception");
+            handlers_.on_exception(what);
+        });
+}
+
 void peer_links::on_accepted_frame(link_ref link, mesh_wire::frame_message &&frame)
 {
     const mesh_wire::hello_message *hello = frame.payload.Ashello();
@@ -296,7 +303,12 @@
             check_liveness(node, it, now);
         } else if (!it.connecting && now >= it.next_dial_at) {
             it.connecting = true;
-            asio::co_spawn(io_, dial(node), asio::detached);
+            spawn(
+                io_, [this, name = node] { return dial(name); },
+                [this, name = node](const std::string &what) {
+                    dialed_[name].connecting = false;
+                    handlers_.on_exception(what);
+                });
         }
     }
 }
--- a/gullstall/src/edge/peer_links.hpp
+++ b/gullstall/src/edge/peer_links.hpp
@@ -29,6 +29,8 @@
     std::function<void(const std::string &node, mesh_wire::frame_message &&)> on_node_frame;
     std::function<void(mesh::link_ref, mesh_wire::frame_message &&)> on_link_frame;
     std::function<void(mesh::link_ref)> on_link_closed;
+    /// A connection has ended since its coroutine, or a handler, threw.
+    std::function<void(const std::string &what)> on_exception = [](const std::string &) {};
 };
 
 /// Frames sent to other nodes, and their bytes before compression.
@@ -91,6 +93,7 @@
     boost::asio::awaitable<void> accept_loop();
     boost::asio::awaitable<void> dial(std::string node);
     void start(dialed_node &it, boost::asio::ip::tcp::socket &&socket);
+    void run(const std::shared_ptr<peer_connection> &connection);
     void on_accepted_frame(mesh::link_ref link, mesh_wire::frame_message &&frame);
     void on_dialed_frame(const std::string &node, const std::weak_ptr<peer_connection> &from,
                          mesh_wire::frame_message &&frame);
--- a/gullstall/src/edge/upstream_client.cpp
+++ b/gullstall/src/edge/upstream_client.cpp
@@ -1,9 +1,7 @@
 #include "gullstall/src/edge/upstream_client.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "gullstall/src/edge/clock.hpp"
+#include "gullstall/src/edge/spawn.hpp"
 #include "gullstall/src/edge/upstream_connect.hpp"
 #include "gullstall/src/edge/upstream_exchange.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
@@ -15,12 +13,13 @@
 
 upstream_client::upstream_client(asio::io_context &io, asio::ip::tcp::endpoint to,
                                  header_names names, completion_handler on_complete,
-                                 notice_handler on_notice)
+                                 notice_handler on_notice, exception_handler on_exception)
     : io_(io),
       endpoint_(std::move(to)),
       names_(std::move(names)),
       on_complete_(std::move(on_complete)),
-      on_notice_(std::move(on_notice))
+      on_notice_(std::move(on_notice)),
+      on_exception_(std::move(on_exception))
 {
 }
 
@@ -42,8 +41,12 @@
     run_ref id = order.run;
     auto exchange = std::make_shared<upstream_exchange>(*this, std::move(order));
     exchanges_[id] = exchange;
-    asio::co_spawn(
-        io_, [exchange] { return exchange->run(); }, asio::detached);
+    spawn(
+        io_, [exchange] { return exchange->run(); },
+        [this, exchange](const std::string &what) {
+            exchange->abort();
+            on_exception_(what);
+        });
 }
 
 void upstream_client::cancel(run_ref run)
@@ -59,12 +62,12 @@
 
 void upstream_client::probe(std::function<void(mesh::upstream_probe)> on_result)
 {
-    asio::co_spawn(
+    spawn(
         io_,
         [this, on_result = std::move(on_result)]() -> asio::awaitable<void> {
             on_result(co_await open_probe());
         },
-        asio::detached);
+        on_exception_);
 }
 
 asio::awaitable<mesh::upstream_probe> upstream_client::open_probe()
--- a/gullstall/src/edge/upstream_client.hpp
+++ b/gullstall/src/edge/upstream_client.hpp
@@ -42,8 +42,13 @@
     using notice_handler =
         std::function<void(std::optional<run_ref>, const mesh::upstream_notice &)>;
 
-    upstream_client(boost::asio::io_context &io, boost::asio::ip::tcp::endpoint to,
-                    header_names names, completion_handler on_complete, notice_handler on_notice);
+    /// Receives what an exception says that has ended an exchange or a probe.
+    using exception_handler = std::function<void(const std::string &)>;
+
+    upstream_client(
+        boost::asio::io_context &io, boost::asio::ip::tcp::endpoint to, header_names names,
+        completion_handler on_complete, notice_handler on_notice,
+        exception_handler on_exception = [](const std::string &) {});
 
     /// Sends a request. The completion handler is called when it ends, unless cancel()
     /// is called first.
@@ -87,6 +92,7 @@
     header_names names_;
     completion_handler on_complete_;
     notice_handler on_notice_;
+    exception_handler on_exception_;
     std::unordered_map<run_ref, std::shared_ptr<upstream_exchange>> exchanges_;
     std::vector<idle_connection> idle_;
     std::uint64_t generation_ = 0;  ///< connections of an earlier generation are not reused
--- a/gullstall/src/edge/upstream_exchange.cpp
+++ b/gullstall/src/edge/upstream_exchange.cpp
@@ -219,6 +219,13 @@
     socket_.close(ec);
 }
 
+void upstream_exchange::abort()
+{
+    complete(run_result{run_end::lost, 0, "", "", {}});
+    error_code ec;
+    socket_.close(ec);
+}
+
 void upstream_exchange::complete(run_result &&result)
 {
     if (completed_) {
--- a/gullstall/src/edge/upstream_exchange.hpp
+++ b/gullstall/src/edge/upstream_exchange.hpp
@@ -18,6 +18,9 @@
     boost::asio::awaitable<void> run();
     void cancel();
 
+    /// Ends the exchange as one whose response is lost.
+    void abort();
+
 private:
     using response_parser =
         boost::beast::http::response_parser<boost::beast::http::vector_body<std::uint8_t>>;
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -126,6 +126,7 @@
     std::uint64_t refused_by_limit = 0;      ///< at the gate, by the limit of the upstream
     std::uint64_t upstream_crashes = 0;      ///< of the local upstream
     std::uint64_t runs_lost_in_crashes = 0;  ///< of the local upstream
+    std::uint64_t exceptions = 0;            ///< that have ended a connection
 };
 
 /// State of one node, free of sockets, threads and clocks.
--- a/gullstall/src/mesh/report.cpp
+++ b/gullstall/src/mesh/report.cpp
@@ -74,6 +74,7 @@
         static_cast<double>(n.counters.upstream_crashes));
     add(out, "gullstall_runs_lost_in_crashes_total", "counter",
         static_cast<double>(n.counters.runs_lost_in_crashes));
+    add(out, "gullstall_exceptions_total", "counter", static_cast<double>(n.counters.exceptions));
     add(out, "gullstall_crash_suspects", "gauge",
         static_cast<double>(n.suspects.by_signature.size()));
     add(out, "gullstall_quarantined_requests", "gauge",
