--- a/bench/exp_call_graph.cpp
+++ b/bench/exp_call_graph.cpp
@@ -21,6 +21,7 @@
 traffic_policy make_policy(int routes, int services)
 {
     std::vector<traffic_route> out;
+    out.reserve(static_cast<std::size_t>(routes));
     for (int i = 0; i < routes; ++i) {
         out.push_back(test::route_of(name_of("r", i), "/" + name_of("r", i) + "/",
                                      name_of("s", i % services), idempotency::idempotent));
--- a/bench/exp_store_feeds.cpp
+++ b/bench/exp_store_feeds.cpp
@@ -121,6 +121,7 @@
          seconds(1), 1},
         {"feeds of 2 s, in step", seconds(2), milliseconds(500), false, seconds(2), 2},
         {"feeds of 4 s, in turn", seconds(4), milliseconds(500), true, seconds(2), 2},
+        {"feeds of 3 s, in turn", seconds(3), milliseconds(500), true, seconds(2), 2},
         {"feeds of 2 s, in turn", seconds(2), milliseconds(500), true, seconds(2), 2},
         {"feeds of 1 s, in turn", seconds(1), milliseconds(500), true, seconds(2), 2},
     };
--- a/test/unit/mesh_call_graph.cpp
+++ b/test/unit/mesh_call_graph.cpp
@@ -25,6 +25,7 @@
     void add_routes(int count)
     {
         std::vector<traffic_route> routes;
+        routes.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i) {
             routes.push_back(test::route_of(route_name(i), "/" + route_name(i) + "/",
                                             service_name(i), idempotency::idempotent));
--- a/test/unit/mesh_store_feeds.cpp
+++ b/test/unit/mesh_store_feeds.cpp
@@ -137,13 +137,16 @@
 
 }  // namespace
 
-// Guards against a policy that is late since no watcher notices that its feed is silent.
-TEST_CASE("store's connections silent at any moment after a change, next change, in time")
+namespace {
+
+/// Plays silence at each 0.1 s of the time after a change, and another change at that moment.
+void check_all_moments(const std::function<void(silent_store_fixture &)> &prepare)
 {
-    constexpr int max_offset_ms = 4000;
+    constexpr int max_offset_ms = 5000;
     constexpr int offset_step_ms = 100;
     for (int offset_ms = 0; offset_ms < max_offset_ms; offset_ms += offset_step_ms) {
         silent_store_fixture it;
+        prepare(it);
         it.publish();
         it.world.run_for(milliseconds(offset_ms));
         it.silence_store();
@@ -154,6 +157,23 @@
     }
 }
 
+}  // namespace
+
+// Guards against a policy that is late since no watcher notices that its feed is silent.
+TEST_CASE("store's connections silent at any moment after a change, next change, in time")
+{
+    check_all_moments([](silent_store_fixture &) {});
+}
+
+// Guards against a zone that relies on the watchers of others.
+TEST_CASE("the same in a zone that is cut off from the others, next change, in time")
+{
+    check_all_moments([](silent_store_fixture &it) {
+        it.set_zone_cut(1, true);
+        it.world.run_for(seconds(3));
+    });
+}
+
 TEST_CASE_FIXTURE(silent_store_fixture, "store's connections sound, change, in time")
 {
     publish();
