A node says when its loop is held up, and by what

A step of the loop of over 100 ms, and a tick that is later than the steps explain, is logged as loop-held-up with what the node was doing; gullstall_loop_holds_total and the longest hold are metrics. The clock is read once more a step.

--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -72,7 +72,9 @@
       callers_(io, listen_endpoint(settings.listen.callers), edge_limits{},
                edge_handlers{
                    [this](call_ref id, edge_request &&it) { on_request(id, std::move(it)); },
-                   [this](call_ref id) { step([&](mesh_turn &t) { abandon_request(t, id); }); },
+                   [this](call_ref id) {
+                       step("abandoned request", [&](mesh_turn &t) { abandon_request(t, id); });
+                   },
                    exception_reporter("callers")}),
       metrics_(io, listen_endpoint(settings.listen.metrics), edge_limits{},
                edge_handlers{[this](call_ref id, edge_request &&) {
@@ -80,7 +82,8 @@
                                  text +=
                                      "# TYPE gullstall_log_lines_dropped_total counter\n"
                                      "gullstall_log_lines_dropped_total " +
-                                     std::to_string(log_.dropped()) + "\n" + peers_.print_metrics();
+                                     std::to_string(log_.dropped()) + "\n" + print_metrics(loop_) +
+                                     peers_.print_metrics();
                                  metrics_.respond(id, edge_answer{200,
                                                                   "OK",
                                                                   "Content-Type: text/plain\r\n",
@@ -90,37 +93,38 @@
       upstream_(
           io, upstream_endpoint(settings), dialect_.names,
           [this](run_ref id, mesh::run_result &&result) {
-              step([&](mesh_turn &t) { handle_run_result(t, id, std::move(result)); });
+              step("run result",
+                   [&](mesh_turn &t) { handle_run_result(t, id, std::move(result)); });
           },
           [this](std::optional<run_ref> id, const mesh::upstream_notice &notice) {
-              step([&](mesh_turn &t) { handle_upstream_notice(t, id, notice); });
+              step("upstream notice", [&](mesh_turn &t) { handle_upstream_notice(t, id, notice); });
           },
           exception_reporter("upstream")),
-      peers_(
-          io, listen_endpoint(settings.listen.peers),
-          peer_link_handlers{[this](const std::string &to) { return own_hello(node_, to, now()); },
-                             [this](const std::string &node) {
-                                 step([&](mesh_turn &t) { handle_node_connected(t, node); });
-                             },
-                             [this](const std::string &node, const std::string &why,
-                                    const std::vector<std::uint64_t> &unsent) {
-                                 log(write_line{write_line::severity::warning,
-                                                "members",
-                                                "node-lost",
-                                                {{"peer", node}, {"why", why}}});
-                                 step([&](mesh_turn &t) { handle_node_lost(t, node, unsent); });
-                             },
-                             [this](const std::string &node, mesh_wire::frame_message &&frame) {
-                                 on_node_frame(node, std::move(frame));
-                             },
-                             [this](mesh::link_ref link, mesh_wire::frame_message &&frame) {
-                                 on_link_frame(link, std::move(frame));
-                             },
-                             [this](mesh::link_ref link) {
-                                 step([&](mesh_turn &t) { handle_link_closed(t, link); });
-                             },
-                             exception_reporter("peers")},
-          features.packed_frames),
+      peers_(io, listen_endpoint(settings.listen.peers),
+             peer_link_handlers{
+                 [this](const std::string &to) { return own_hello(node_, to, now()); },
+                 [this](const std::string &node) {
+                     step("node connected", [&](mesh_turn &t) { handle_node_connected(t, node); });
+                 },
+                 [this](const std::string &node, const std::string &why,
+                        const std::vector<std::uint64_t> &unsent) {
+                     log(write_line{write_line::severity::warning,
+                                    "members",
+                                    "node-lost",
+                                    {{"peer", node}, {"why", why}}});
+                     step("node lost", [&](mesh_turn &t) { handle_node_lost(t, node, unsent); });
+                 },
+                 [this](const std::string &node, mesh_wire::frame_message &&frame) {
+                     on_node_frame(node, std::move(frame));
+                 },
+                 [this](mesh::link_ref link, mesh_wire::frame_message &&frame) {
+                     on_link_frame(link, std::move(frame));
+                 },
+                 [this](mesh::link_ref link) {
+                     step("link closed", [&](mesh_turn &t) { handle_link_closed(t, link); });
+                 },
+                 exception_reporter("peers")},
+             features.packed_frames),
       expiry_timer_(io),
       tick_timer_(io)
 {
@@ -137,7 +141,7 @@
     };
 }
 
-void mesh_daemon::step(const std::function<void(mesh_turn &)> &what)
+void mesh_daemon::step(const char *doing, const std::function<void(mesh_turn &)> &what)
 {
     mesh::mesh_actions out;
     mesh_turn turn{node_, now(), out};
@@ -146,6 +150,17 @@
         execute(std::move(it));
     }
     schedule_expiry();
+    report_hold(record_step(loop_, doing, turn.now, now()));
+}
+
+void mesh_daemon::report_hold(const std::optional<loop_hold> &it)
+{
+    if (it) {
+        log(write_line{write_line::severity::warning,
+                       "node",
+                       "loop-held-up",
+                       {{"doing", it->doing}, {"for_ms", std::to_string(to_ms(it->length))}}});
+    }
 }
 
 void mesh_daemon::execute(mesh::mesh_action &&what)
@@ -169,7 +184,7 @@
                 upstream_.discard_connections();
             } else if constexpr (std::is_same_v<kind, mesh::probe_upstream>) {
                 upstream_.probe([this](mesh::upstream_probe seen) {
-                    step([&](mesh_turn &t) { handle_upstream_probe(t, seen); });
+                    step("upstream probe", [&](mesh_turn &t) { handle_upstream_probe(t, seen); });
                 });
             } else if constexpr (std::is_same_v<kind, mesh::connect_node>) {
                 peers_.connect(it.address);
@@ -204,7 +219,7 @@
         reply.correlation = correlation;
         reply.outcome = mesh_wire::outcome::not_started;
         reply.reason = mesh_wire::reason::unreachable;
-        step([&](mesh_turn &t) { handle_reply(t, node, reply); });
+        step("reply", [&](mesh_turn &t) { handle_reply(t, node, reply); });
     });
 }
 
@@ -235,7 +250,7 @@
         it.fields.erase(boost::beast::http::field::authorization);
     }
     request.header_lines = end_to_end_lines(it.fields);
-    step([&](mesh_turn &t) { handle_request(t, id, std::move(request)); });
+    step("request", [&](mesh_turn &t) { handle_request(t, id, std::move(request)); });
 }
 
 void mesh_daemon::send_response(call_ref id, mesh::caller_answer &&answer)
@@ -246,17 +261,17 @@
 void mesh_daemon::on_node_frame(const std::string &node, mesh_wire::frame_message &&frame)
 {
     if (mesh_wire::reply_message *reply = frame.payload.Asreply()) {
-        step([&](mesh_turn &t) { handle_reply(t, node, *reply); });
+        step("reply", [&](mesh_turn &t) { handle_reply(t, node, *reply); });
     } else if (const mesh_wire::node_status_message *status = frame.payload.Asnode_status()) {
-        step([&](mesh_turn &t) { handle_status(t, *status); });
+        step("status", [&](mesh_turn &t) { handle_status(t, *status); });
     } else if (const mesh_wire::status_batch_message *batch = frame.payload.Asstatus_batch()) {
-        step([&](mesh_turn &t) { handle_status_batch(t, node, *batch); });
+        step("status batch", [&](mesh_turn &t) { handle_status_batch(t, node, *batch); });
     } else if (const mesh_wire::chain_news_message *news = frame.payload.Aschain_news()) {
-        step([&](mesh_turn &t) { handle_chain_news(t, *news); });
+        step("chain news", [&](mesh_turn &t) { handle_chain_news(t, *news); });
     } else if (const mesh_wire::crash_news_message *crash = frame.payload.Ascrash_news()) {
-        step([&](mesh_turn &t) { handle_crash_news(t, node, *crash); });
+        step("crash news", [&](mesh_turn &t) { handle_crash_news(t, node, *crash); });
     } else if (const mesh_wire::quota_grant_message *grant = frame.payload.Asquota_grant()) {
-        step([&](mesh_turn &t) { handle_quota_grant(t, node, *grant); });
+        step("quota grant", [&](mesh_turn &t) { handle_quota_grant(t, node, *grant); });
     } else if (const mesh_wire::policy_content_message *it = frame.payload.Aspolicy_content()) {
         update_policy(std::string(it->content.begin(), it->content.end()),
                       mesh::policy_source::peer);
@@ -266,30 +281,30 @@
 void mesh_daemon::on_link_frame(mesh::link_ref link, mesh_wire::frame_message &&frame)
 {
     if (mesh_wire::call_message *call = frame.payload.Ascall()) {
-        step([&](mesh_turn &t) { handle_call(t, link, std::move(*call)); });
+        step("call", [&](mesh_turn &t) { handle_call(t, link, std::move(*call)); });
     } else if (const mesh_wire::cancel_message *it = frame.payload.Ascancel()) {
-        step([&](mesh_turn &t) { handle_cancel(t, link, it->correlation); });
+        step("cancel", [&](mesh_turn &t) { handle_cancel(t, link, it->correlation); });
     } else if (const mesh_wire::hello_message *hello = frame.payload.Ashello()) {
-        step([&](mesh_turn &t) { handle_hello(t, link, *hello); });
+        step("hello", [&](mesh_turn &t) { handle_hello(t, link, *hello); });
     } else if (const mesh_wire::quota_ask_message *ask = frame.payload.Asquota_ask()) {
-        step([&](mesh_turn &t) { handle_quota_ask(t, link, *ask); });
+        step("quota ask", [&](mesh_turn &t) { handle_quota_ask(t, link, *ask); });
     } else if (frame.payload.Asping() != nullptr) {
-        step([&](mesh_turn &t) { handle_ping(t, link); });
+        step("ping", [&](mesh_turn &t) { handle_ping(t, link); });
     } else if (frame.payload.Aspolicy_fetch() != nullptr) {
-        step([&](mesh_turn &t) { handle_policy_fetch(t, link); });
+        step("policy fetch", [&](mesh_turn &t) { handle_policy_fetch(t, link); });
     }
 }
 
 mesh::heartbeat_verdict mesh_daemon::heartbeat(const mesh::upstream_heartbeat &beat)
 {
     mesh::heartbeat_verdict verdict{};
-    step([&](mesh_turn &t) { verdict = handle_heartbeat(t, beat); });
+    step("heartbeat", [&](mesh_turn &t) { verdict = handle_heartbeat(t, beat); });
     return verdict;
 }
 
 void mesh_daemon::remove_upstream(const std::string &upstream)
 {
-    step([&](mesh_turn &t) { handle_leave(t, upstream, unix_ms()); });
+    step("leave", [&](mesh_turn &t) { handle_leave(t, upstream, unix_ms()); });
 }
 
 void mesh_daemon::update_policy(const std::string &text, mesh::policy_source source)
@@ -303,7 +318,8 @@
         return;
     }
     bool taken = false;
-    step([&](mesh_turn &t) { taken = apply_policy(t, value_of(std::move(read)), text, source); });
+    step("policy",
+         [&](mesh_turn &t) { taken = apply_policy(t, value_of(std::move(read)), text, source); });
     if (taken) {
         const caller_limits &limits = node_.policy->limits;
         callers_.set_limits(edge_limits{limits.max_header_bytes, limits.max_body_bytes,
@@ -313,12 +329,12 @@
 
 void mesh_daemon::update_address(const mesh::node_address &address)
 {
-    step([&](mesh_turn &t) { handle_address(t, address); });
+    step("address", [&](mesh_turn &t) { handle_address(t, address); });
 }
 
 void mesh_daemon::update_chain(const std::string &route, const mesh::calls_per_run &calls)
 {
-    step([&](mesh_turn &t) { restore_chain(t, route, calls); });
+    step("stored calls", [&](mesh_turn &t) { restore_chain(t, route, calls); });
 }
 
 bool mesh_daemon::watches_store() const
@@ -333,7 +349,7 @@
 
 void mesh_daemon::set_store_lost(bool lost)
 {
-    step([&](mesh_turn &t) { mesh::set_store_lost(t, lost); });
+    step("state of the store", [&](mesh_turn &t) { mesh::set_store_lost(t, lost); });
 }
 
 void mesh_daemon::record_store_answer()
@@ -354,12 +370,12 @@
 
 void mesh_daemon::update_suspects(const std::vector<kept_suspect> &row)
 {
-    step([&](mesh_turn &t) { handle_stored_suspects(t, row); });
+    step("stored suspects", [&](mesh_turn &t) { handle_stored_suspects(t, row); });
 }
 
 void mesh_daemon::set_suspects_saved(bool written)
 {
-    step([&](mesh_turn &t) { handle_suspects_saved(t, written); });
+    step("suspects saved", [&](mesh_turn &t) { handle_suspects_saved(t, written); });
 }
 
 void mesh_daemon::log(const write_line &line)
@@ -379,7 +395,7 @@
 {
     if (!stop_requested_at_) {
         stop_requested_at_ = now();
-        step([](mesh_turn &t) { stop_node(t); });
+        step("stop", [](mesh_turn &t) { stop_node(t); });
     }
 }
 
@@ -403,7 +419,7 @@
             return;
         }
         expiry_at_.reset();
-        step([](mesh_turn &t) {
+        step("expiry", [](mesh_turn &t) {
             expire_calls(t);
             expire_runs(t);
         });
@@ -424,7 +440,8 @@
 void mesh_daemon::tick()
 {
     time_point at = now();
-    step([](mesh_turn &t) { members_tick(t); });
+    report_hold(record_tick(loop_, at));
+    step("tick", [](mesh_turn &t) { members_tick(t); });
     peers_.tick(at);
     log_.tick(at);
     if (at - last_sweep_at_ >= sweep_interval) {
--- a/gullstall/src/edge/mesh_daemon.hpp
+++ b/gullstall/src/edge/mesh_daemon.hpp
@@ -10,6 +10,7 @@
 #include "gullstall/mesh.hpp"
 #include "gullstall/src/edge/http_edge.hpp"
 #include "gullstall/src/edge/line_log.hpp"
+#include "gullstall/src/edge/loop_watch.hpp"
 #include "gullstall/src/edge/peer_links.hpp"
 #include "gullstall/src/edge/upstream_client.hpp"
 
@@ -91,7 +92,9 @@
     void on_node_frame(const std::string &node, mesh_wire::frame_message &&frame);
     void on_link_frame(mesh::link_ref link, mesh_wire::frame_message &&frame);
     /// Runs one step of the node's decision logic and executes the resulting actions.
-    void step(const std::function<void(mesh::mesh_turn &)> &what);
+    /// \param doing what it handles, for the log
+    void step(const char *doing, const std::function<void(mesh::mesh_turn &)> &what);
+    void report_hold(const std::optional<loop_hold> &it);
     void execute(mesh::mesh_action &&what);
     void send_to_node(const mesh::send_to_node &order);
     /// \returns what logs and counts an exception that has ended a connection
@@ -107,6 +110,7 @@
     mesh::mesh_node node_;
     std::function<void(mesh::store_chain &&)> save_chain_;
     std::function<void(mesh::store_suspects &&)> save_suspects_;
+    loop_watch loop_;
     line_log log_;
     http_edge callers_;
     http_edge metrics_;
