A zone's only watcher of the store uses feeds of half the length

Two watchers of a zone end their feeds in turn; one alone, in a zone of one node or beside watchers that have lost the store, noticed a silent connection after up to 3.9 s, later than the 3 s after which a node owes new policies. Found by reading. Test: mesh_store_feeds, new case (fails before: the interval did not depend on the watchers).

--- a/gullstall/src/mesh/zone_duty.cpp
+++ b/gullstall/src/mesh/zone_duty.cpp
@@ -95,8 +95,11 @@
     auto zone = std::distance(zones.begin(), zones.find(self.zone));
     auto place = rank * static_cast<std::ptrdiff_t>(zones.size()) + zone;
     double places = static_cast<double>(nodes_on_duty * zones.size());
-    return feed_timing{milliseconds(n.settings.store.feed_wait_ms),
-                       static_cast<double>(place) / places};
+    // A watcher without another one notices as soon as the first of two.
+    auto watcher_count = static_cast<std::int64_t>(std::max<std::size_t>(1, watchers.size()));
+    duration interval = milliseconds(n.settings.store.feed_wait_ms) * watcher_count /
+                        static_cast<std::int64_t>(nodes_on_duty);
+    return feed_timing{interval, static_cast<double>(place) / places};
 }
 
 bool is_first_watcher(const mesh_node &n, time_point now)
--- a/test/unit/mesh_store_feeds.cpp
+++ b/test/unit/mesh_store_feeds.cpp
@@ -174,6 +174,25 @@
     });
 }
 
+// Guards against a zone whose only watcher notices as late as each one of two.
+TEST_CASE_FIXTURE(silent_store_fixture, "only one node of a zone watches, its feeds are shorter")
+{
+    std::string watcher;
+    for (const std::string &it : nodes_of(1)) {
+        if (watches_store(world.nodes.at(it), world.now)) {
+            watcher = it;
+        }
+    }
+    duration of_two = own_feed_timing(world.nodes.at(watcher), world.now).interval;
+    for (const std::string &it : nodes_of(1)) {
+        if (it != watcher) {
+            world.paused_nodes.insert(it);
+        }
+    }
+    world.run_for(seconds(2));
+    CHECK(own_feed_timing(world.nodes.at(watcher), world.now).interval * 2 == of_two);
+}
+
 TEST_CASE_FIXTURE(silent_store_fixture, "store's connections sound, change, in time")
 {
     publish();
