Test: the plan is made on the tick, not by a request

This one fails without it (a scratch change that made the plan on the way of a request again: 1 of 12 assertions) and passes with it.

--- a/test/unit/mesh_chain.cpp
+++ b/test/unit/mesh_chain.cpp
@@ -86,3 +86,21 @@
     handle_chain_news(turn, news);
     CHECK(node.plan.calls.at("route-1").size() == mesh::max_calls_per_route);
 }
+
+// Guards against a plan that is made on the way of a request: it takes milliseconds.
+TEST_CASE("call chain: calls changed, plan, is made on the tick and not by a request")
+{
+    test::mesh_simulation world{7};
+    world.policy =
+        test::policy_of(1, {test::route_of("read", "/read/", "reads", idempotency::idempotent)});
+    world.add_node("n", "a", {"reads"});
+    world.run_for(seconds(1));
+    world.run_node("n", [](mesh::mesh_turn &t) {
+        restore_chain(t, "read", {{"read", 0.5}});
+        REQUIRE(t.n.plan_outdated);
+        admit_request(t, "read", "read", 0);
+        CHECK(t.n.plan_outdated);
+    });
+    world.run_for(2 * mesh::mesh_tick_interval);
+    CHECK_FALSE(world.nodes.at("n").plan_outdated);
+}
