--- /dev/null
+++ b/test/standins/soak/deployment.cpp
@@ -0,0 +1,366 @@
+#include "test/standins/soak/deployment.hpp"
+
+#include <signal.h>
+#include <sys/wait.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <cmath>
+#include <iostream>
+
+#include "gullstall/src/edge/clock.hpp"
+
+namespace gullstall::standin {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+namespace {
+
+constexpr duration stop_time = seconds(6);
+constexpr duration poll_interval = milliseconds(20);
+constexpr duration rest_time = seconds(6);
+
+struct service_size
+{
+    const char *name;
+    std::size_t instances;
+};
+
+constexpr std::array<service_size, 4> services{
+    {{"bulletin-desk", 5}, {"course-office", 4}, {"gazette-press", 3}, {"notice-board", 3}}};
+
+constexpr std::array<const char *, 3> zones{"ankara-a", "ankara-b", "kirikkale-c"};
+
+json::object entry(const char *kind, const std::string &name, json::object spec)
+{
+    return json::object{{"resource-kind", kind},
+                        {"metadata", json::object{{"name", name}}},
+                        {"spec", std::move(spec)}};
+}
+
+json::object route(const std::string &name, const std::string &service, const char *kind,
+                   std::uint64_t timeout_ms, int priority)
+{
+    return entry("routes", name,
+                 json::object{{"host", "calls.example"},
+                              {"prefix", "/" + name + "/"},
+                              {"service", service},
+                              {"kind", kind},
+                              {"max-attempts", 2},
+                              {"timeout-ms", timeout_ms},
+                              {"target-latency-ms", 1200},
+                              {"priority", priority}});
+}
+
+/// \param draw what changes from one version to the next
+std::string print_policy(std::uint64_t version, std::uint64_t draw)
+{
+    json::array list;
+    constexpr std::uint64_t timeout_ms = 4500;
+    std::uint64_t timeout = timeout_ms + draw % 3 * 200;
+    list.push_back(route("read", "bulletin-desk", "safe", timeout, 2));
+    list.push_back(
+        route("register", draw % 4 == 0 ? "bulletin-desk" : "course-office", "unsafe", timeout, 0));
+    list.push_back(route("gazette", "gazette-press", "download", timeout, 2));
+    list.push_back(route("notice", "notice-board", "unsafe", timeout, 1));
+    list.push_back(route("lookup", "course-office", "safe", timeout, 1));
+    for (std::uint64_t i = 0; i < draw % 5; ++i) {
+        list.push_back(route("extra" + std::to_string(i), "notice-board", "safe", timeout, 3));
+    }
+    for (const service_size &it : services) {
+        list.push_back(entry("services", it.name,
+                             json::object{{"health-path", "/health"}, {"max-connections", 800}}));
+    }
+    list.push_back(entry("limits", "limits",
+                         json::object{{"max-header-bytes", 16384},
+                                      {"max-body-bytes", 4194304},
+                                      {"header-timeout-ms", 5000},
+                                      {"idle-timeout-ms", draw % 2 == 0 ? 8000 : 6500}}));
+    return json::serialize(
+        json::object{{"version", "r" + std::to_string(version)}, {"resource-list", list}});
+}
+
+}  // namespace
+
+struct deployment::instance
+{
+    instance_address address;
+    std::string settings_file;
+    std::string log_file;
+    node_process node;
+    std::unique_ptr<http_upstream> upstream;
+    bool stopping = false;  ///< its node is about to stop, stops or has stopped
+};
+
+deployment::deployment(asio::io_context &io, soak_settings settings)
+    : io_(io), settings_(std::move(settings)), random_(settings_.seed)
+{
+    std::string net = "127." + std::to_string(settings_.subnet) + ".0.";
+    store_ = std::make_unique<http_store>(
+        io_, instance_address{"", "", "", net + "200"}.at(port::store));
+    change_policy();
+    std::size_t n = 0;
+    for (const service_size &service : services) {
+        for (std::size_t i = 0; i < service.instances; ++i, ++n) {
+            auto it = std::make_unique<instance>();
+            it->address = {std::string(service.name) + "-" + std::to_string(i),
+                           zones.at(n % zones.size()), service.name, net + std::to_string(n + 1)};
+            it->settings_file = settings_.folder + "/" + it->address.name + ".ini";
+            it->log_file = settings_.folder + "/" + it->address.name + ".log";
+            client_settings at{n, it->address.at(port::callers)};
+            it->upstream = std::make_unique<http_upstream>(
+                io_, it->address, record_.runs,
+                [this, at](const std::string &run) -> asio::awaitable<bool> {
+                    return send_once(io_, at, run + "-c",
+                                     work_order{milliseconds(10), 300, false}.print("/lookup/"),
+                                     record_.requests);
+                });
+            instances_.push_back(std::move(it));
+        }
+    }
+}
+
+deployment::~deployment()
+{
+    for (const auto &it : instances_) {
+        if (it->node.pid > 0) {
+            ::kill(it->node.pid, SIGKILL);
+            ::waitpid(it->node.pid, nullptr, 0);
+        }
+    }
+}
+
+void deployment::spawn(asio::awaitable<void> work)
+{
+    ++open_work_;
+    asio::co_spawn(io_, std::move(work), [this](const std::exception_ptr &error) {
+        --open_work_;
+        if (error) {
+            std::rethrow_exception(error);
+        }
+    });
+}
+
+asio::awaitable<void> deployment::run()
+{
+    for (std::size_t i = 0; i < instances_.size(); ++i) {
+        start_node(i);
+        instances_[i]->upstream->start();
+    }
+    if (!co_await wait_ready()) {
+        record_.unexpected_ends.emplace_back("the nodes did not become ready");
+        co_return;
+    }
+    for (std::size_t i = 0; i < instances_.size(); ++i) {
+        start_clients(i);
+    }
+    co_await disrupt();
+    while (open_work_ > 0) {
+        co_await sleep_for(io_, poll_interval);
+    }
+    co_await stop_clients();
+    collect_ended();
+}
+
+void deployment::start_node(std::size_t i)
+{
+    instance &it = *instances_[i];
+    std::string store =
+        "127." + std::to_string(settings_.subnet) + ".0.200:" + std::to_string(port::store);
+    constexpr int retry_slack = 48;
+    write_settings(it.address, store, it.settings_file, retry_slack);
+    it.node.pid = start_process(settings_.program, it.settings_file, it.log_file);
+    ++it.node.starts;
+    it.stopping = false;
+}
+
+void deployment::start_clients(std::size_t i)
+{
+    for (std::size_t n = 0; n < settings_.clients; ++n) {
+        client_settings from{i, instances_[i]->address.at(port::callers)};
+        constexpr std::size_t kinds = 4;
+        from.mean_pause = n % kinds == 0 ? milliseconds(2500) : milliseconds(250);
+        from.pipeline = n % kinds == 1 ? 4 : 1;
+        from.seed = settings_.seed * 1000003 + i * 1009 + n;
+        clients_.push_back(std::make_unique<kept_client>(io_, from, record_.requests));
+        asio::co_spawn(io_, clients_.back()->run(), asio::detached);
+    }
+}
+
+asio::awaitable<bool> deployment::wait_ready()
+{
+    constexpr int tries = 150;
+    constexpr duration interval = milliseconds(100);
+    constexpr unsigned ok = 200;
+    for (int i = 0; i < tries; ++i) {
+        bool all = true;
+        for (const auto &it : instances_) {
+            all = all && co_await exchange(io_, it->address.at(port::readiness),
+                                           http_request{http::verb::get, "/v1/ready", 11},
+                                           seconds(1)) == ok;
+        }
+        if (all) {
+            co_return true;
+        }
+        co_await sleep_for(io_, interval);
+    }
+    co_return false;
+}
+
+asio::awaitable<void> deployment::disrupt()
+{
+    time_point end = edge::now() + settings_.length;
+    while (edge::now() < end) {
+        duration gap =
+            from_seconds(-std::log(1 - draw_fraction(random_)) * to_seconds(settings_.mean_gap));
+        co_await sleep_for(io_, gap);
+        collect_ended();
+        co_await disrupt_once();
+    }
+}
+
+asio::awaitable<void> deployment::disrupt_once()
+{
+    constexpr std::uint64_t kinds = 10;
+    constexpr double several_share = 0.1;
+    std::size_t n = instances_.size();
+    std::size_t i = draw_below(random_, n);
+    switch (draw_below(random_, kinds)) {
+        case 0:
+        case 1:
+        case 2:
+        case 3:
+            if (draw_fraction(random_) < several_share) {
+                std::size_t first = draw_below(random_, zones.size());
+                for (std::size_t each = first; each < n; each += zones.size()) {
+                    spawn(restart_node(each));
+                }
+            } else {
+                spawn(restart_node(i));
+            }
+            break;
+        case 4:
+        case 5:
+            spawn(replace_instance(i));
+            break;
+        case 6:
+            reload(i, true);
+            break;
+        case 7:
+            reload(i, false);
+            break;
+        case 8:
+            if (settings_.pauses) {
+                spawn(pause_node(i));
+                break;
+            }
+            [[fallthrough]];
+        default:
+            change_policy();
+    }
+    co_return;
+}
+
+asio::awaitable<void> deployment::restart_node(std::size_t i)
+{
+    instance &it = *instances_[i];
+    if (it.stopping || it.node.pid == 0) {
+        co_return;
+    }
+    it.stopping = true;
+    stop_record stop{i, edge::now(), {}, false, 0};
+    ::kill(it.node.pid, SIGTERM);
+    int status = 0;
+    while (::waitpid(it.node.pid, &status, WNOHANG) == 0) {
+        if (!stop.was_killed && edge::now() - stop.asked_at > stop_time) {
+            stop.was_killed = true;
+            ::kill(it.node.pid, SIGKILL);
+        }
+        co_await sleep_for(io_, poll_interval);
+    }
+    it.node.pid = 0;
+    stop.ended_at = edge::now();
+    stop.status = status;
+    record_.stops.push_back(stop);
+    constexpr std::uint64_t longest_gap_ms = 400;
+    co_await sleep_for(io_, milliseconds(draw_below(random_, longest_gap_ms)));
+    start_node(i);
+}
+
+asio::awaitable<void> deployment::replace_instance(std::size_t i)
+{
+    instance &it = *instances_[i];
+    if (it.stopping || it.node.pid == 0) {
+        co_return;
+    }
+    it.stopping = true;
+    co_await it.upstream->leave();
+    it.stopping = false;
+    co_await restart_node(i);
+    it.upstream->start();
+}
+
+asio::awaitable<void> deployment::pause_node(std::size_t i)
+{
+    instance &it = *instances_[i];
+    if (it.node.pid == 0) {
+        co_return;
+    }
+    int pid = it.node.pid;
+    constexpr std::uint64_t longest_pause_ms = 600;
+    ::kill(pid, SIGSTOP);
+    co_await sleep_for(io_, milliseconds(draw_below(random_, longest_pause_ms)));
+    if (it.node.pid == pid) {
+        ::kill(pid, SIGCONT);
+    }
+}
+
+void deployment::reload(std::size_t i, bool with_signal)
+{
+    instance &it = *instances_[i];
+    if (it.node.pid == 0) {
+        return;
+    }
+    std::string store =
+        "127." + std::to_string(settings_.subnet) + ".0.200:" + std::to_string(port::store);
+    constexpr int least_slack = 40;
+    constexpr std::uint64_t slack_range = 20;
+    write_settings(it.address, store, it.settings_file,
+                   least_slack + static_cast<int>(draw_below(random_, slack_range)));
+    if (with_signal) {
+        ::kill(it.node.pid, SIGHUP);
+    }
+}
+
+void deployment::change_policy()
+{
+    policy_version_ += 1 + draw_below(random_, 3);
+    store_->put("op", "config", print_policy(policy_version_, random_() % 1000));
+}
+
+void deployment::collect_ended()
+{
+    for (const auto &it : instances_) {
+        int status = 0;
+        if (!it->stopping && it->node.pid > 0 &&
+            ::waitpid(it->node.pid, &status, WNOHANG) == it->node.pid) {
+            record_.unexpected_ends.push_back("the node of " + it->address.name +
+                                              " ended by itself, status " + std::to_string(status));
+            it->node.pid = 0;
+        }
+    }
+}
+
+asio::awaitable<void> deployment::stop_clients()
+{
+    for (const auto &it : clients_) {
+        it->stop();
+    }
+    co_await sleep_for(io_, rest_time);
+}
+
+}  // namespace gullstall::standin
