Logs and metrics: what a close or the end of a process leaves unanswered

connection-closed tells of a client's connection that this node closed with requests unanswered or input unread, and why; stopped tells how many requests, calls and runs were open at the end of the process; gullstall_caller_requests_cut_total counts the requests.

--- a/gullstall/src/edge/edge_connection.cpp
+++ b/gullstall/src/edge/edge_connection.cpp
@@ -222,7 +222,7 @@
         self->idle_since_ = now();
         self->pipeline_space_.cancel();
         if (close) {
-            self->begin_lingering_close();
+            self->begin_lingering_close("answer");
             return;
         }
         self->write_next_response();
@@ -233,8 +233,9 @@
 /// Half-closes the connection when it is idle or has sent a response with
 /// "Connection: close". Pipelined requests behind that response were not dispatched or
 /// are abandoned; the client has to resend them.
-void edge_connection::begin_lingering_close()
+void edge_connection::begin_lingering_close(const char *why)
 {
+    report_loss(why);
     accepts_requests_ = false;
     closing_since_ = now();
     for (exchange &behind : pipeline_) {
@@ -250,6 +251,19 @@
     socket_.cancel(ec);
 }
 
+void edge_connection::report_loss(const char *why)
+{
+    error_code ec;
+    connection_loss loss{why};
+    loss.unread_bytes = buf_.size() + socket_.available(ec);
+    loss.unanswered = static_cast<std::size_t>(
+        std::count_if(pipeline_.begin(), pipeline_.end(),
+                      [](const exchange &each) { return !each.head.has_value(); }));
+    if (loss.unanswered > 0 || loss.unread_bytes > 0) {
+        owner_.handlers_.on_loss(loss);
+    }
+}
+
 asio::awaitable<void> edge_connection::drain_input()
 {
     constexpr std::size_t chunk_bytes = 16384;
@@ -290,7 +304,7 @@
 void edge_connection::start_draining()
 {
     if (is_idle() && !closing_since_) {
-        begin_lingering_close();
+        begin_lingering_close("drained");
     }
 }
 
@@ -306,6 +320,9 @@
     bool linger_expired = closing_since_ && at - *closing_since_ > linger_time;
     bool write_stalled = write_since_ && at - *write_since_ > write_stall_timeout;
     if (linger_expired || write_stalled) {
+        if (write_stalled) {
+            report_loss("stalled");
+        }
         close_connection();
     } else if (has_partial_request && partial_request_since_) {
         bool in_body = parser_ && parser_->is_header_done();
@@ -314,7 +331,7 @@
             reject(408, "Request Timeout");
         }
     } else if (is_idle() && !closing_since_ && at - idle_since_ > owner_.limits_.idle_timeout) {
-        begin_lingering_close();
+        begin_lingering_close("idle");
     }
 }
 
--- a/gullstall/src/edge/edge_connection.hpp
+++ b/gullstall/src/edge/edge_connection.hpp
@@ -55,7 +55,8 @@
     void reject(std::uint16_t status, const char *text);
     void reject_unparsable(const boost::system::error_code &ec);
     void write_next_response();
-    void begin_lingering_close();
+    void begin_lingering_close(const char *why);
+    void report_loss(const char *why);
     bool is_idle() const;
 
     http_edge &owner_;
--- a/gullstall/src/edge/http_edge.hpp
+++ b/gullstall/src/edge/http_edge.hpp
@@ -48,6 +48,14 @@
     bool operator==(const edge_limits &) const = default;
 };
 
+/// What the end of a client's connection has left without an answer.
+struct connection_loss
+{
+    const char *why;               ///< of the end: "answer", "drained", "idle" or "stalled"
+    std::size_t unanswered = 0;    ///< requests that had been dispatched
+    std::size_t unread_bytes = 0;  ///< input that had arrived and was not read
+};
+
 /// Callbacks of an http_edge.
 struct edge_handlers
 {
@@ -57,6 +65,8 @@
     std::function<void(call_ref)> on_abandoned;
     /// Called when a connection has ended since its coroutine, or a handler, threw.
     std::function<void(const std::string &what)> on_exception = [](const std::string &) {};
+    /// Called when this side ends a connection that has unanswered requests or unread input.
+    std::function<void(const connection_loss &)> on_loss = [](const connection_loss &) {};
 };
 
 class edge_connection;
@@ -85,6 +95,12 @@
     /// \returns whether any request is unanswered or any response is not fully written
     bool has_work() const;
 
+    /// \returns the number of requests that were dispatched and not answered
+    std::size_t count_unanswered() const
+    {
+        return pending_.size();
+    }
+
 private:
     friend class edge_connection;
 
--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -75,7 +75,8 @@
                    [this](call_ref id) {
                        step("abandoned request", [&](mesh_turn &t) { abandon_request(t, id); });
                    },
-                   exception_reporter("callers")}),
+                   exception_reporter("callers"),
+                   [this](const connection_loss &it) { report_loss(it); }}),
       metrics_(io, listen_endpoint(settings.listen.metrics), edge_limits{},
                edge_handlers{[this](call_ref id, edge_request &&) {
                                  std::string text = print_metrics(node_, now());
@@ -83,7 +84,7 @@
                                      "# TYPE gullstall_log_lines_dropped_total counter\n"
                                      "gullstall_log_lines_dropped_total " +
                                      std::to_string(log_.dropped()) + "\n" + print_metrics(loop_) +
-                                     peers_.print_metrics();
+                                     peers_.print_metrics() + print_cut_requests();
                                  metrics_.respond(id, edge_answer{200,
                                                                   "OK",
                                                                   "Content-Type: text/plain\r\n",
@@ -141,6 +142,27 @@
     };
 }
 
+void mesh_daemon::report_loss(const connection_loss &it)
+{
+    cut_requests_[it.why] += it.unanswered;
+    log(write_line{write_line::severity::warning,
+                   "entry",
+                   "connection-closed",
+                   {{"why", it.why},
+                    {"unanswered", std::to_string(it.unanswered)},
+                    {"unread_bytes", std::to_string(it.unread_bytes)}}});
+}
+
+std::string mesh_daemon::print_cut_requests() const
+{
+    std::string out = "# TYPE gullstall_caller_requests_cut_total counter\n";
+    for (const auto &[why, n] : cut_requests_) {
+        out +=
+            "gullstall_caller_requests_cut_total{why=\"" + why + "\"} " + std::to_string(n) + "\n";
+    }
+    return out;
+}
+
 void mesh_daemon::step(const char *doing, const std::function<void(mesh_turn &)> &what)
 {
     mesh::mesh_actions out;
@@ -455,7 +477,12 @@
         callers_.start_draining();
     }
     if (has_stopped(at)) {
-        log(write_line{write_line::severity::info, "node", "stopped", {}});
+        log(write_line{write_line::severity::info,
+                       "node",
+                       "stopped",
+                       {{"unanswered", std::to_string(callers_.count_unanswered())},
+                        {"calls", std::to_string(node_.calls.size())},
+                        {"runs", std::to_string(node_.runs.size())}}});
         log_.tick(at);
         io_.stop();
     }
--- a/gullstall/src/edge/mesh_daemon.hpp
+++ b/gullstall/src/edge/mesh_daemon.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -95,6 +96,8 @@
     /// \param doing what it handles, for the log
     void step(const char *doing, const std::function<void(mesh::mesh_turn &)> &what);
     void report_hold(const std::optional<loop_hold> &it);
+    void report_loss(const connection_loss &it);
+    std::string print_cut_requests() const;
     void execute(mesh::mesh_action &&what);
     void send_to_node(const mesh::send_to_node &order);
     /// \returns what logs and counts an exception that has ended a connection
@@ -111,6 +114,7 @@
     std::function<void(mesh::store_chain &&)> save_chain_;
     std::function<void(mesh::store_suspects &&)> save_suspects_;
     loop_watch loop_;
+    std::map<std::string, std::uint64_t> cut_requests_;  ///< by the reason of the close
     line_log log_;
     http_edge callers_;
     http_edge metrics_;
