--- a/test/standins/soak/client.cpp
+++ b/test/standins/soak/client.cpp
@@ -130,8 +130,9 @@
 
 std::shared_ptr<sent_request> kept_client::draw_request(const connection &it)
 {
-    constexpr double call_share = 0.2;
+    constexpr double call_share = 0.4;
     constexpr double long_share = 0.05;
+    constexpr double usual_run_s = 0.12;
     constexpr double large_share = 0.1;
     constexpr std::size_t small_bytes = 300;
     constexpr std::size_t large_bytes = 60000;
@@ -143,9 +144,10 @@
     out->earlier_on_connection = it.sent;
     out->is_safe = out->behind_another || draw_fraction(random_) >= settings_.unsafe_share;
     bool is_long = draw_fraction(random_) < long_share;
-    duration time = from_seconds(draw_fraction(random_) * (is_long ? 2.0 : 0.12));
+    duration time = from_seconds(draw_fraction(random_) *
+                                 (is_long ? to_seconds(settings_.longest_run) : usual_run_s));
     bool is_large = draw_fraction(random_) < large_share;
-    bool calls = !out->is_safe && draw_fraction(random_) < call_share / settings_.unsafe_share;
+    bool calls = draw_fraction(random_) < call_share;
     constexpr std::size_t safe_routes = 3;
     const char *prefix = "/register/";
     if (out->is_safe) {
--- a/test/standins/soak/client.hpp
+++ b/test/standins/soak/client.hpp
@@ -49,6 +49,7 @@
     duration longest_pause = seconds(5);
     std::size_t pipeline = 1;
     double unsafe_share = 0.4;
+    duration longest_run = seconds(1);  ///< of the few long ones
     std::uint64_t seed = 0;
 };
 
--- a/test/standins/soak/deployment.cpp
+++ b/test/standins/soak/deployment.cpp
@@ -185,6 +185,7 @@
         constexpr std::size_t kinds = 4;
         from.mean_pause = n % kinds == 0 ? milliseconds(2500) : milliseconds(250);
         from.pipeline = n % kinds == 1 ? 4 : 1;
+        from.longest_run = settings_.longest_run;
         from.seed = settings_.seed * 1000003 + i * 1009 + n;
         clients_.push_back(std::make_unique<kept_client>(io_, from, record_.requests));
         asio::co_spawn(io_, clients_.back()->run(), asio::detached);
@@ -226,19 +227,15 @@
 asio::awaitable<void> deployment::disrupt_once()
 {
     constexpr std::uint64_t kinds = 10;
-    constexpr double several_share = 0.1;
-    std::size_t n = instances_.size();
-    std::size_t i = draw_below(random_, n);
+    constexpr double several_share = 0.15;
+    std::size_t i = draw_below(random_, instances_.size());
     switch (draw_below(random_, kinds)) {
         case 0:
         case 1:
         case 2:
         case 3:
             if (draw_fraction(random_) < several_share) {
-                std::size_t first = draw_below(random_, zones.size());
-                for (std::size_t each = first; each < n; each += zones.size()) {
-                    spawn(restart_node(each));
-                }
+                restart_several();
             } else {
                 spawn(restart_node(i));
             }
@@ -265,6 +262,27 @@
     co_return;
 }
 
+/// Restarts all nodes, or those of a zone or of a service, at once.
+void deployment::restart_several()
+{
+    enum scope
+    {
+        all,
+        one_zone,
+        one_service,
+        scopes
+    };
+    std::uint64_t chosen = draw_below(random_, scopes);
+    std::string zone = zones.at(draw_below(random_, zones.size()));
+    std::string service = services.at(draw_below(random_, services.size())).name;
+    for (std::size_t i = 0; i < instances_.size(); ++i) {
+        const instance_address &it = instances_[i]->address;
+        if (chosen == all || (chosen == one_zone ? it.zone == zone : it.service == service)) {
+            spawn(restart_node(i));
+        }
+    }
+}
+
 asio::awaitable<void> deployment::restart_node(std::size_t i)
 {
     instance &it = *instances_[i];
--- a/test/standins/soak/deployment.hpp
+++ b/test/standins/soak/deployment.hpp
@@ -16,8 +16,9 @@
     duration length = seconds(20);
     duration mean_gap = milliseconds(700);  ///< between two disruptions
     std::size_t clients = 12;               ///< connections to each node
-    bool pauses = false;                    ///< processes are stopped and continued, too
-    std::uint32_t subnet = 1;               ///< second byte of the loopback addresses
+    duration longest_run = seconds(1);
+    bool pauses = false;       ///< processes are stopped and continued, too
+    std::uint32_t subnet = 1;  ///< second byte of the loopback addresses
 };
 
 /// Fifteen instances of four services in three availability zones, with their nodes as
@@ -44,6 +45,7 @@
     boost::asio::awaitable<bool> wait_ready();
     boost::asio::awaitable<void> disrupt();
     boost::asio::awaitable<void> disrupt_once();
+    void restart_several();
     boost::asio::awaitable<void> restart_node(std::size_t i);
     boost::asio::awaitable<void> replace_instance(std::size_t i);
     boost::asio::awaitable<void> pause_node(std::size_t i);
--- a/test/standins/soak/soak.cpp
+++ b/test/standins/soak/soak.cpp
@@ -33,6 +33,8 @@
     app.add_option("--seed", settings.seed, "of the disruptions and requests");
     app.add_option("--seconds", length_s, "for which there are disruptions");
     app.add_option("--gap-ms", gap_ms, "mean time between two disruptions");
+    double longest_run_ms = 1000;
+    app.add_option("--longest-run-ms", longest_run_ms, "of the upstreams' runs");
     app.add_option("--clients", settings.clients, "connections to each node");
     app.add_option("--subnet", settings.subnet, "second byte of the loopback addresses, 1 to 254");
     bool prints_crossed = false;
@@ -40,6 +42,7 @@
     app.add_flag("--pauses", settings.pauses, "processes are paused, too");
     CLI11_PARSE(app, argc, argv);
     settings.length = gullstall::from_seconds(length_s);
+    settings.longest_run = gullstall::from_milliseconds(longest_run_ms);
     settings.mean_gap = gullstall::from_milliseconds(gap_ms);
     std::filesystem::create_directories(settings.folder);
 
--- a/test/unit/mesh_stop.cpp
+++ b/test/unit/mesh_stop.cpp
@@ -146,6 +146,23 @@
     CHECK(w.results.at("r1").status == 500);
 }
 
+// Guards against a call that waits for an upstream for longer than its node lives, and ends without
+// an answer.
+TEST_CASE_FIXTURE(mesh_stop_fixture,
+                  "call made by a run at a stopping node: is answered before the process ends")
+{
+    w.upstreams.at("s1").run_time = milliseconds(2900);
+    w.run_node("s1", [](mesh::mesh_turn &t) { stop_node(t); });
+    w.run_for(milliseconds(1900));
+    w.send_request("s1", "r1", "/order/x", long_deadline);
+    w.send_heartbeat("a1", upstream_state::draining);
+    w.send_heartbeat("b1", upstream_state::draining);
+    w.run_for(milliseconds(3000));
+    REQUIRE(w.nodes.at("s1").calls.size() == 2);
+    w.run_for(w.nodes.at("s1").stop.answer_deadline - w.now + milliseconds(20));
+    CHECK(w.nodes.at("s1").calls.empty());
+}
+
 // Guards against delaying a caller's request: it has not run, and its caller can retry elsewhere.
 TEST_CASE_FIXTURE(mesh_stop_fixture, "caller's request: refused at once without an upstream")
 {
