Calls at a stopping node end before its process does

Cause: a stopping node takes calls of runs until its end and lets them wait for an upstream for up to 2.2 s; nothing bounds a call by the end of the process that answers it.

Each call now expires at the stop's answer deadline, half a second before SIGKILL: one that has not been sent is refused (stopping), one that has is ended as at any other deadline. Calls that are open when the stop begins are shortened, too.

--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -21,9 +21,12 @@
 constexpr std::uint32_t max_priority = 15;
 
 /// \returns the reason for ending a call whose time is over
-reason timeout_reason(const entry_call &call)
+reason timeout_reason(const mesh_node &n, const entry_call &call)
 {
-    return call.may_have_run ? reason::timed_out : reason::too_late;
+    if (call.may_have_run) {
+        return reason::timed_out;
+    }
+    return call.expires >= latest_answer(n) ? reason::stopping : reason::too_late;
 }
 
 bool has_time_to_run(const entry_call &call, time_point now)
@@ -89,7 +92,7 @@
 {
     entry_call &call = t.n.calls.at(id);
     if (!has_time_to_run(call, t.now)) {
-        fail_call(t, id, timeout_reason(call));
+        fail_call(t, id, timeout_reason(t.n, call));
         return;
     }
     if (judge_call(t.n, call, t.now) == suspicion::quarantined) {
@@ -306,6 +309,7 @@
     call.call.header_lines = std::move(request.header_lines);
     call.call.body = std::move(request.body);
     call.call.idempotent = route->request_idempotency == idempotency::idempotent;
+    call.expires = std::min(call.expires, latest_answer(t.n));
     if (!call.call.inner) {
         call.due = t.now + route->latency_objective;
     }
@@ -387,7 +391,7 @@
         entry_call &call = t.n.calls.at(id);
         std::optional<sent_call> current = call.current;
         call.may_have_run = call.may_have_run || current.has_value();
-        fail_call(t, id, timeout_reason(call));
+        fail_call(t, id, timeout_reason(t.n, call));
         if (current) {
             record_call_result(t.n.nodes, current->node, call_end::failed, t.now);
             cancel_send(t, *current);
@@ -440,7 +444,7 @@
         call_ref id = entry.first;
         entry_call &call = entry.second;
         const traffic_route *route = find_route_by_name(*t.n.policy, call.route);
-        time_point expires = call.expires;
+        time_point expires = std::min(call.expires, latest_answer(t.n));
         if (route != nullptr) {
             expires = std::min(expires, call.received_at + route->timeout);
         }
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -240,7 +240,8 @@
 /// \param unsent correlations of calls that were certainly not delivered
 void handle_node_lost(mesh_turn &t, const std::string &node,
                       const std::vector<std::uint64_t> &unsent);
-/// Shortens the expiry of calls in flight to the timeouts of the current policy.
+/// Shortens the expiry of calls in flight to the timeouts of the current policy and to the end of
+/// a stopping node.
 void apply_timeouts(mesh_turn &t);
 
 // admission.cpp: admission control by service level
@@ -383,6 +384,8 @@
 void stop_tick(mesh_turn &t);
 /// \returns whether the node accepts a caller's request that expires at \a expires
 bool accepts_callers(const mesh_node &n, time_point now, time_point expires);
+/// \returns when each accepted request has its answer: before the end of a stopping node
+time_point latest_answer(const mesh_node &n);
 /// \returns whether callers should use another node from now on
 bool is_entry_closed(const mesh_node &n, time_point now);
 
--- a/gullstall/src/mesh/stop.cpp
+++ b/gullstall/src/mesh/stop.cpp
@@ -32,6 +32,7 @@
                          duration(static_cast<std::int64_t>(t.n.gate.mean_run_us)));
     t.n.gate_closes_at = t.n.stop.gate_close_earliest;
     t.n.entry_closes_at = t.n.stop.entry_close;
+    apply_timeouts(t);
     update_own_status(t);
     t.n.required_remaining =
         required_remaining(t.n.nodes, t.n.settings.node.name, t.n.settings.node.service, t.now);
@@ -66,6 +67,11 @@
     return !n.gate_closed && (now < n.stop.held_entry_close || expires <= n.stop.answer_deadline);
 }
 
+time_point latest_answer(const mesh_node &n)
+{
+    return n.stopping ? n.stop.answer_deadline : time_point::max();
+}
+
 bool is_entry_closed(const mesh_node &n, time_point now)
 {
     return n.entry_closes_at && now >= *n.entry_closes_at && n.gate_closed;
