--- a/test/standins/soak/deployment.cpp
+++ b/test/standins/soak/deployment.cpp
@@ -115,7 +115,7 @@
             it->upstream = std::make_unique<http_upstream>(
                 io_, it->address, record_.runs,
                 [this, at](const std::string &run) -> asio::awaitable<bool> {
-                    return send_once(io_, at, run + "-c",
+                    return send_once(io_, at, run + "-c" + std::to_string(++nested_calls_),
                                      work_order{milliseconds(10), 300, false}.print("/lookup/"),
                                      record_.requests);
                 });
--- a/test/standins/soak/deployment.hpp
+++ b/test/standins/soak/deployment.hpp
@@ -65,6 +65,7 @@
     std::vector<std::unique_ptr<instance>> instances_;
     std::vector<std::unique_ptr<kept_client>> clients_;
     std::uint64_t policy_version_ = 0;
+    std::uint64_t nested_calls_ = 0;
     int open_work_ = 0;
 };
 
