A connection with unread input is not idle

What callers saw: a request on a kept connection that the node closed without an answer, at the end of a stop or at the idle time-out, though it had been sent before. Cause: only what the process has read counted as work; a request that waits in the socket's buffer, for long when the process is held up or paused, was read by the lingering close and dropped.

The connection is idle only when the socket has no bytes to read either; the request is then read, answered, and its answer closes the connection.

--- a/gullstall/src/edge/edge_connection.cpp
+++ b/gullstall/src/edge/edge_connection.cpp
@@ -295,15 +295,18 @@
     owner_.connections_.erase(id_);
 }
 
-bool edge_connection::is_idle() const
+/// A request may wait in the socket's buffer, for long if the process was held up.
+bool edge_connection::is_idle()
 {
-    bool has_partial_request = buf_.size() > 0 || (parser_ && parser_->got_some());
-    return pipeline_.empty() && !has_partial_request;
+    error_code ec;
+    bool has_input =
+        buf_.size() > 0 || (parser_ && parser_->got_some()) || socket_.available(ec) > 0;
+    return pipeline_.empty() && !has_input;
 }
 
 void edge_connection::start_draining()
 {
-    if (is_idle() && !closing_since_) {
+    if (!closing_since_ && is_idle()) {
         begin_lingering_close("drained");
     }
 }
@@ -330,7 +333,7 @@
         if (at - *partial_request_since_ > limit) {
             reject(408, "Request Timeout");
         }
-    } else if (is_idle() && !closing_since_ && at - idle_since_ > owner_.limits_.idle_timeout) {
+    } else if (!closing_since_ && at - idle_since_ > owner_.limits_.idle_timeout && is_idle()) {
         begin_lingering_close("idle");
     }
 }
--- a/gullstall/src/edge/edge_connection.hpp
+++ b/gullstall/src/edge/edge_connection.hpp
@@ -57,7 +57,7 @@
     void write_next_response();
     void begin_lingering_close(const char *why);
     void report_loss(const char *why);
-    bool is_idle() const;
+    bool is_idle();
 
     http_edge &owner_;
     std::uint64_t id_;
