A request that is told 408 is not passed on when its rest arrives

What callers saw: behind an unanswered request, a second one came in too slowly and was told 408, which promises that it has not run and never will; its rest arrived before the 408 could be written, and it ran. Cause: the read goes on until the close that follows the 408, and dispatched what it read. Evidence: edge_closes, failing before. Once a connection accepts no further requests, none that is read is dispatched.

--- a/gullstall/src/edge/edge_connection.cpp
+++ b/gullstall/src/edge/edge_connection.cpp
@@ -113,7 +113,7 @@
                                   asio::redirect_error(asio::use_awaitable, ec));
     }
     partial_request_since_.reset();
-    if (closing_since_) {
+    if (closing_since_ || !accepts_requests_) {
         co_return false;
     }
     if (ec) {
