The answer that closes a connection is the last one in its queue

Cause: whether an answer closes the connection was decided when it came, not when it was written: answers that wait for an earlier one had others behind them by then.

--- a/gullstall/src/edge/edge_connection.cpp
+++ b/gullstall/src/edge/edge_connection.cpp
@@ -145,7 +145,7 @@
     }
     call_ref id{++owner_.last_id_};
     bool keep_alive = message.keep_alive();
-    pipeline_.push_back(exchange{id, message.method() == http::verb::head, keep_alive, {}, {}});
+    pipeline_.push_back(exchange{id, message.method() == http::verb::head, keep_alive});
     accepts_requests_ = accepts_requests_ && keep_alive;
     owner_.pending_[id] = shared_from_this();
     edge_request request;
@@ -171,7 +171,7 @@
 void edge_connection::reject(std::uint16_t status, const char *text)
 {
     call_ref id{++owner_.last_id_};
-    pipeline_.push_back(exchange{id, false, false, {}, {}});
+    pipeline_.push_back(exchange{id, false, false});
     accepts_requests_ = false;
     respond(id, edge_answer{status, text, "", {}, true});
 }
@@ -184,28 +184,37 @@
     if (it == pipeline_.end() || closed_) {
         return;
     }
-    bool is_last = &*it == &pipeline_.back();
-    it->close = response.close || !it->keep_alive || (owner_.draining_ && is_last);
-    std::string head = "HTTP/1.1 " + std::to_string(response.status) + " " + response.status_text +
-                       "\r\n" + response.header_lines +
-                       "Content-Length: " + std::to_string(response.body.size()) + "\r\n" +
-                       (it->close ? "Connection: close\r\n\r\n" : "\r\n");
-    it->head = std::move(head);
-    if (!it->is_head) {
-        it->body = std::move(response.body);
-    }
+    it->response = std::move(response);
     write_next_response();
 }
 
+/// Decided as late as possible: requests that follow while earlier ones are unanswered are
+/// answered, too.
+bool edge_connection::closes_after(const exchange &front) const
+{
+    return front.response->close || !front.keep_alive ||
+           (owner_.draining_ && pipeline_.size() == 1);
+}
+
 void edge_connection::write_next_response()
 {
-    if (writing_ || closed_ || pipeline_.empty() || !pipeline_.front().head) {
+    if (writing_ || closed_ || pipeline_.empty() || !pipeline_.front().response) {
         return;
     }
     writing_ = true;
     write_since_ = now();
     exchange &front = pipeline_.front();
-    std::array<asio::const_buffer, 2> bytes{asio::buffer(*front.head), asio::buffer(front.body)};
+    front.close = closes_after(front);
+    accepts_requests_ = accepts_requests_ && !front.close;
+    const edge_answer &response = *front.response;
+    front.head = "HTTP/1.1 " + std::to_string(response.status) + " " + response.status_text +
+                 "\r\n" + response.header_lines +
+                 "Content-Length: " + std::to_string(response.body.size()) + "\r\n" +
+                 (front.close ? "Connection: close\r\n\r\n" : "\r\n");
+    std::array<asio::const_buffer, 2> bytes{asio::buffer(front.head), asio::const_buffer()};
+    if (!front.is_head) {
+        bytes[1] = asio::buffer(response.body);
+    }
     auto note_progress = [self = shared_from_this()](const error_code &ec, std::size_t) {
         self->write_since_ = now();
         return ec ? 0 : max_write_bytes;
@@ -239,7 +248,7 @@
     accepts_requests_ = false;
     closing_since_ = now();
     for (exchange &behind : pipeline_) {
-        if (!behind.head) {
+        if (!behind.response) {
             owner_.pending_.erase(behind.id);
             owner_.handlers_.on_abandoned(behind.id);
         }
@@ -258,7 +267,7 @@
     loss.unread_bytes = buf_.size() + socket_.available(ec);
     loss.unanswered = static_cast<std::size_t>(
         std::count_if(pipeline_.begin(), pipeline_.end(),
-                      [](const exchange &each) { return !each.head.has_value(); }));
+                      [](const exchange &each) { return !each.response.has_value(); }));
     if (loss.unanswered > 0 || loss.unread_bytes > 0) {
         owner_.handlers_.on_loss(loss);
     }
--- a/gullstall/src/edge/edge_connection.hpp
+++ b/gullstall/src/edge/edge_connection.hpp
@@ -43,9 +43,9 @@
         call_ref id;
         bool is_head;  ///< the response has no body
         bool keep_alive;
-        std::optional<std::string> head;  ///< of the response, once available
-        std::vector<std::uint8_t> body;
-        bool close = false;
+        std::optional<edge_answer> response{};
+        std::string head{};  ///< of the response, once it is being written
+        bool close = false;  ///< close the connection after this response
     };
 
     boost::asio::awaitable<bool> read_request();
@@ -58,6 +58,7 @@
     void begin_lingering_close(const char *why);
     void report_loss(const char *why);
     bool is_idle();
+    bool closes_after(const exchange &front) const;
 
     http_edge &owner_;
     std::uint64_t id_;
