Signals that come while the node starts are held until it can handle them

Cause: the handlers are installed after the sockets, some 20 ms after the start; until then these signals have their default action. Evidence: process_early_signals, which holds the process in its start; failing before. The process blocks the signals first and unblocks them once the handlers are there.

--- a/programs/sidecar.cpp
+++ b/programs/sidecar.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "gullstall/src/runtime/process_signals.hpp"
 #include "gullstall/version.hpp"
 #include "platform/sidecar.hpp"
 
@@ -17,6 +18,7 @@
 
 int main(int argc, char **argv)
 {
+    gullstall::runtime::hold_signals();
     CLI::App app{"The gullstall node: takes calls for all services, runs those of its upstream."};
     std::string file;
     bool check = false;
