gullstalld holds early signals, too

The same cause as in gullstall-sidecar, read: SIGTERM before the handlers ended gullstalld with a status that says failure. No test of its own.

--- a/gullstall/src/runtime/daemon.cpp
+++ b/gullstall/src/runtime/daemon.cpp
@@ -20,6 +20,7 @@
 #include "gullstall/src/runtime/mailbox.hpp"
 #include "gullstall/src/runtime/peer_transport.hpp"
 #include "gullstall/src/runtime/platform_http.hpp"
+#include "gullstall/src/runtime/process_signals.hpp"
 
 namespace gullstall::runtime {
 
@@ -487,6 +488,7 @@
 void daemon::run()
 {
     wait_signal();
+    release_signals();
     schedule_tick();
     for (duty *it : {&callers_, &worker_, &peers_, &platform_, &admin_}) {
         it->start();
--- a/programs/gullstalld.cpp
+++ b/programs/gullstalld.cpp
@@ -4,6 +4,7 @@
 #include <iostream>
 
 #include "gullstall/src/runtime/daemon.hpp"
+#include "gullstall/src/runtime/process_signals.hpp"
 #include "gullstall/version.hpp"
 #include "programs/operator_client.hpp"
 
@@ -25,6 +26,7 @@
 
 int main(int argc, char **argv)
 {
+    gullstall::runtime::hold_signals();
     CLI::App app{"The gullstall node: runs beside a worker and takes calls for all services."};
     std::string file;
     bool check = false;
