A process ends after it has answered what waits in its sockets

Cause: the process ended as soon as it had no work that it knew of: requests in sockets' buffers, connections not yet accepted and replies to other nodes not yet written did not count. Read besides: a reply of 60 KB that was cut there is a 502 for a run that succeeded.

It now accepts what waits, stops listening, and ends at the next tick (20 ms) with nothing unread, unanswered or unwritten; the bound by the stop time is as before. Test: edge_closes (counts as work; is served).

--- a/gullstall/src/edge/edge_connection.cpp
+++ b/gullstall/src/edge/edge_connection.cpp
@@ -304,6 +304,11 @@
     owner_.connections_.erase(id_);
 }
 
+bool edge_connection::has_work()
+{
+    return !pipeline_.empty() || (!closing_since_ && !is_idle());
+}
+
 /// A request may wait in the socket's buffer, for long if the process was held up.
 bool edge_connection::is_idle()
 {
--- a/gullstall/src/edge/edge_connection.hpp
+++ b/gullstall/src/edge/edge_connection.hpp
@@ -27,11 +27,9 @@
     /// Closes the connection; its unanswered requests are reported as abandoned.
     void close_connection();
 
-    /// \returns whether any request is unanswered or any response is not fully written
-    bool has_work() const
-    {
-        return !pipeline_.empty();
-    }
+    /// \returns whether any request is unanswered or not yet read, or any response is not
+    /// fully written
+    bool has_work();
 
 private:
     using request_parser =
--- a/gullstall/src/edge/http_edge.cpp
+++ b/gullstall/src/edge/http_edge.cpp
@@ -63,7 +63,10 @@
         error_code ec;
         asio::ip::tcp::socket socket =
             co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, ec));
-        if (ec == asio::error::operation_aborted) {
+        if (ec == asio::error::operation_aborted || !acceptor_.is_open()) {
+            if (!ec) {
+                add_connection(std::move(socket));
+            }
             co_return;
         }
         if (ec || connections_.size() >= limits_.connections) {
@@ -71,18 +74,37 @@
             co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
             continue;
         }
-        std::uint64_t id = ++last_id_;
-        auto connection = std::make_shared<edge_connection>(*this, id, std::move(socket));
-        connections_[id] = connection;
-        spawn(
-            io_, [connection] { return connection->run(); },
-            [this, connection](const std::string &what) {
-                connection->close_connection();
-                handlers_.on_exception(what);
-            });
+        add_connection(std::move(socket));
     }
 }
 
+void http_edge::add_connection(asio::ip::tcp::socket &&socket)
+{
+    std::uint64_t id = ++last_id_;
+    auto connection = std::make_shared<edge_connection>(*this, id, std::move(socket));
+    connections_[id] = connection;
+    spawn(
+        io_, [connection] { return connection->run(); },
+        [this, connection](const std::string &what) {
+            connection->close_connection();
+            handlers_.on_exception(what);
+        });
+}
+
+void http_edge::stop_listening()
+{
+    error_code ec;
+    acceptor_.non_blocking(true, ec);
+    while (!ec) {
+        asio::ip::tcp::socket socket(io_);
+        acceptor_.accept(socket, ec);
+        if (!ec) {
+            add_connection(std::move(socket));
+        }
+    }
+    acceptor_.close(ec);
+}
+
 void http_edge::respond(call_ref id, edge_answer &&response)
 {
     auto found = pending_.find(id);
--- a/gullstall/src/edge/http_edge.hpp
+++ b/gullstall/src/edge/http_edge.hpp
@@ -92,7 +92,16 @@
     /// response.
     void start_draining();
 
-    /// \returns whether any request is unanswered or any response is not fully written
+    /// Accepts the connections that wait and stops listening; clients that come later are refused.
+    void stop_listening();
+
+    bool is_listening() const
+    {
+        return acceptor_.is_open();
+    }
+
+    /// \returns whether any request is unanswered or not yet read, or any response is not
+    /// fully written
     bool has_work() const;
 
     /// \returns the number of requests that were dispatched and not answered
@@ -105,6 +114,7 @@
     friend class edge_connection;
 
     boost::asio::awaitable<void> accept_loop();
+    void add_connection(boost::asio::ip::tcp::socket &&socket);
 
     boost::asio::io_context &io_;
     boost::asio::ip::tcp::acceptor acceptor_;
--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -21,6 +21,9 @@
 /// Interval between checks for idle and slow connections.
 constexpr duration sweep_interval = milliseconds(250);
 
+/// Interval of the ticks once the process has only to answer what had arrived before its end.
+constexpr duration last_tick_interval = milliseconds(20);
+
 /// The process exits this long before the stop timeout, whether or not work remains.
 constexpr duration stop_margin = milliseconds(300);
 
@@ -450,7 +453,8 @@
 
 void mesh_daemon::schedule_tick()
 {
-    tick_timer_.expires_after(mesh::mesh_tick_interval);
+    bool is_ending = draining_ && !callers_.is_listening();
+    tick_timer_.expires_after(is_ending ? last_tick_interval : mesh::mesh_tick_interval);
     tick_timer_.async_wait([this](const boost::system::error_code &ec) {
         if (!ec) {
             tick();
@@ -476,7 +480,9 @@
         draining_ = true;
         callers_.start_draining();
     }
-    if (has_stopped(at)) {
+    if (draining_ && callers_.is_listening() && !has_open_work()) {
+        callers_.stop_listening();
+    } else if (has_stopped(at)) {
         log(write_line{write_line::severity::info,
                        "node",
                        "stopped",
@@ -488,13 +494,19 @@
     }
 }
 
+bool mesh_daemon::has_open_work() const
+{
+    return callers_.has_work() || !node_.calls.empty() || !node_.runs.empty() ||
+           peers_.has_unsent();
+}
+
 bool mesh_daemon::has_stopped(time_point now) const
 {
     if (!stop_requested_at_) {
         return false;
     }
     duration passed = now - *stop_requested_at_;
-    bool is_empty = draining_ && !callers_.has_work() && node_.calls.empty() && node_.runs.empty();
+    bool is_empty = draining_ && !callers_.is_listening() && !has_open_work();
     return is_empty || passed >= settings_.stop_time - stop_margin;
 }
 
--- a/gullstall/src/edge/mesh_daemon.hpp
+++ b/gullstall/src/edge/mesh_daemon.hpp
@@ -105,6 +105,7 @@
     void schedule_expiry();
     void schedule_tick();
     void tick();
+    bool has_open_work() const;
     bool has_stopped(time_point now) const;
 
     boost::asio::io_context &io_;
--- a/gullstall/src/edge/peer_connection.hpp
+++ b/gullstall/src/edge/peer_connection.hpp
@@ -67,6 +67,12 @@
     /// \returns the correlation ids of queued calls of which no byte has been sent
     std::vector<std::uint64_t> unsent_calls() const;
 
+    /// \returns whether frames wait to be written
+    bool has_unsent() const
+    {
+        return !closed_ && queued_bytes_ > 0;
+    }
+
     time_point last_received_at() const
     {
         return last_received_at_;
--- a/gullstall/src/edge/peer_links.cpp
+++ b/gullstall/src/edge/peer_links.cpp
@@ -212,6 +212,12 @@
     return send(*it.connection, frame, encode_frame_of<mesh_wire::frame>(frame));
 }
 
+bool peer_links::has_unsent() const
+{
+    return std::any_of(accepted_.begin(), accepted_.end(),
+                       [](const auto &entry) { return entry.second->has_unsent(); });
+}
+
 void peer_links::send_to_link(link_ref link, const mesh_wire::frame_message &frame)
 {
     auto found = accepted_.find(link);
--- a/gullstall/src/edge/peer_links.hpp
+++ b/gullstall/src/edge/peer_links.hpp
@@ -61,6 +61,8 @@
     /// Sends a frame to a node.
     /// \returns false when the frame was definitely not sent
     bool send_to_node(const std::string &node, const mesh_wire::frame_message &frame);
+    /// \returns whether frames to nodes that have connected, such as replies, wait to be written
+    bool has_unsent() const;
 
     /// Sends a frame over a connection that another node opened.
     void send_to_link(mesh::link_ref link, const mesh_wire::frame_message &frame);
--- a/test/runtime/edge_closes.cpp
+++ b/test/runtime/edge_closes.cpp
@@ -131,6 +131,30 @@
     CHECK(losses.empty());
 }
 
+// Guards against a process that ends while requests wait in its sockets.
+TEST_CASE_FIXTURE(edge_fixture, "end of the server, request not yet read, counts as work")
+{
+    CHECK_FALSE(server->has_work());
+    send("/first");
+    CHECK(server->has_work());
+}
+
+// Guards against clients that are reset since they had not been accepted when the socket was
+// closed.
+TEST_CASE_FIXTURE(edge_fixture, "end of the server, connection not yet accepted, is served")
+{
+    tcp::socket late(io);
+    late.connect(at);
+    asio::write(late, asio::buffer(std::string("GET /late HTTP/1.1\r\nHost: h\r\n\r\n")));
+    server->stop_listening();
+    run();
+    CHECK(requests.size() == 1);
+    tcp::socket refused(io);
+    boost::system::error_code ec;
+    refused.connect(at, ec);
+    CHECK(ec == asio::error::connection_refused);
+}
+
 // Guards against a request that runs although its client was told that it has not.
 TEST_CASE_FIXTURE(edge_fixture, "request timed out, its rest arrives, is not passed on")
 {
