--- a/test/standins/soak/deployment.hpp
+++ b/test/standins/soak/deployment.hpp
@@ -51,6 +51,7 @@
     boost::asio::awaitable<void> pause_node(std::size_t i);
     boost::asio::awaitable<void> stop_clients();
     void start_node(std::size_t i);
+    bool has_begun(std::size_t i) const;
     void start_clients(std::size_t i);
     void reload(std::size_t i, bool with_signal);
     void change_policy();
--- a/test/standins/soak/verdict.hpp
+++ b/test/standins/soak/verdict.hpp
@@ -12,7 +12,9 @@
     time_point asked_at;
     time_point ended_at;
     bool was_killed = false;  ///< by SIGKILL, after the stop time
-    int status = 0;           ///< of the process, as waitpid() has it
+    bool had_begun =
+        true;        ///< its program ran: a signal to a process that has not is the end of it
+    int status = 0;  ///< of the process, as waitpid() has it
 };
 
 /// What was seen of a soak.
