--- a/gullstall/src/settings/endpoint.cpp
+++ b/gullstall/src/settings/endpoint.cpp
@@ -5,7 +5,8 @@
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
-#include <boost/lexical_cast/try_lexical_convert.hpp>
+
+#include "gullstall/src/core/digits.hpp"
 
 namespace gullstall {
 
@@ -34,13 +35,14 @@
 {
     std::string it(text);
     std::size_t colon = it.rfind(':');
-    std::uint16_t port = 0;
-    bool good = colon != std::string::npos && is_address(it.substr(0, colon)) &&
-                boost::conversion::try_lexical_convert(it.substr(colon + 1), port) && port != 0;
-    if (!good) {
+    std::optional<std::uint16_t> port;
+    if (colon != std::string::npos && is_address(it.substr(0, colon))) {
+        port = parse_digits<std::uint16_t>(text.substr(colon + 1));
+    }
+    if (!port || *port == 0) {
         return error{error_code::wrong_type, "found '" + it + "', expected IP number:port"};
     }
-    return endpoint{it.substr(0, colon), port};
+    return endpoint{it.substr(0, colon), *port};
 }
 
 result<std::vector<endpoint>> parse_endpoints(std::string_view text)
