--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -1,10 +1,10 @@
 #include "gullstall/src/edge/mesh_daemon.hpp"
 
 #include <boost/asio/post.hpp>
-#include <boost/lexical_cast/try_lexical_convert.hpp>
 
 #include "gullstall/src/edge/clock.hpp"
 #include "gullstall/src/edge/http_answer.hpp"
+#include "gullstall/src/edge/time_fields.hpp"
 #include "gullstall/src/mesh/crash_guard.hpp"
 #include "gullstall/src/mesh/quota_control.hpp"
 #include "gullstall/src/mesh/quota_keeper.hpp"
@@ -256,11 +256,7 @@
     request.method = std::move(it.method);
     request.target = std::move(it.target);
     request.body = std::move(it.body);
-    std::int64_t left_ms = 0;
-    std::string_view value = header_value(it.fields, dialect_.names.time_left_ms);
-    if (!value.empty() && boost::conversion::try_lexical_convert(value, left_ms)) {
-        request.time_left = milliseconds(left_ms);
-    }
+    request.time_left = parse_time_left(header_value(it.fields, dialect_.names.time_left_ms));
     if (request.request_id.empty()) {
         callers_.respond(id, http_error(400));
         return;
--- a/gullstall/src/edge/upstream_exchange.cpp
+++ b/gullstall/src/edge/upstream_exchange.cpp
@@ -5,11 +5,11 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/lexical_cast/try_lexical_convert.hpp>
 
 #include "gullstall/src/edge/clock.hpp"
 #include "gullstall/src/edge/http_edge.hpp"
 #include "gullstall/src/edge/notice_fields.hpp"
+#include "gullstall/src/edge/time_fields.hpp"
 #include "gullstall/src/edge/upstream_connect.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
 
@@ -41,23 +41,13 @@
 /// it closes the connection is lost.
 constexpr double keep_alive_fraction = 0.7;
 
-/// \returns the reuse time derived from "timeout=N" in a Keep-Alive field
-duration keep_alive_timeout(const http::fields &fields)
+/// \returns for how long the connection of such a response may rest and be reused
+duration reuse_time(const http::fields &fields)
 {
-    std::string_view text(fields[http::field::keep_alive].data(),
-                          fields[http::field::keep_alive].size());
-    std::size_t at = text.find("timeout=");
-    if (at == std::string_view::npos) {
-        return default_keep_alive_time;
-    }
-    constexpr std::size_t skip = 8;
-    std::string_view digits = text.substr(at + skip);
-    digits = digits.substr(0, digits.find_first_not_of("0123456789"));
-    double n = 0;
-    if (!boost::conversion::try_lexical_convert(digits, n)) {
-        return default_keep_alive_time;
-    }
-    return duration(static_cast<std::int64_t>(n * keep_alive_fraction * seconds(1) / duration(1)));
+    auto field = fields[http::field::keep_alive];
+    std::optional<duration> timeout = parse_keep_alive_timeout({field.data(), field.size()});
+    return timeout ? from_seconds(keep_alive_fraction * to_seconds(*timeout))
+                   : default_keep_alive_time;
 }
 
 }  // namespace
@@ -209,7 +199,7 @@
 {
     reusable_ = is_framed && response.keep_alive() && request_written_ && buf_.size() == 0 &&
                 generation_ == owner_.generation_;
-    keep_alive_time_ = keep_alive_timeout(response);
+    keep_alive_time_ = reuse_time(response);
 }
 
 void upstream_exchange::cancel()
