Answers without end are given up within a bound of memory

A node read up to 64 MB of each such body; a few at once go beyond the memory of an instance, and the process ends. The bodies of all answers that are being read are bounded by a quarter of memory_mb; beyond it the largest one is given up, so that good ones beside it are whole. An answer that names no request is given up at its header, unread.

--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -133,6 +133,9 @@
       tick_timer_(io)
 {
     node_.features = features;
+    constexpr double response_memory_share = 0.25;
+    upstream_.limit_response_memory(
+        static_cast<std::size_t>(settings.node.memory_mb * response_memory_share * (1U << 20U)));
     schedule_tick();
 }
 
--- a/gullstall/src/edge/upstream_client.cpp
+++ b/gullstall/src/edge/upstream_client.cpp
@@ -1,5 +1,7 @@
 #include "gullstall/src/edge/upstream_client.hpp"
 
+#include <algorithm>
+
 #include "gullstall/src/edge/clock.hpp"
 #include "gullstall/src/edge/spawn.hpp"
 #include "gullstall/src/edge/upstream_connect.hpp"
@@ -44,7 +46,7 @@
     spawn(
         io_, [exchange] { return exchange->run(); },
         [this, exchange](const std::string &what) {
-            exchange->abort();
+            exchange->abort(mesh::run_end::lost);
             on_exception_(what);
         });
 }
@@ -89,6 +91,27 @@
     co_return mesh::upstream_probe::accepted;
 }
 
+void upstream_client::limit_response_memory(std::size_t bytes)
+{
+    max_response_bytes_ = bytes;
+}
+
+void upstream_client::add_response_bytes(std::size_t n)
+{
+    response_bytes_ += n;
+    if (response_bytes_ <= max_response_bytes_) {
+        return;
+    }
+    auto largest =
+        std::max_element(exchanges_.begin(), exchanges_.end(), [](const auto &a, const auto &b) {
+            return a.second->response_bytes() < b.second->response_bytes();
+        });
+    if (largest != exchanges_.end()) {
+        std::shared_ptr<upstream_exchange> exchange = largest->second;
+        exchange->abort(mesh::run_end::bad_answer);
+    }
+}
+
 void upstream_client::discard_connections()
 {
     ++generation_;
--- a/gullstall/src/edge/upstream_client.hpp
+++ b/gullstall/src/edge/upstream_client.hpp
@@ -50,6 +50,12 @@
         completion_handler on_complete, notice_handler on_notice,
         exception_handler on_exception = [](const std::string &) {});
 
+    /// Bounds the bodies of all responses that are being read, in bytes. Beyond it the largest
+    /// one is given up: an upstream may send bytes without end.
+    void limit_response_memory(std::size_t bytes);
+
+    static constexpr std::size_t default_response_memory = 64U << 20U;
+
     /// Sends a request. The completion handler is called when it ends, unless cancel()
     /// is called first.
     void start(mesh::start_run &&order);
@@ -85,6 +91,7 @@
     };
 
     std::optional<boost::asio::ip::tcp::socket> take_idle_connection();
+    void add_response_bytes(std::size_t n);
     boost::asio::awaitable<mesh::upstream_probe> open_probe();
 
     boost::asio::io_context &io_;
@@ -97,6 +104,8 @@
     std::vector<idle_connection> idle_;
     std::uint64_t generation_ = 0;  ///< connections of an earlier generation are not reused
     std::uint64_t connections_opened_ = 0;
+    std::size_t response_bytes_ = 0;  ///< of the bodies that are being read
+    std::size_t max_response_bytes_ = default_response_memory;
 };
 
 }  // namespace gullstall::edge
--- a/gullstall/src/edge/upstream_exchange.cpp
+++ b/gullstall/src/edge/upstream_exchange.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <utility>
 
 #include "gullstall/src/edge/clock.hpp"
 #include "gullstall/src/edge/http_edge.hpp"
@@ -127,11 +128,25 @@
 asio::awaitable<bool> upstream_exchange::read_body(response_parser &parser)
 {
     error_code ec;
-    if (!parser.is_done()) {
-        co_await http::async_read(socket_, buf_, parser,
-                                  asio::redirect_error(asio::use_awaitable, ec));
+    while (!ec && !completed_ && !parser.is_done()) {
+        co_await http::async_read_some(socket_, buf_, parser,
+                                       asio::redirect_error(asio::use_awaitable, ec));
+        if (!completed_) {
+            add_response_bytes(parser.get().body().size() - response_bytes_);
+        }
     }
-    co_return !ec;
+    co_return !ec && !completed_;
+}
+
+void upstream_exchange::add_response_bytes(std::size_t n)
+{
+    response_bytes_ += n;
+    owner_.add_response_bytes(n);
+}
+
+void upstream_exchange::return_response_bytes()
+{
+    owner_.response_bytes_ -= std::exchange(response_bytes_, 0);
 }
 
 /// Reports what the upstream says of itself. A misdirected request was answered by another
@@ -160,31 +175,33 @@
         if (has_header && response.result_int() >= first_final_status) {
             report_notice(response, is_stale);
         }
-        if (!has_header || !co_await read_body(parser)) {
+        bool is_anonymous = echoed.empty() && response.result_int() >= first_final_status &&
+                            !was_not_executed(response);
+        if (!has_header || is_anonymous || !co_await read_body(parser)) {
             bool received_nothing = !parser.got_some();
             co_return run_result{
                 received_nothing ? run_end::lost : run_end::bad_answer, 0, "", "", {}};
         }
+        return_response_bytes();
         if (is_stale || response.result_int() < first_final_status) {
             continue;
         }
-        bool was_not_executed = response.find(owner_.names_.not_executed) != response.end() ||
-                                response.result() == http::status::misdirected_request;
-        if (echoed.empty() && !was_not_executed) {
-            co_return run_result{run_end::bad_answer, 0, "", "", {}};
-        }
         evaluate_reuse(response, !parser.need_eof());
         co_return to_run_result(parser.release());
     }
     co_return run_result{run_end::bad_answer, 0, "", "", {}};
 }
 
+bool upstream_exchange::was_not_executed(const response_parser::value_type &response) const
+{
+    return response.find(owner_.names_.not_executed) != response.end() ||
+           response.result() == http::status::misdirected_request;
+}
+
 run_result upstream_exchange::to_run_result(response_parser::value_type &&response) const
 {
-    bool was_not_executed = response.find(owner_.names_.not_executed) != response.end() ||
-                            response.result() == http::status::misdirected_request;
     run_result out;
-    out.end = was_not_executed ? run_end::not_executed : run_end::answered;
+    out.end = was_not_executed(response) ? run_end::not_executed : run_end::answered;
     out.status = static_cast<std::uint16_t>(response.result_int());
     out.status_text = std::string(response.reason());
     out.header_lines = end_to_end_lines(response);
@@ -205,13 +222,14 @@
 void upstream_exchange::cancel()
 {
     completed_ = true;
+    return_response_bytes();
     error_code ec;
     socket_.close(ec);
 }
 
-void upstream_exchange::abort()
+void upstream_exchange::abort(run_end how)
 {
-    complete(run_result{run_end::lost, 0, "", "", {}});
+    complete(run_result{how, 0, "", "", {}});
     error_code ec;
     socket_.close(ec);
 }
@@ -222,6 +240,7 @@
         return;
     }
     completed_ = true;
+    return_response_bytes();
     error_code ec;
     if (reusable_) {
         if (order_.call.body.size() > max_prompt_body_bytes) {
--- a/gullstall/src/edge/upstream_exchange.hpp
+++ b/gullstall/src/edge/upstream_exchange.hpp
@@ -18,8 +18,14 @@
     boost::asio::awaitable<void> run();
     void cancel();
 
-    /// Ends the exchange as one whose response is lost.
-    void abort();
+    /// Ends the exchange without a response.
+    void abort(mesh::run_end how);
+
+    /// \returns the bytes of the response's body that have been read
+    std::size_t response_bytes() const
+    {
+        return response_bytes_;
+    }
 
 private:
     using response_parser =
@@ -29,8 +35,11 @@
     boost::asio::awaitable<mesh::run_result> read_matching_response();
     boost::asio::awaitable<bool> read_header(response_parser &parser);
     boost::asio::awaitable<bool> read_body(response_parser &parser);
+    void add_response_bytes(std::size_t n);
+    void return_response_bytes();
     void report_notice(const response_parser::value_type &response, bool is_stale);
     void write_request();
+    bool was_not_executed(const response_parser::value_type &response) const;
     mesh::run_result to_run_result(response_parser::value_type &&response) const;
     void evaluate_reuse(const response_parser::value_type &response, bool is_framed);
     void complete(mesh::run_result &&result);
@@ -41,6 +50,7 @@
     boost::asio::ip::tcp::socket socket_;
     boost::beast::flat_buffer buf_;
     std::uint64_t generation_;
+    std::size_t response_bytes_ = 0;
     bool request_written_ = false;
     bool completed_ = false;
     bool reusable_ = false;
