What an upstream has announced of its end outlives its node's process

Cause, class: the list of those gone lasts no longer than its process, and a message may be under way for longer. The same holds for an upstream that drains: an older heartbeat says ready.

The node writes the announced end into a row of its own (gullstall-upstreams/NODE), when the upstream begins to drain or leaves, and reads it at its start, before the upstream gets a call; a heartbeat of that incarnation from before is refused, also one that came before the store's answer. With the store away at the start nothing is held back for more than 0.2 s. One write a leave, one read a start.

Left: a node that is killed within the time of the write, see docs/design/what_nodes_learn.md.

--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -224,6 +224,10 @@
                 if (save_suspects_) {
                     save_suspects_(std::move(it));
                 }
+            } else if constexpr (std::is_same_v<kind, mesh::store_end>) {
+                if (save_end_) {
+                    save_end_(std::move(it));
+                }
             } else {
                 static_assert(std::is_same_v<kind, write_line>, "unhandled action type");
                 log_.write(it);
@@ -392,6 +396,17 @@
     node_.stored_suspects.expected = true;
 }
 
+void mesh_daemon::set_end_saver(std::function<void(mesh::store_end &&)> save)
+{
+    save_end_ = std::move(save);
+    node_.expects_stored_end = true;
+}
+
+void mesh_daemon::update_stored_end(const std::optional<mesh::announced_end> &stored)
+{
+    step("stored end", [&](mesh_turn &t) { handle_stored_end(t, stored); });
+}
+
 void mesh_daemon::update_suspects(const std::vector<kept_suspect> &row)
 {
     step("stored suspects", [&](mesh_turn &t) { handle_stored_suspects(t, row); });
--- a/gullstall/src/edge/mesh_daemon.hpp
+++ b/gullstall/src/edge/mesh_daemon.hpp
@@ -63,6 +63,13 @@
     /// first policy the upstream gets no calls until they have been read, see max_suspects_wait.
     void set_suspects_saver(std::function<void(mesh::store_suspects &&)> save);
 
+    /// Sets the function that saves the announced end of the local upstream in the store. Its
+    /// row is expected to be read at the start.
+    void set_end_saver(std::function<void(mesh::store_end &&)> save);
+
+    /// Applies the announced end read from the store, none if there is no row.
+    void update_stored_end(const std::optional<mesh::announced_end> &stored);
+
     /// Applies the suspects read from the store.
     void update_suspects(const std::vector<kept_suspect> &row);
 
@@ -114,6 +121,7 @@
     mesh::mesh_node node_;
     std::function<void(mesh::store_chain &&)> save_chain_;
     std::function<void(mesh::store_suspects &&)> save_suspects_;
+    std::function<void(mesh::store_end &&)> save_end_;
     loop_watch loop_;
     std::map<std::string, std::uint64_t> cut_requests_;  ///< by the reason of the close
     line_log log_;
--- a/gullstall/src/mesh/mesh_actions.hpp
+++ b/gullstall/src/mesh/mesh_actions.hpp
@@ -12,6 +12,7 @@
 #include "gullstall/generated/mesh_generated.h"
 #include "gullstall/src/mesh/call_chain.hpp"
 #include "gullstall/src/mesh/directory.hpp"
+#include "gullstall/src/mesh/own_upstream.hpp"
 #include "gullstall/suspects.hpp"
 
 namespace gullstall::mesh {
@@ -148,6 +149,12 @@
     std::vector<kept_suspect> suspects;
 };
 
+/// Persists in the platform's store what the local upstream has announced of its end.
+struct store_end
+{
+    announced_end end;
+};
+
 /// One field of a log line.
 struct log_field
 {
@@ -172,7 +179,7 @@
 /// Any effect that a node requests of its runtime.
 using mesh_action = std::variant<answer_caller, send_to_node, send_to_link, send_to_links,
                                  start_run, cancel_run, upstream_replaced, probe_upstream,
-                                 connect_node, store_chain, store_suspects, write_line>;
+                                 connect_node, store_chain, store_suspects, store_end, write_line>;
 
 /// Actions in execution order.
 using mesh_actions = std::vector<mesh_action>;
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -160,6 +160,9 @@
     crash_suspects suspects;
     std::vector<request_signature> cleared_suspects;  ///< not yet reported to the others
     kept_suspects stored_suspects;
+    bool expects_stored_end =
+        false;  ///< the process reads the upstream's announced end at its start
+    bool stored_end_read = false;
     std::vector<run_ref> held_runs;  ///< suspects that wait for others; may contain ended runs
     run_gate gate;
     bool reported_errors = false;  ///< of the local upstream, by report_upstream_errors
@@ -305,6 +308,10 @@
 // upstream_news.cpp: state reported by the local upstream
 heartbeat_verdict handle_heartbeat(mesh_turn &t, const upstream_heartbeat &beat);
 void handle_leave(mesh_turn &t, const std::string &upstream, std::uint64_t unix_ms);
+/// \returns whether the local upstream gets no calls until its announced end has been read
+bool awaits_stored_end(const mesh_node &n, time_point now);
+/// Handles what the store keeps of the local upstream's announced end; none if nothing.
+void handle_stored_end(mesh_turn &t, const std::optional<announced_end> &stored);
 
 /// Updates the gate to the state of the upstream.
 void sync_gate(mesh_turn &t);
--- a/gullstall/src/mesh/own_upstream.cpp
+++ b/gullstall/src/mesh/own_upstream.cpp
@@ -25,6 +25,12 @@
     return beat.upstream == latest.upstream && beat.sequence <= latest.sequence;
 }
 
+bool precedes_stored_end(const own_upstream &it, const upstream_heartbeat &beat)
+{
+    return it.stored_end && it.stored_end->upstream == beat.upstream &&
+           it.stored_end->started_ms == beat.started_ms && beat.sequence < it.stored_end->sequence;
+}
+
 }  // namespace
 
 bool is_same_incarnation(const std::optional<upstream_heartbeat> &latest,
@@ -38,7 +44,7 @@
     if (has_departed(it, beat)) {
         return heartbeat_verdict::departed;
     }
-    if (it.latest && is_outdated(*it.latest, beat)) {
+    if (precedes_stored_end(it, beat) || (it.latest && is_outdated(*it.latest, beat))) {
         return heartbeat_verdict::outdated;
     }
     bool is_same = is_same_incarnation(it.latest, beat);
@@ -69,6 +75,25 @@
     }
 }
 
+void restore_end(own_upstream &it, const announced_end &stored)
+{
+    it.stored_end = stored;
+    if (stored.has_departed) {
+        it.departed.push_front(departed_upstream{stored.upstream, stored.started_ms});
+    }
+    if (it.latest && (has_departed(it, *it.latest) || precedes_stored_end(it, *it.latest))) {
+        it.latest.reset();
+    }
+}
+
+std::optional<announced_end> end_of(const upstream_heartbeat &beat)
+{
+    if (beat.state != mesh_wire::upstream_state::draining) {
+        return std::nullopt;
+    }
+    return announced_end{beat.upstream, beat.started_ms, beat.sequence, false};
+}
+
 bool accepts_work(const own_upstream &it)
 {
     return it.latest && it.latest->state == mesh_wire::upstream_state::ready && !it.has_crashed &&
--- a/gullstall/src/mesh/own_upstream.hpp
+++ b/gullstall/src/mesh/own_upstream.hpp
@@ -36,6 +36,18 @@
     departed   ///< the incarnation has announced its departure
 };
 
+/// What an incarnation has announced of its end, as the platform's store keeps it for the
+/// node's next process.
+struct announced_end
+{
+    std::string upstream;
+    std::uint64_t started_ms = 0;
+    std::uint64_t sequence = 0;  ///< of the heartbeat that announced it
+    bool has_departed = false;   ///< false: it is draining
+
+    bool operator==(const announced_end &) const = default;
+};
+
 /// Incarnation that has departed.
 struct departed_upstream
 {
@@ -55,9 +67,10 @@
     time_point draining_since{};  ///< valid when the latest state is draining
     bool has_crashed = false;     ///< the incarnation of the latest heartbeat has
     std::deque<departed_upstream> departed;
-    std::optional<named_limit> limit;  ///< of the incarnation of the latest heartbeat
-    bool has_announced_leave = false;  ///< that incarnation has, in a response
-    request_window requests;           ///< sent to the upstream
+    std::optional<announced_end> stored_end;  ///< known from the store
+    std::optional<named_limit> limit;         ///< of the incarnation of the latest heartbeat
+    bool has_announced_leave = false;         ///< that incarnation has, in a response
+    request_window requests;                  ///< sent to the upstream
     /// What peers remember of the upstream, until it announces itself to this process.
     std::optional<mesh_wire::upstream_notice_message> remembered;
     std::string remembered_by;   ///< peer that told of it
@@ -79,6 +92,13 @@
 /// heartbeat, so that its delayed heartbeats are ignored
 void apply_leave(own_upstream &it, const std::string &upstream, std::uint64_t unix_ms);
 
+/// Applies what an earlier process of the node has stored. Heartbeats from before the
+/// announcement are outdated, also one that has arrived before the store's answer.
+void restore_end(own_upstream &it, const announced_end &stored);
+
+/// \returns what the latest heartbeat announces, if it announces an end
+std::optional<announced_end> end_of(const upstream_heartbeat &beat);
+
 /// \returns whether requests may be dispatched to the upstream
 bool accepts_work(const own_upstream &it);
 
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -120,7 +120,7 @@
     if (t.n.upstream.latest->service != call.service) {
         return reason::other_service;
     }
-    if (t.n.upstream.has_crashed || awaits_suspects(t.n, t.now)) {
+    if (t.n.upstream.has_crashed || awaits_suspects(t.n, t.now) || awaits_stored_end(t.n, t.now)) {
         return reason::no_upstream;
     }
     if (!accepts_work(t.n.upstream)) {
@@ -329,7 +329,7 @@
 bool accepts_runs(const mesh_node &n, time_point now)
 {
     return !n.gate_closed && accepts_work(n.upstream) && now >= n.upstream_backoff_until &&
-           !awaits_suspects(n, now);
+           !awaits_suspects(n, now) && !awaits_stored_end(n, now);
 }
 
 void handle_call(mesh_turn &t, link_ref link, mesh_wire::call_message &&call)
--- a/gullstall/src/mesh/upstream_news.cpp
+++ b/gullstall/src/mesh/upstream_news.cpp
@@ -5,6 +5,14 @@
 
 using mesh_wire::reason;
 
+namespace {
+
+/// Maximum time after the start for which an unread row holds calls back: the store answers
+/// within milliseconds, or is away.
+constexpr duration max_stored_end_wait = milliseconds(200);
+
+}  // namespace
+
 void sync_gate(mesh_turn &t)
 {
     if (accepts_work(t.n.upstream)) {
@@ -37,6 +45,9 @@
         recall_notice(t);
     }
     sync_gate(t);
+    if (std::optional<announced_end> end = end_of(beat); end && has_changed) {
+        t.out.emplace_back(store_end{*end});
+    }
     if (has_changed) {
         t.out.emplace_back(write_line{write_line::severity::info,
                                       "upstream",
@@ -57,10 +68,35 @@
 void handle_leave(mesh_turn &t, const std::string &upstream, std::uint64_t unix_ms)
 {
     apply_leave(t.n.upstream, upstream, unix_ms);
+    t.out.emplace_back(
+        store_end{announced_end{upstream, t.n.upstream.departed.back().started_ms, 0, true}});
     t.out.emplace_back(write_line{
         write_line::severity::info, "upstream", "upstream-left", {{"upstream", upstream}}});
     sync_gate(t);
     send_status_to_callers(t);
 }
 
+bool awaits_stored_end(const mesh_node &n, time_point now)
+{
+    return n.expects_stored_end && !n.stored_end_read && now < n.started_at + max_stored_end_wait;
+}
+
+void handle_stored_end(mesh_turn &t, const std::optional<announced_end> &stored)
+{
+    t.n.stored_end_read = true;
+    if (!stored) {
+        return;
+    }
+    restore_end(t.n.upstream, *stored);
+    t.out.emplace_back(write_line{write_line::severity::info,
+                                  "upstream",
+                                  "stored-end-read",
+                                  {{"upstream", stored->upstream},
+                                   {"state", stored->has_departed ? "departed" : "draining"},
+                                   {"born", std::to_string(stored->started_ms)},
+                                   {"sequence", std::to_string(stored->sequence)}}});
+    sync_gate(t);
+    send_status_to_callers(t);
+}
+
 }  // namespace gullstall::mesh
--- a/test/platform/formats.cpp
+++ b/test/platform/formats.cpp
@@ -6,6 +6,7 @@
 #include "platform/operator_policy.hpp"
 #include "platform/store_http.hpp"
 #include "platform/suspect_rows.hpp"
+#include "platform/upstream_rows.hpp"
 
 using namespace gullstall;
 
@@ -211,6 +212,21 @@
     CHECK_FALSE(succeeded(platform::read_chain_row(R"({"roster":-1})")));
 }
 
+TEST_CASE("row of an announced end, printed, is read back, and bad content is refused")
+{
+    mesh::announced_end end{"i-1", 1700000000000, 4, true};
+    auto read = platform::read_upstream_row(platform::print_upstream_row(end));
+    REQUIRE(succeeded(read));
+    CHECK(value_of(read) == end);
+    for (const char *text : {"{", R"({"upstream":"i-1","born":1,"seq":1,"state":"ready"})",
+                             R"({"upstream":7,"born":1,"seq":1,"state":"departed"})",
+                             R"({"upstream":"i-1","born":-1,"seq":1,"state":"departed"})",
+                             R"({"upstream":"i-1","born":1,"state":"departed"})"}) {
+        INFO(text);
+        CHECK_FALSE(succeeded(platform::read_upstream_row(text)));
+    }
+}
+
 TEST_CASE("suspect row, printed, is read back with its age")
 {
     std::vector<kept_suspect> kept{{request_signature{0xfe}, 3, 1, milliseconds(200)},
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -98,10 +98,11 @@
     std::vector<kept_suspect> stored_suspects;
     time_point suspects_stored_at{};
     std::uint64_t suspect_writes = 0;
-    duration store_delay = milliseconds(5);  ///< of a read or write of the suspects
-    time_point store_away_until{};           ///< until then no read or write of them succeeds
-    bool policy_in_store = false;            ///< so that a node that starts then has none
-    bool nodes_await_suspects = true;        ///< upstreams get no calls before they are read
+    std::map<std::string, mesh::announced_end> stored_ends;  ///< in the store, by node
+    duration store_delay = milliseconds(5);                  ///< of a read or write of the suspects
+    time_point store_away_until{};     ///< until then no read or write of them succeeds
+    bool policy_in_store = false;      ///< so that a node that starts then has none
+    bool nodes_await_suspects = true;  ///< upstreams get no calls before they are read
     /// Pairs (from, to) whose frames are held back until the pair is removed.
     std::set<std::pair<std::string, std::string>> partitions;
     std::set<std::string> paused_nodes;  ///< nodes whose process is paused
@@ -153,6 +154,8 @@
         nodes.insert_or_assign(name, make_mesh_node(settings, incarnation, random(), now));
         nodes.at(name).features = features;
         nodes.at(name).stored_suspects.expected = nodes_await_suspects;
+        nodes.at(name).expects_stored_end = true;
+        read_stored_end(name, incarnation);
         read_suspects(name, incarnation);
         if (policy_in_store && now < store_away_until) {
             schedule_at(store_away_until,
@@ -645,6 +648,27 @@
         });
     }
 
+    void read_stored_end(const std::string &name, std::uint64_t incarnation)
+    {
+        schedule_at(std::max(now + store_delay, store_away_until), [this, name, incarnation] {
+            if (nodes.at(name).incarnation == incarnation) {
+                auto found = stored_ends.find(name);
+                std::optional<mesh::announced_end> end;
+                if (found != stored_ends.end()) {
+                    end = found->second;
+                }
+                run_node(name, [end](mesh::mesh_turn &t) { handle_stored_end(t, end); });
+            }
+        });
+    }
+
+    void perform(const std::string &name, mesh::store_end &it)
+    {
+        if (now >= store_away_until) {
+            stored_ends[name] = it.end;
+        }
+    }
+
     void perform(const std::string &name, mesh::store_suspects &it)
     {
         bool works = now >= store_away_until;
