--- a/test/platform/odd_entries.cpp
+++ b/test/platform/odd_entries.cpp
@@ -50,7 +50,7 @@
     numbers[field] = number;
     std::string out = R"({"service":"books","address":"10.0.0.9:80","zone":"a","state":"ready")";
     for (const auto &[name, n] : numbers) {
-        out += ",\"" + name + "\":" + n;
+        out.append(",\"").append(name).append("\":").append(n);
     }
     return out + "}";
 }
