--- a/test/standins/soak/client.cpp
+++ b/test/platform/soak/client.cpp
@@ -1,4 +1,4 @@
-#include "test/standins/soak/client.hpp"
+#include "test/platform/soak/client.hpp"
 
 #include <array>
 #include <boost/asio/co_spawn.hpp>
--- a/test/standins/soak/client.hpp
+++ b/test/platform/soak/client.hpp
@@ -1,11 +1,11 @@
-#ifndef GULLSTALL_TEST_STANDINS_SOAK_CLIENT_HPP
-#define GULLSTALL_TEST_STANDINS_SOAK_CLIENT_HPP
+#ifndef GULLSTALL_TEST_PLATFORM_SOAK_CLIENT_HPP
+#define GULLSTALL_TEST_PLATFORM_SOAK_CLIENT_HPP
 
 #include <deque>
 #include <memory>
 #include <optional>
 
-#include "test/standins/soak/upstream.hpp"
+#include "test/platform/soak/upstream.hpp"
 
 namespace gullstall::standin {
 
--- a/test/standins/soak/deployment.cpp
+++ b/test/platform/soak/deployment.cpp
@@ -1,4 +1,4 @@
-#include "test/standins/soak/deployment.hpp"
+#include "test/platform/soak/deployment.hpp"
 
 #include <signal.h>
 #include <sys/wait.h>
--- a/test/standins/soak/deployment.hpp
+++ b/test/platform/soak/deployment.hpp
@@ -1,10 +1,10 @@
-#ifndef GULLSTALL_TEST_STANDINS_SOAK_DEPLOYMENT_HPP
-#define GULLSTALL_TEST_STANDINS_SOAK_DEPLOYMENT_HPP
+#ifndef GULLSTALL_TEST_PLATFORM_SOAK_DEPLOYMENT_HPP
+#define GULLSTALL_TEST_PLATFORM_SOAK_DEPLOYMENT_HPP
 
 #include <boost/asio/signal_set.hpp>
 
-#include "test/standins/soak/store.hpp"
-#include "test/standins/soak/verdict.hpp"
+#include "test/platform/soak/store.hpp"
+#include "test/platform/soak/verdict.hpp"
 
 namespace gullstall::standin {
 
--- a/test/standins/soak/fleet.cpp
+++ b/test/platform/soak/fleet.cpp
@@ -1,4 +1,4 @@
-#include "test/standins/soak/fleet.hpp"
+#include "test/platform/soak/fleet.hpp"
 
 #include <fcntl.h>
 #include <signal.h>
--- a/test/standins/soak/fleet.hpp
+++ b/test/platform/soak/fleet.hpp
@@ -1,5 +1,5 @@
-#ifndef GULLSTALL_TEST_STANDINS_SOAK_FLEET_HPP
-#define GULLSTALL_TEST_STANDINS_SOAK_FLEET_HPP
+#ifndef GULLSTALL_TEST_PLATFORM_SOAK_FLEET_HPP
+#define GULLSTALL_TEST_PLATFORM_SOAK_FLEET_HPP
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
--- a/test/standins/soak/soak.cpp
+++ b/test/platform/soak/soak.cpp
@@ -6,7 +6,7 @@
 #include <filesystem>
 #include <iostream>
 
-#include "test/standins/soak/deployment.hpp"
+#include "test/platform/soak/deployment.hpp"
 
 namespace {
 
--- a/test/standins/soak/store.cpp
+++ b/test/platform/soak/store.cpp
@@ -1,4 +1,4 @@
-#include "test/standins/soak/store.hpp"
+#include "test/platform/soak/store.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/test/standins/soak/store.hpp
+++ b/test/platform/soak/store.hpp
@@ -1,11 +1,11 @@
-#ifndef GULLSTALL_TEST_STANDINS_SOAK_STORE_HPP
-#define GULLSTALL_TEST_STANDINS_SOAK_STORE_HPP
+#ifndef GULLSTALL_TEST_PLATFORM_SOAK_STORE_HPP
+#define GULLSTALL_TEST_PLATFORM_SOAK_STORE_HPP
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/array.hpp>
 #include <set>
 
-#include "test/standins/soak/fleet.hpp"
+#include "test/platform/soak/fleet.hpp"
 
 namespace gullstall::standin {
 
--- a/test/standins/soak/upstream.cpp
+++ b/test/platform/soak/upstream.cpp
@@ -1,4 +1,4 @@
-#include "test/standins/soak/upstream.hpp"
+#include "test/platform/soak/upstream.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/test/standins/soak/upstream.hpp
+++ b/test/platform/soak/upstream.hpp
@@ -1,11 +1,11 @@
-#ifndef GULLSTALL_TEST_STANDINS_SOAK_UPSTREAM_HPP
-#define GULLSTALL_TEST_STANDINS_SOAK_UPSTREAM_HPP
+#ifndef GULLSTALL_TEST_PLATFORM_SOAK_UPSTREAM_HPP
+#define GULLSTALL_TEST_PLATFORM_SOAK_UPSTREAM_HPP
 
 #include <functional>
 #include <memory>
 #include <set>
 
-#include "test/standins/soak/fleet.hpp"
+#include "test/platform/soak/fleet.hpp"
 
 namespace gullstall::standin {
 
--- a/test/standins/soak/verdict.cpp
+++ b/test/platform/soak/verdict.cpp
@@ -1,4 +1,4 @@
-#include "test/standins/soak/verdict.hpp"
+#include "test/platform/soak/verdict.hpp"
 
 #include <signal.h>
 #include <sys/wait.h>
--- a/test/standins/soak/verdict.hpp
+++ b/test/platform/soak/verdict.hpp
@@ -1,7 +1,7 @@
-#ifndef GULLSTALL_TEST_STANDINS_SOAK_VERDICT_HPP
-#define GULLSTALL_TEST_STANDINS_SOAK_VERDICT_HPP
+#ifndef GULLSTALL_TEST_PLATFORM_SOAK_VERDICT_HPP
+#define GULLSTALL_TEST_PLATFORM_SOAK_VERDICT_HPP
 
-#include "test/standins/soak/client.hpp"
+#include "test/platform/soak/client.hpp"
 
 namespace gullstall::standin {
 
