--- a/gullstall/src/edge/edge_connection.cpp
+++ b/gullstall/src/edge/edge_connection.cpp
@@ -188,8 +188,7 @@
     write_next_response();
 }
 
-/// Decided as late as possible: requests that follow while earlier ones are unanswered are
-/// answered, too.
+/// To be asked when the response is written: requests may have come since it was made.
 bool edge_connection::closes_after(const exchange &front) const
 {
     return front.response->close || !front.keep_alive ||
@@ -312,10 +311,11 @@
 /// A request may wait in the socket's buffer, for long if the process was held up.
 bool edge_connection::is_idle()
 {
+    if (!pipeline_.empty() || buf_.size() > 0 || (parser_ && parser_->got_some())) {
+        return false;
+    }
     error_code ec;
-    bool has_input =
-        buf_.size() > 0 || (parser_ && parser_->got_some()) || socket_.available(ec) > 0;
-    return pipeline_.empty() && !has_input;
+    return socket_.available(ec) == 0;
 }
 
 void edge_connection::start_draining()
--- a/gullstall/src/edge/http_edge.cpp
+++ b/gullstall/src/edge/http_edge.cpp
@@ -7,6 +7,7 @@
 
 #include "gullstall/src/edge/edge_connection.hpp"
 #include "gullstall/src/edge/spawn.hpp"
+#include "gullstall/src/runtime/accept_waiting.hpp"
 
 namespace gullstall::edge {
 
@@ -93,15 +94,9 @@
 
 void http_edge::stop_listening()
 {
+    runtime::accept_waiting(
+        acceptor_, [this](asio::ip::tcp::socket &&socket) { add_connection(std::move(socket)); });
     error_code ec;
-    acceptor_.non_blocking(true, ec);
-    while (!ec) {
-        asio::ip::tcp::socket socket(io_);
-        acceptor_.accept(socket, ec);
-        if (!ec) {
-            add_connection(std::move(socket));
-        }
-    }
     acceptor_.close(ec);
 }
 
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -160,9 +160,8 @@
     crash_suspects suspects;
     std::vector<request_signature> cleared_suspects;  ///< not yet reported to the others
     kept_suspects stored_suspects;
-    bool expects_stored_end =
-        false;  ///< the process reads the upstream's announced end at its start
-    bool stored_end_read = false;
+    bool expects_stored_end = false;  ///< the process reads it at its start
+    bool has_read_stored_end = false;
     std::vector<run_ref> held_runs;  ///< suspects that wait for others; may contain ended runs
     run_gate gate;
     bool reported_errors = false;  ///< of the local upstream, by report_upstream_errors
--- a/gullstall/src/mesh/upstream_news.cpp
+++ b/gullstall/src/mesh/upstream_news.cpp
@@ -78,12 +78,13 @@
 
 bool awaits_stored_end(const mesh_node &n, time_point now)
 {
-    return n.expects_stored_end && !n.stored_end_read && now < n.started_at + max_stored_end_wait;
+    return n.expects_stored_end && !n.has_read_stored_end &&
+           now < n.started_at + max_stored_end_wait;
 }
 
 void handle_stored_end(mesh_turn &t, const std::optional<announced_end> &stored)
 {
-    t.n.stored_end_read = true;
+    t.n.has_read_stored_end = true;
     if (!stored) {
         return;
     }
--- a/gullstall/src/runtime/http_server.cpp
+++ b/gullstall/src/runtime/http_server.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/write.hpp>
 #include <cerrno>
 
+#include "gullstall/src/runtime/accept_waiting.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
 
 namespace gullstall::runtime {
@@ -181,15 +182,9 @@
 /// Serves the clients in the accept queue.
 void http_server::accept_waiting()
 {
-    error_code ec;
-    acceptor_.non_blocking(true, ec);
-    while (!ec) {
-        asio::ip::tcp::socket socket(io_);
-        acceptor_.accept(socket, ec);
-        if (!ec) {
-            asio::co_spawn(io_, serve(beast::tcp_stream(std::move(socket))), asio::detached);
-        }
-    }
+    runtime::accept_waiting(acceptor_, [this](asio::ip::tcp::socket &&socket) {
+        asio::co_spawn(io_, serve(beast::tcp_stream(std::move(socket))), asio::detached);
+    });
 }
 
 asio::awaitable<void> http_server::accept_loop()
--- a/test/platform/soak/client.cpp
+++ b/test/platform/soak/client.cpp
@@ -27,8 +27,6 @@
 constexpr duration reconnect_delay = milliseconds(100);
 constexpr std::uint64_t max_answer_bytes = 64U << 20U;
 
-constexpr double unsafe_notice_share = 0.3;
-
 std::uint64_t last_connection = 0;
 std::uint64_t last_request = 0;
 
@@ -128,14 +126,34 @@
     co_return out;
 }
 
-std::shared_ptr<sent_request> kept_client::draw_request(const connection &it)
+work_order kept_client::draw_work()
 {
-    constexpr double call_share = 0.4;
     constexpr double long_share = 0.05;
     constexpr double usual_run_s = 0.12;
     constexpr double large_share = 0.1;
+    constexpr double call_share = 0.4;
     constexpr std::size_t small_bytes = 300;
     constexpr std::size_t large_bytes = 60000;
+    bool is_long = draw_fraction(random_) < long_share;
+    double longest_s = is_long ? to_seconds(settings_.longest_run) : usual_run_s;
+    duration time = from_seconds(draw_fraction(random_) * longest_s);
+    bool is_large = draw_fraction(random_) < large_share;
+    bool calls = draw_fraction(random_) < call_share;
+    return work_order{time, is_large ? large_bytes : small_bytes, calls};
+}
+
+const char *kept_client::draw_prefix(bool is_safe)
+{
+    constexpr std::array<const char *, 3> safe_prefixes{"/read/", "/gazette/", "/lookup/"};
+    constexpr double notice_share = 0.3;
+    if (is_safe) {
+        return safe_prefixes.at(draw_below(random_, safe_prefixes.size()));
+    }
+    return draw_fraction(random_) < notice_share ? "/notice/" : "/register/";
+}
+
+std::shared_ptr<sent_request> kept_client::draw_request(const connection &it)
+{
     auto out = std::make_shared<sent_request>();
     out->id = "r" + std::to_string(++last_request);
     out->node = settings_.node;
@@ -143,20 +161,8 @@
     out->behind_another = !it.pending.empty();
     out->earlier_on_connection = it.sent;
     out->is_safe = out->behind_another || draw_fraction(random_) >= settings_.unsafe_share;
-    bool is_long = draw_fraction(random_) < long_share;
-    duration time = from_seconds(draw_fraction(random_) *
-                                 (is_long ? to_seconds(settings_.longest_run) : usual_run_s));
-    bool is_large = draw_fraction(random_) < large_share;
-    bool calls = draw_fraction(random_) < call_share;
-    constexpr std::size_t safe_routes = 3;
-    const char *prefix = "/register/";
-    if (out->is_safe) {
-        constexpr std::array<const char *, safe_routes> prefixes{"/read/", "/gazette/", "/lookup/"};
-        prefix = prefixes.at(draw_below(random_, safe_routes));
-    } else if (draw_fraction(random_) < unsafe_notice_share) {
-        prefix = "/notice/";
-    }
-    out->target = work_order{time, is_large ? large_bytes : small_bytes, calls}.print(prefix);
+    work_order work = draw_work();
+    out->target = work.print(draw_prefix(out->is_safe));
     return out;
 }
 
--- a/test/platform/soak/client.hpp
+++ b/test/platform/soak/client.hpp
@@ -69,6 +69,8 @@
     boost::asio::awaitable<std::shared_ptr<connection>> connect();
     boost::asio::awaitable<void> read_answers(std::shared_ptr<connection> it);
     boost::asio::awaitable<void> send(std::shared_ptr<connection> it);
+    work_order draw_work();
+    const char *draw_prefix(bool is_safe);
     std::shared_ptr<sent_request> draw_request(const connection &it);
 
     boost::asio::io_context &io_;
--- a/test/platform/soak/deployment.cpp
+++ b/test/platform/soak/deployment.cpp
@@ -36,6 +36,22 @@
 
 constexpr std::array<const char *, 3> zones{"ankara-a", "ankara-b", "kirikkale-c"};
 
+enum class disruption
+{
+    restart,       ///< SIGTERM to nodes, and their next process
+    replace,       ///< the upstream leaves, then its node
+    reload,        ///< changed settings and SIGHUP
+    changed_file,  ///< changed settings without a signal
+    pause,         ///< SIGSTOP and SIGCONT, where the settings allow it; else as policy
+    policy         ///< a change of the configuration
+};
+
+/// Each with as many entries as its share of ten.
+constexpr std::array<disruption, 10> draws{
+    disruption::restart, disruption::restart, disruption::restart, disruption::restart,
+    disruption::replace, disruption::replace, disruption::reload,  disruption::changed_file,
+    disruption::pause,   disruption::policy};
+
 json::object entry(const char *kind, const std::string &name, json::object spec)
 {
     return json::object{{"resource-kind", kind},
@@ -92,7 +108,7 @@
     instance_address address;
     std::string settings_file;
     std::string log_file;
-    node_process node;
+    int pid = 0;  ///< of the node, 0 while it does not run
     std::uintmax_t log_bytes_at_start = 0;
     std::unique_ptr<http_upstream> upstream;
     bool stopping = false;  ///< its node is about to stop, stops or has stopped
@@ -102,8 +118,9 @@
     : io_(io), settings_(std::move(settings)), random_(settings_.seed)
 {
     std::string net = "127." + std::to_string(settings_.subnet) + ".0.";
+    store_address_ = net + "200";
     store_ = std::make_unique<http_store>(
-        io_, instance_address{"", "", "", net + "200"}.at(port::store));
+        io_, instance_address{"", "", "", store_address_}.at(port::store));
     change_policy();
     std::size_t n = 0;
     for (const service_size &service : services) {
@@ -129,9 +146,9 @@
 deployment::~deployment()
 {
     for (const auto &it : instances_) {
-        if (it->node.pid > 0) {
-            ::kill(it->node.pid, SIGKILL);
-            ::waitpid(it->node.pid, nullptr, 0);
+        if (it->pid > 0) {
+            ::kill(it->pid, SIGKILL);
+            ::waitpid(it->pid, nullptr, 0);
         }
     }
 }
@@ -171,15 +188,12 @@
 void deployment::start_node(std::size_t i)
 {
     instance &it = *instances_[i];
-    std::string store =
-        "127." + std::to_string(settings_.subnet) + ".0.200:" + std::to_string(port::store);
     constexpr int retry_slack = 48;
-    write_settings(it.address, store, it.settings_file, retry_slack);
+    write_settings(it.address, store_address_, it.settings_file, retry_slack);
     std::error_code ec;
     std::uintmax_t log_bytes = std::filesystem::file_size(it.log_file, ec);
     it.log_bytes_at_start = ec ? 0 : log_bytes;
-    it.node.pid = start_process(settings_.program, it.settings_file, it.log_file);
-    ++it.node.starts;
+    it.pid = start_process(settings_.program, it.settings_file, it.log_file);
     it.stopping = false;
 }
 
@@ -240,38 +254,35 @@
 
 asio::awaitable<void> deployment::disrupt_once()
 {
-    constexpr std::uint64_t kinds = 10;
     constexpr double several_share = 0.15;
     std::size_t i = draw_below(random_, instances_.size());
-    switch (draw_below(random_, kinds)) {
-        case 0:
-        case 1:
-        case 2:
-        case 3:
+    switch (draws.at(draw_below(random_, draws.size()))) {
+        case disruption::restart:
             if (draw_fraction(random_) < several_share) {
                 restart_several();
             } else {
                 spawn(restart_node(i));
             }
             break;
-        case 4:
-        case 5:
+        case disruption::replace:
             spawn(replace_instance(i));
             break;
-        case 6:
+        case disruption::reload:
             reload(i, true);
             break;
-        case 7:
+        case disruption::changed_file:
             reload(i, false);
             break;
-        case 8:
+        case disruption::pause:
             if (settings_.pauses) {
                 spawn(pause_node(i));
-                break;
+            } else {
+                change_policy();
             }
-            [[fallthrough]];
-        default:
+            break;
+        case disruption::policy:
             change_policy();
+            break;
     }
     co_return;
 }
@@ -300,21 +311,21 @@
 asio::awaitable<void> deployment::restart_node(std::size_t i)
 {
     instance &it = *instances_[i];
-    if (it.stopping || it.node.pid == 0) {
+    if (it.stopping || it.pid == 0) {
         co_return;
     }
     it.stopping = true;
     stop_record stop{i, edge::now(), {}, false, 0};
-    ::kill(it.node.pid, SIGTERM);
+    ::kill(it.pid, SIGTERM);
     int status = 0;
-    while (::waitpid(it.node.pid, &status, WNOHANG) == 0) {
+    while (::waitpid(it.pid, &status, WNOHANG) == 0) {
         if (!stop.was_killed && edge::now() - stop.asked_at > stop_time) {
             stop.was_killed = true;
-            ::kill(it.node.pid, SIGKILL);
+            ::kill(it.pid, SIGKILL);
         }
         co_await sleep_for(io_, poll_interval);
     }
-    it.node.pid = 0;
+    it.pid = 0;
     stop.ended_at = edge::now();
     stop.status = status;
     stop.had_begun = has_begun(i);
@@ -327,7 +338,7 @@
 asio::awaitable<void> deployment::replace_instance(std::size_t i)
 {
     instance &it = *instances_[i];
-    if (it.stopping || it.node.pid == 0) {
+    if (it.stopping || it.pid == 0) {
         co_return;
     }
     it.stopping = true;
@@ -340,14 +351,14 @@
 asio::awaitable<void> deployment::pause_node(std::size_t i)
 {
     instance &it = *instances_[i];
-    if (it.node.pid == 0) {
+    if (it.pid == 0) {
         co_return;
     }
-    int pid = it.node.pid;
+    int pid = it.pid;
     constexpr std::uint64_t longest_pause_ms = 600;
     ::kill(pid, SIGSTOP);
     co_await sleep_for(io_, milliseconds(draw_below(random_, longest_pause_ms)));
-    if (it.node.pid == pid) {
+    if (it.pid == pid) {
         ::kill(pid, SIGCONT);
     }
 }
@@ -355,17 +366,15 @@
 void deployment::reload(std::size_t i, bool with_signal)
 {
     instance &it = *instances_[i];
-    if (it.node.pid == 0) {
+    if (it.pid == 0) {
         return;
     }
-    std::string store =
-        "127." + std::to_string(settings_.subnet) + ".0.200:" + std::to_string(port::store);
     constexpr int least_slack = 40;
     constexpr std::uint64_t slack_range = 20;
-    write_settings(it.address, store, it.settings_file,
+    write_settings(it.address, store_address_, it.settings_file,
                    least_slack + static_cast<int>(draw_below(random_, slack_range)));
     if (with_signal && has_begun(i)) {
-        ::kill(it.node.pid, SIGHUP);
+        ::kill(it.pid, SIGHUP);
     }
 }
 
@@ -379,11 +388,10 @@
 {
     for (const auto &it : instances_) {
         int status = 0;
-        if (!it->stopping && it->node.pid > 0 &&
-            ::waitpid(it->node.pid, &status, WNOHANG) == it->node.pid) {
+        if (!it->stopping && it->pid > 0 && ::waitpid(it->pid, &status, WNOHANG) == it->pid) {
             record_.unexpected_ends.push_back("the node of " + it->address.name +
                                               " ended by itself, status " + std::to_string(status));
-            it->node.pid = 0;
+            it->pid = 0;
         }
     }
 }
--- a/test/platform/soak/deployment.hpp
+++ b/test/platform/soak/deployment.hpp
@@ -62,6 +62,7 @@
     soak_settings settings_;
     random_source random_;
     soak_record record_;
+    std::string store_address_;
     std::unique_ptr<http_store> store_;
     std::vector<std::unique_ptr<instance>> instances_;
     std::vector<std::unique_ptr<kept_client>> clients_;
--- a/test/platform/soak/fleet.cpp
+++ b/test/platform/soak/fleet.cpp
@@ -40,7 +40,7 @@
             << "peers = " << at(port::peers) << "readiness = " << at(port::readiness)
             << "control = " << at(port::control) << "metrics = " << at(port::metrics)
             << "\n[upstream]\nendpoint = " << at(port::upstream)
-            << "heartbeat_interval_ms = 1500\n\n[store]\nendpoint = " << store
+            << "heartbeat_interval_ms = 1500\n\n[store]\nendpoint = " << store << ":" << port::store
             << "\n\n[limits]\nstop_s = 6\nretry_ratio = 0.2\nretry_slack = " << retry_slack
             << "\nretry_window_s = 10\n";
     }
--- a/test/platform/soak/fleet.hpp
+++ b/test/platform/soak/fleet.hpp
@@ -50,14 +50,8 @@
 inline constexpr std::uint16_t store = 8309;
 }  // namespace port
 
-/// The program under test as a process.
-struct node_process
-{
-    int pid = 0;
-    int starts = 0;
-};
-
 /// Writes the settings file of the node, replacing the old one at once.
+/// \param store IP number of the platform's store
 void write_settings(const instance_address &it, const std::string &store, const std::string &file,
                     int retry_slack);
 
--- a/test/process/process_early_signals.sh
+++ b/test/process/process_early_signals.sh
@@ -57,4 +57,35 @@
 
 signal_start HUP TERM
 expect_good_end "SIGHUP and SIGTERM while it started"
+# gullstalld knows no reload.
+cat >"$out/daemon.ini" <<INI
+[node]
+instance = desk-1
+zone = a
+service = desk
+[listen]
+address = 127.0.7.1
+callers_port = 8404
+peers_port = 8420
+admin_port = 8402
+[worker]
+address = 127.0.7.1
+port = 8401
+slots = 2
+connections = 10
+[platform]
+address = 127.0.7.1
+port = 8409
+[membership]
+seeds = 127.0.7.1:8420
+[trust]
+keys = $("$bin/gullstall" keygen --name board --out "$out/board.key")
+INI
+rm -f "$out/daemon.fifo" && mkfifo "$out/daemon.fifo"
+"$bin/gullstalld" --config "$out/daemon.fifo" >>"$out/daemon.log" 2>&1 & node_pid=$!
+exec 3>"$out/daemon.fifo"
+kill -TERM "$node_pid"
+cat "$out/daemon.ini" >&3 || true
+exec 3>&-
+expect_good_end "SIGTERM while gullstalld started"
 echo "signals while starting: read anew, and stopped with 0"
--- a/test/runtime/cut_answers.cpp
+++ b/test/runtime/cut_answers.cpp
@@ -3,7 +3,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
-#include "gullstall/src/edge/upstream_client.hpp"
+#include "test/support/upstream_orders.hpp"
 
 using namespace gullstall;
 
@@ -12,9 +12,6 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-const edge::header_names names{"Id",      "Left",     "Expect", "Caller",
-                               "Not-Run", "Customer", "Limit",  "Leaving"};
-
 /// A client and an upstream that answers each request with a given text and closes.
 struct cut_answer_fixture
 {
@@ -22,7 +19,7 @@
     tcp::acceptor acceptor{io, {asio::ip::make_address("127.0.0.1"), 0}};
     std::vector<mesh::run_result> results;
     edge::upstream_client client{
-        io, acceptor.local_endpoint(), names,
+        io, acceptor.local_endpoint(), test::short_names,
         [this](run_ref, mesh::run_result &&it) { results.push_back(std::move(it)); },
         [](std::optional<run_ref>, const mesh::upstream_notice &) {}};
 
@@ -30,14 +27,7 @@
     mesh::run_result exchange(const std::string &text, std::size_t pause_at)
     {
         results.clear();
-        mesh::start_run order;
-        order.run = run_ref{7};
-        order.call.request_id = "r";
-        order.call.method = "GET";
-        order.call.target = "/";
-        order.call.header_lines = "Id: r\r\n";
-        order.left = seconds(1);
-        client.start(std::move(order));
+        client.start(test::make_order(7, "r"));
         tcp::socket peer(io);
         std::string request;
         acceptor.async_accept(peer, [&](const boost::system::error_code &) {
--- a/test/runtime/edge_closes.cpp
+++ b/test/runtime/edge_closes.cpp
@@ -155,6 +155,15 @@
     CHECK(ec == asio::error::connection_refused);
 }
 
+// Guards against input that a close drops without a line.
+TEST_CASE_FIXTURE(edge_fixture, "input behind a last request, unread at the close, is reported")
+{
+    write("GET /first HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\nGET /second");
+    run();
+    answer(0, "One");
+    CHECK(losses == std::vector<std::string>{"answer 0"});
+}
+
 // Guards against a request that runs although its client was told that it has not.
 TEST_CASE_FIXTURE(edge_fixture, "request timed out, its rest arrives, is not passed on")
 {
--- a/test/runtime/endless_answers.cpp
+++ b/test/runtime/endless_answers.cpp
@@ -7,7 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
-#include "gullstall/src/edge/upstream_client.hpp"
+#include "test/support/upstream_orders.hpp"
 
 using namespace gullstall;
 
@@ -16,9 +16,6 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-const edge::header_names names{"Id",      "Left",     "Expect", "Caller",
-                               "Not-Run", "Customer", "Limit",  "Leaving"};
-
 /// An upstream that sends bytes without end, in the place that the request's path names.
 struct endless_answer_fixture
 {
@@ -30,7 +27,7 @@
     std::map<run_ref, mesh::run_result> results;
     std::uint64_t sent_bytes = 0;
     std::uint64_t wanted = 0;
-    edge::upstream_client client{io, acceptor.local_endpoint(), names,
+    edge::upstream_client client{io, acceptor.local_endpoint(), test::short_names,
                                  [this](run_ref id, mesh::run_result &&it) {
                                      results[id] = std::move(it);
                                      if (results.size() == wanted) {
@@ -84,14 +81,7 @@
 
     void send(std::uint64_t run, const std::string &path)
     {
-        mesh::start_run order;
-        order.run = run_ref{run};
-        order.call.request_id = "r" + std::to_string(run);
-        order.call.method = "GET";
-        order.call.target = path;
-        order.call.header_lines = "Id: " + order.call.request_id + "\r\n";
-        order.left = seconds(1);
-        client.start(std::move(order));
+        client.start(test::make_order(run, "r" + std::to_string(run), path));
     }
 
     void run_until(std::uint64_t ended)
--- a/test/runtime/upstream_notices.cpp
+++ b/test/runtime/upstream_notices.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "gullstall/src/edge/notice_fields.hpp"
+#include "test/support/upstream_orders.hpp"
 
 using namespace gullstall;
 
@@ -13,9 +14,6 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-const edge::header_names names{"Id",      "Left",     "Expect", "Caller",
-                               "Not-Run", "Customer", "Limit",  "Leaving"};
-
 struct received_notice
 {
     std::optional<run_ref> run;
@@ -31,7 +29,7 @@
     std::vector<mesh::run_result> results;
     std::vector<std::size_t> notices_at_result;
     edge::upstream_client client{
-        io, acceptor.local_endpoint(), names,
+        io, acceptor.local_endpoint(), test::short_names,
         [this](run_ref, mesh::run_result &&it) {
             notices_at_result.push_back(notices.size());
             results.push_back(std::move(it));
@@ -43,15 +41,7 @@
     /// Sends a request of the run 7 and answers it with \a text.
     void exchange(const std::string &text)
     {
-        mesh::start_run order;
-        order.run = run_ref{7};
-        order.call.request_id = "r";
-        order.call.method = "GET";
-        order.call.target = "/";
-        order.call.header_lines = "Id: r\r\n";
-        order.upstream = "u";
-        order.left = seconds(1);
-        client.start(std::move(order));
+        client.start(test::make_order(7, "r"));
         tcp::socket peer(io);
         std::string request;
         acceptor.async_accept(peer, [&](const boost::system::error_code &) {
@@ -153,7 +143,7 @@
     fields.insert("Limit", "4");
     fields.insert("Limit", "many");
     fields.insert("Leaving", "yes");
-    mesh::upstream_notice notice = edge::read_notice(fields, names);
+    mesh::upstream_notice notice = edge::read_notice(fields, test::short_names);
     CHECK(notice.limit_per_s == 4.0);
     CHECK_FALSE(notice.is_leaving);
     CHECK(notice.unreadable == "Leaving: yes");
