Review: an acknowledged leaving is forgotten with the process that gave it

A case, nothing is fixed. While the store is down a worker's DELETE is acknowledged; the node's process is killed before it can store that; the next one takes a late heartbeat for a ready worker, which gets requests until it exits.

--- a/review/standins-2/cases.cc
+++ b/review/standins-2/cases.cc
@@ -191,6 +191,382 @@
     return faults.empty() ? 0 : 1;
 }
 
+/// \returns the anonymous memory of a process in MiB, 0 if it is gone
+long memory_mb(int pid)
+{
+    std::ifstream in("/proc/" + std::to_string(pid) + "/status");
+    std::string line;
+    while (std::getline(in, line)) {
+        if (line.rfind("RssAnon:", 0) == 0) {
+            return std::atol(line.c_str() + 8) / 1024;
+        }
+    }
+    return 0;
+}
+
+constexpr long memory_limit_mb = 260;
+constexpr std::size_t usual_upload_bytes = 360000;
+constexpr int max_lost = 3;
+
+/// What an entry machine's platform and its clients do while uploads go on: the platform kills a
+/// process that exceeds its memory and starts the next one; clients send unsafe requests over
+/// connections that they keep.
+class watched_entry
+{
+public:
+    watched_entry(deployment &d, machine &it, std::function<bool(const std::string &)> has_run,
+                  int callers)
+        : d_(d), it_(it), has_run_(std::move(has_run))
+    {
+        watcher_ = std::thread([this] { watch(); });
+        for (int i = 0; i < callers; ++i) {
+            threads_.emplace_back([this, i] { call(i); });
+        }
+    }
+
+    void stop()
+    {
+        over_ = true;
+        for (std::thread &it : threads_) {
+            it.join();
+        }
+        watched_ = false;  // ends last: the process that it started ends with its thread
+        watcher_.join();
+        d_.rec.line(it_.name + ": ended " + std::to_string(ends_) +
+                    " times over its memory, peak " + std::to_string(peak_) + " MB; calls served " +
+                    std::to_string(served) + ", lost " + std::to_string(lost));
+    }
+
+    std::atomic<int> lost{0};
+    std::atomic<int> served{0};
+
+private:
+    void watch()
+    {
+        while (watched_) {
+            long used = memory_mb(it_.pid);
+            peak_ = std::max(peak_, used);
+            if (used > memory_limit_mb) {
+                d_.rec.line("platform: " + it_.name + " uses " + std::to_string(used) + " of " +
+                            std::to_string(memory_limit_mb) + " MB, killed");
+                ::kill(it_.pid, SIGKILL);
+                ::waitpid(it_.pid, nullptr, 0);
+                ++ends_;
+                sleep_ms(300);
+                d_.start_sidecar(it_);
+            }
+            sleep_ms(1);
+        }
+    }
+
+    void call(int caller)
+    {
+        constexpr long stagger_ms = 37;  // so that some calls are under way at any time
+        sleep_ms(stagger_ms * caller);
+        int n = 0;
+        while (!over_) {
+            int fd = connect_to(it_.ip, port::callers);
+            if (fd < 0) {
+                sleep_ms(100);
+                continue;
+            }
+            reader in(fd);
+            for (int kept = 0; !over_; ++kept) {
+                std::string id =
+                    "call-" + it_.name + "-" + std::to_string(caller) + "-" + std::to_string(++n);
+                message answer;
+                long sent_at = now_ms();
+                bool sent = send_all(fd, request("POST", "/dispatch/1", id, 5000, "crew"));
+                if (sent && in.read(answer, 5500)) {
+                    served += answer.status() == 200 ? 1 : 0;
+                    if (answer.field("connection") == "close") {
+                        break;
+                    }
+                    sleep_ms(answer.status() == 200 ? 20 : 200);
+                    continue;
+                }
+                bool ran = has_run_(id);
+                bool counts = kept > 0 && ran && now_ms() - sent_at < 5000;
+                lost += counts ? 1 : 0;
+                d_.rec.line(id + ": connection closed after " + std::to_string(now_ms() - sent_at) +
+                            " ms without an answer, " + (ran ? "has run" : "has not run") +
+                            (counts ? ", LOST" : ""));
+                break;
+            }
+            ::close(fd);
+        }
+    }
+
+    deployment &d_;
+    machine &it_;
+    std::function<bool(const std::string &)> has_run_;
+    std::atomic<bool> over_{false};
+    std::atomic<bool> watched_{true};
+    std::thread watcher_;
+    int ends_ = 0;
+    long peak_ = 0;
+    std::vector<std::thread> threads_;
+};
+
+/// The ids of requests that workers have begun to run.
+struct run_ids
+{
+    std::mutex lock;
+    std::map<std::string, bool> ids;
+
+    bool has(const std::string &id)
+    {
+        std::lock_guard hold(lock);
+        return ids.count(id) > 0;
+    }
+};
+
+handler photo_and_dispatch(deployment &d, run_ids &ran)
+{
+    return [&](int fd, const message &it, const std::string &worker) {
+        std::string id = it.field("gullstall-attempt-id");
+        {
+            std::lock_guard hold(ran.lock);
+            ran.ids[id] = true;
+        }
+        bool is_photo = it.second.rfind("/photo/", 0) == 0;
+        if (is_photo) {
+            d.rec.line("run " + id + " at " + worker + ", body of " +
+                       std::to_string(it.body.size()) + " bytes");
+        }
+        sleep_ms(is_photo ? 72 : 300);
+        return send_all(fd, response(200, seal(id), "done " + id));
+    };
+}
+
+/// The configuration, with the limit of bodies that the pages' example has.
+std::string photo_config()
+{
+    std::string out = print_config(
+        1, {{"photo", "photodesk", "upload", 5000}, {"dispatch", "dispatcher", "unsafe", 5000}});
+    std::string narrow = "\"max-body-bytes\":4194304";
+    std::size_t at = out.find(narrow);
+    if (at == std::string::npos) {
+        die("no limit of bodies");
+    }
+    return out.replace(at, narrow.size(), "\"max-body-bytes\":67108864");
+}
+
+void upload(deployment &d, machine &entry, const std::string &id, const std::string &body)
+{
+    d.rec.line("send " + id + " to " + entry.name + ", body of " + std::to_string(body.size()) +
+               " bytes");
+    int fd = connect_to(entry.ip, port::callers);
+    message answer;
+    bool got = fd >= 0 && send_all(fd, request("POST", "/photo/1", id, 5000, body)) &&
+               reader(fd).read(answer, 5500);
+    d.rec.line("answer to " + id + ": " + (got ? std::to_string(answer.status()) : "none"));
+    ::close(fd);
+}
+
+/// LOST: a few large uploads at once take a node beyond its memory; the platform kills it, and
+/// the requests of other clients that it has passed on to workers end without an answer.
+int uploads_beyond_memory(deployment &d, bool trouble)
+{
+    constexpr std::size_t upload_bytes = 30U << 20U;
+    constexpr int uploads = 5;
+    constexpr int rounds = 3;
+    constexpr int callers = 8;
+    run_ids ran;
+    for (int i = 0; i < 6; ++i) {
+        d.add(i % 2 ? "dispatcher" : "photodesk", "z" + std::to_string(i / 2),
+              photo_and_dispatch(d, ran));
+    }
+    d.start(photo_config());
+    auto has_run = [&](const std::string &id) { return ran.has(id); };
+    std::vector<machine *> entries{d.machines[1].get(), d.machines[3].get()};
+    watched_entry first(d, *entries[0], has_run, callers);
+    watched_entry second(d, *entries[1], has_run, callers);
+    sleep_ms(1500);
+    std::string body(trouble ? upload_bytes : usual_upload_bytes, 'p');
+    for (int round = 1; round <= rounds; ++round) {
+        std::vector<std::thread> senders;
+        for (int i = 0; i < uploads * 2; ++i) {
+            senders.emplace_back([&, i] {
+                upload(d, *entries[static_cast<std::size_t>(i) % entries.size()],
+                       "photo-" + std::to_string(round) + "-" + std::to_string(i), body);
+            });
+        }
+        for (std::thread &it : senders) {
+            it.join();
+        }
+        sleep_ms(1000);
+        for (machine *it : entries) {
+            d.wait_ready(*it);
+        }
+        sleep_ms(3000);
+    }
+    first.stop();
+    second.stop();
+    int lost = first.lost + second.lost;
+    d.rec.line("lost " + std::to_string(lost) + ", allowed " + std::to_string(max_lost));
+    return lost > max_lost ? 1 : 0;
+}
+
+/// LOST: a node keeps, for each connection from another node, the memory of the largest request
+/// that ever came over it. Uploads one after the other, each from another machine, take it
+/// beyond its memory.
+int uploads_one_after_the_other(deployment &d, bool trouble)
+{
+    constexpr std::size_t upload_bytes = 24U << 20U;
+    constexpr int machines = 14;
+    constexpr int callers = 8;
+    run_ids ran;
+    for (int i = 0; i < machines; ++i) {
+        d.add(i == 0 ? "photodesk" : "dispatcher", "z" + std::to_string(i % 3),
+              photo_and_dispatch(d, ran));
+    }
+    d.start(photo_config());
+    machine &desk = *d.machines[0];
+    watched_entry entry(
+        d, desk, [&](const std::string &id) { return ran.has(id); }, callers);
+    sleep_ms(1500);
+    std::string body(trouble ? upload_bytes : usual_upload_bytes, 'p');
+    for (int i = 1; i < machines; ++i) {
+        upload(d, *d.machines[static_cast<std::size_t>(i)], "photo-" + std::to_string(i), body);
+        sleep_ms(500);
+        d.rec.line(desk.name + " uses " + std::to_string(memory_mb(desk.pid)) + " MB");
+    }
+    sleep_ms(2500);
+    entry.stop();
+    d.rec.line("lost " + std::to_string(entry.lost) + ", allowed " + std::to_string(max_lost));
+    return entry.lost > max_lost ? 1 : 0;
+}
+
+/// DRAIN: a worker's leaving is acknowledged before it is stored. With the store away and the
+/// node's process killed, the next process takes a late heartbeat for a worker that is ready.
+int leaving_forgotten(deployment &d, bool trouble)
+{
+    constexpr long drain_ms = 2000;
+    constexpr long contact_ms = 3000;
+    constexpr long store_away_ms = 4500;
+    constexpr long worker_ends_ms = 10500;  // after the acknowledgement
+    struct run_at
+    {
+        long at;
+        std::string id;
+        std::string worker;
+    };
+    std::mutex lock;
+    std::vector<run_at> runs;
+    handler run = [&](int fd, const message &it, const std::string &worker) {
+        std::string id = it.field("gullstall-attempt-id");
+        {
+            std::lock_guard hold(lock);
+            runs.push_back(run_at{now_ms(), id, worker});
+        }
+        sleep_ms(78);
+        machine *self = nullptr;
+        for (auto &each : d.machines) {
+            self = each->name == worker ? each.get() : self;
+        }
+        return self->up && send_all(fd, response(200, seal(id), "done " + id));
+    };
+    for (int i = 0; i < 6; ++i) {
+        d.add(i % 2 ? "dispatcher" : "faultbook", "z" + std::to_string(i / 2), run);
+    }
+    std::atomic<bool> store_up{true};
+    d.platform.lets = [&](const std::string &) { return store_up.load(); };
+    d.start(
+        print_config(1, {{"dispatch", "dispatcher", "unsafe"}, {"history", "faultbook", "safe"}}));
+    machine &entry = *d.machines[0];
+    machine &leaving = *d.machines[1];
+
+    std::atomic<bool> over{false};
+    std::atomic<int> failed{0};
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 4; ++i) {
+        callers.emplace_back([&, i] {
+            for (int n = 1; !over; ++n) {
+                std::string id = "call-" + std::to_string(i) + "-" + std::to_string(n);
+                int fd = connect_to(entry.ip, port::callers);
+                message answer;
+                bool got = fd >= 0 &&
+                           send_all(fd, request("POST", "/dispatch/1", id, 3000, "crew")) &&
+                           reader(fd).read(answer, 3500);
+                if (!got || answer.status() != 200) {
+                    std::lock_guard hold(lock);
+                    auto ran = std::find_if(runs.begin(), runs.end(),
+                                            [&](const run_at &it) { return it.id == id; });
+                    std::string where = ran == runs.end() ? "" : ran->worker;
+                    failed += where == leaving.name ? 1 : 0;
+                    d.rec.line(id + ": " + (got ? std::to_string(answer.status()) : "no answer") +
+                               (where.empty() ? ", has not run" : ", was run at " + where));
+                }
+                ::close(fd);
+                sleep_ms(20);
+            }
+        });
+    }
+    sleep_ms(500);
+    leaving.beats = false;
+    std::string late = deployment::next_beat(leaving);
+    d.rec.line(leaving.name + ": the worker sends a heartbeat (ready), which arrives late");
+    long away_at = now_ms();
+    if (trouble) {
+        store_up = false;
+        d.rec.line("store: down");
+    }
+    sleep_ms(200);
+    if (!deployment::say(leaving, "DELETE", "")) {
+        die("the leaving was not acknowledged");
+    }
+    long acked_at = now_ms();
+    d.rec.line(leaving.name + ": DELETE of the worker acknowledged");
+    sleep_ms(800);
+    long started_at = acked_at;
+    if (trouble) {
+        d.rec.line("SIGKILL to " + leaving.name);
+        ::kill(leaving.pid, SIGKILL);
+        ::waitpid(leaving.pid, nullptr, 0);
+        sleep_ms(300);
+        started_at = now_ms();
+        d.start_sidecar(leaving);
+    }
+    sleep_ms(1000);
+    bool taken = deployment::say(leaving, "PUT", late);
+    d.rec.line(leaving.name + ": the late heartbeat arrives, " + (taken ? "200" : "not taken"));
+    sleep_ms(store_away_ms - (now_ms() - away_at));
+    long store_back_at = now_ms();
+    store_up = true;
+    if (trouble) {
+        d.rec.line("store: up");
+    }
+    sleep_ms(worker_ends_ms - (now_ms() - acked_at));
+    leaving.up = false;
+    d.rec.line(leaving.name + ": the worker exits");
+    sleep_ms(1000);
+    over = true;
+    for (std::thread &it : callers) {
+        it.join();
+    }
+    // In touch by every condition: the process has run, and the store has been up, for contact-ms.
+    long in_touch_at = std::max(started_at, trouble ? store_back_at : acked_at) + contact_ms;
+    int late_runs = 0;
+    int late_runs_in_touch = 0;
+    std::lock_guard hold(lock);
+    for (const run_at &it : runs) {
+        bool is_late = it.worker == leaving.name && it.at > acked_at + drain_ms;
+        bool in_touch = is_late && it.at > in_touch_at;
+        late_runs += is_late ? 1 : 0;
+        late_runs_in_touch += in_touch ? 1 : 0;
+        if (is_late) {
+            d.rec.line("run " + it.id + " at " + it.worker + " " +
+                       std::to_string(it.at - acked_at) + " ms after the acknowledgement, DRAIN" +
+                       (in_touch ? ", in touch" : ""));
+        }
+    }
+    d.rec.line("later than drain-ms: " + std::to_string(late_runs) + ", of these in touch " +
+               std::to_string(late_runs_in_touch) + "; unsafe requests that were run by that " +
+               "worker and failed: " + std::to_string(failed));
+    return late_runs_in_touch > 0 ? 1 : 0;
+}
+
 }  // namespace
 
 int main(int argc, char **argv)
@@ -203,7 +579,10 @@
     bool trouble = value == nullptr || std::string(value) != "0";
     std::map<std::string, int (*)(deployment &, bool)> cases{
         {"slow-reader-at-stop", slow_reader_at_stop},
-        {"request-inside-request", request_inside_request}};
+        {"request-inside-request", request_inside_request},
+        {"uploads-beyond-memory", uploads_beyond_memory},
+        {"uploads-one-after-the-other", uploads_one_after_the_other},
+        {"leaving-forgotten", leaving_forgotten}};
     auto found = cases.find(argv[1]);
     if (found == cases.end()) {
         die("no such case");
--- a/review/standins-2/kit.hh
+++ b/review/standins-2/kit.hh
@@ -486,6 +486,7 @@
     int slots = 60;
     handler run;
     std::atomic<bool> up{true};
+    std::atomic<bool> beats{true};  ///< sends heartbeats
 };
 
 class deployment
@@ -579,27 +580,37 @@
         }
         serve(fd, [this, &it](int connection) { work(it, connection); });
         std::thread([this, &it] {
-            while (it.up) {
+            while (it.up && it.beats) {
                 sleep_ms(beat(it) ? 1500 : 100);
             }
         }).detach();
     }
 
-    bool beat(machine &it)
+    /// \returns the body of the worker's next heartbeat
+    static std::string next_beat(machine &it)
+    {
+        return json::serialize(
+            json::object{{"service", it.service},
+                         {"address", it.ip + ":" + std::to_string(port::upstream)},
+                         {"zone", it.zone},
+                         {"version", "v1"},
+                         {"slots", it.slots},
+                         {"state", it.state},
+                         {"cold-remaining-ms", 0},
+                         {"seq", ++it.sequence},
+                         {"born", it.born}});
+    }
+
+    /// Sends a call of the worker to its node.
+    /// \returns whether it is acknowledged
+    static bool say(machine &it, const std::string &method, const std::string &text)
     {
-        json::object body{
-            {"service", it.service},  {"address", it.ip + ":" + std::to_string(port::upstream)},
-            {"zone", it.zone},        {"version", "v1"},
-            {"slots", it.slots},      {"state", it.state},
-            {"cold-remaining-ms", 0}, {"seq", ++it.sequence},
-            {"born", it.born}};
-        std::string text = json::serialize(body);
         int fd = connect_to(it.ip, port::control);
         if (fd < 0) {
             return false;
         }
         message answer;
-        bool done = send_all(fd, "PUT /v1/instances/" + it.id +
+        bool done = send_all(fd, method + " /v1/instances/" + it.id +
                                      " HTTP/1.1\r\nHost: control\r\n"
                                      "Content-Type: application/json\r\nContent-Length: " +
                                      std::to_string(text.size()) + "\r\n\r\n" + text) &&
@@ -608,6 +619,11 @@
         return done;
     }
 
+    static bool beat(machine &it)
+    {
+        return say(it, "PUT", next_beat(it));
+    }
+
     /// Starts all and waits until every sidecar says that it is ready.
     void start(const std::string &config)
     {
