Review: nodes that are stopped in turn cut runs that a held gate took late

Three nodes get SIGTERM, 1 s apart; the first holds its gate open, takes runs of 1.9 s 4 s after its signal and ends 1.7 s later; the third, at which the clients are, answers 502 while the workers are at work.

--- a/review/standins-2/cases.cc
+++ b/review/standins-2/cases.cc
@@ -364,50 +364,6 @@
     ::close(fd);
 }
 
-/// LOST: a few large uploads at once take a node beyond its memory; the platform kills it, and
-/// the requests of other clients that it has passed on to workers end without an answer.
-int uploads_beyond_memory(deployment &d, bool trouble)
-{
-    constexpr std::size_t upload_bytes = 30U << 20U;
-    constexpr int uploads = 5;
-    constexpr int rounds = 3;
-    constexpr int callers = 8;
-    run_ids ran;
-    for (int i = 0; i < 6; ++i) {
-        d.add(i % 2 ? "dispatcher" : "photodesk", "z" + std::to_string(i / 2),
-              photo_and_dispatch(d, ran));
-    }
-    d.start(photo_config());
-    auto has_run = [&](const std::string &id) { return ran.has(id); };
-    std::vector<machine *> entries{d.machines[1].get(), d.machines[3].get()};
-    watched_entry first(d, *entries[0], has_run, callers);
-    watched_entry second(d, *entries[1], has_run, callers);
-    sleep_ms(1500);
-    std::string body(trouble ? upload_bytes : usual_upload_bytes, 'p');
-    for (int round = 1; round <= rounds; ++round) {
-        std::vector<std::thread> senders;
-        for (int i = 0; i < uploads * 2; ++i) {
-            senders.emplace_back([&, i] {
-                upload(d, *entries[static_cast<std::size_t>(i) % entries.size()],
-                       "photo-" + std::to_string(round) + "-" + std::to_string(i), body);
-            });
-        }
-        for (std::thread &it : senders) {
-            it.join();
-        }
-        sleep_ms(1000);
-        for (machine *it : entries) {
-            d.wait_ready(*it);
-        }
-        sleep_ms(3000);
-    }
-    first.stop();
-    second.stop();
-    int lost = first.lost + second.lost;
-    d.rec.line("lost " + std::to_string(lost) + ", allowed " + std::to_string(max_lost));
-    return lost > max_lost ? 1 : 0;
-}
-
 /// LOST: a node keeps, for each connection from another node, the memory of the largest request
 /// that ever came over it. Uploads one after the other, each from another machine, take it
 /// beyond its memory.
@@ -567,6 +523,140 @@
     return late_runs_in_touch > 0 ? 1 : 0;
 }
 
+/// LOST: nodes are stopped in turn. One of the two of a service holds its gate open, since the
+/// other one is about to stop, takes runs that last longer than its process and cuts them at its
+/// end; the node that took the requests from the clients, which is stopping too, answers them 502.
+int stops_in_turn(deployment &d, bool trouble)
+{
+    constexpr long work_ms = 1900;
+    constexpr long gap_ms = 1000;  // between two stops
+    constexpr long send_ms = 4050;
+    constexpr long timeout_ms = 6000;
+    constexpr long grace_ms = 6000;
+    constexpr int requests = 6;
+    std::mutex lock;
+    std::map<std::string, long> begins;
+    std::map<std::string, long> ends;
+    handler run = [&](int fd, const message &it, const std::string &worker) {
+        std::string id = it.field("gullstall-attempt-id");
+        bool is_long = it.second.rfind("/dispatch/", 0) == 0;
+        if (is_long) {
+            std::lock_guard hold(lock);
+            begins[id] = now_ms();
+            d.rec.line("run " + id + " at " + worker);
+        }
+        sleep_ms(is_long ? work_ms : 50);
+        if (is_long) {
+            std::lock_guard hold(lock);
+            ends[id] = now_ms();
+            d.rec.line("run " + id + " has ended well");
+        }
+        return send_all(fd, response(200, seal(id), "done " + id));
+    };
+    d.add("dispatcher", "z0", run);
+    d.add("dispatcher", "z1", run);
+    for (int i = 0; i < 4; ++i) {
+        d.add("faultbook", "z" + std::to_string(i % 2), run);
+    }
+    d.start(print_config(1, {{"dispatch", "dispatcher", "unsafe", timeout_ms},
+                             {"roster", "dispatcher", "safe", timeout_ms}}));
+    machine &entry = *d.machines[2];
+    machine &other = *d.machines[3];
+    std::vector<machine *> stopped{d.machines[0].get(), d.machines[1].get(), &entry};
+
+    std::atomic<bool> over{false};
+    std::thread usual([&] {
+        for (int n = 1; !over; ++n) {
+            int fd = connect_to(other.ip, port::callers);
+            message answer;
+            if (fd >= 0 && send_all(fd, request("GET", "/roster/1", "roster-" + std::to_string(n),
+                                                2000, ""))) {
+                reader(fd).read(answer, 2500);
+            }
+            ::close(fd);
+            sleep_ms(10);
+        }
+    });
+    sleep_ms(2500);
+    std::vector<int> connections;
+    for (int i = 0; i < requests; ++i) {
+        int fd = connect_to(entry.ip, port::callers);
+        message answer;
+        if (fd < 0 ||
+            !send_all(fd, request("GET", "/roster/1", "first-" + std::to_string(i), 2000, "")) ||
+            !reader(fd).read(answer, 2500)) {
+            die("no answer before the stops");
+        }
+        connections.push_back(fd);
+    }
+    long begin = now_ms();
+    auto wait_until = [&](long at) { sleep_ms(std::max(0L, begin + at - now_ms())); };
+    std::vector<long> stopped_at;
+    for (std::size_t i = 0; i < stopped.size(); ++i) {
+        wait_until(static_cast<long>(i) * gap_ms);
+        stopped_at.push_back(now_ms());
+        if (trouble) {
+            d.rec.line("SIGTERM to " + stopped[i]->name);
+            ::kill(stopped[i]->pid, SIGTERM);
+        }
+    }
+    std::thread platform([&] {
+        while (!over) {
+            for (machine *it : stopped) {
+                if (it->pid != 0) {
+                    d.is_running(*it);
+                }
+            }
+            sleep_ms(5);
+        }
+    });
+    wait_until(send_ms);
+    long sent_at = now_ms();
+    for (int i = 0; i < requests; ++i) {
+        std::string id = "order-" + std::to_string(i);
+        d.rec.line("send " + id + " to " + entry.name + ", " +
+                   std::to_string(sent_at - stopped_at.back()) + " ms after its SIGTERM");
+        send_all(connections[i], request("POST", "/dispatch/1", id, timeout_ms, "crew"));
+    }
+    struct result
+    {
+        int status = 0;
+        bool sealed = false;
+        long at = 0;
+    };
+    std::vector<result> results;
+    for (int i = 0; i < requests; ++i) {
+        message answer;
+        bool got = reader(connections[i]).read(answer, timeout_ms + 1000);
+        results.push_back(result{got ? answer.status() : 0,
+                                 !answer.field("gullstall-server-seal").empty(), now_ms()});
+        ::close(connections[i]);
+    }
+    sleep_ms(work_ms);
+    over = true;
+    usual.join();
+    platform.join();
+    int lost = 0;
+    std::lock_guard hold(lock);
+    for (int i = 0; i < requests; ++i) {
+        std::string id = "order-" + std::to_string(i);
+        const result &it = results[i];
+        bool at_work = begins.count(id) > 0 && begins[id] < it.at && ends[id] > it.at;
+        bool is_own = it.status == 0 || !it.sealed;
+        long ended = ends.count(id) > 0 ? ends[id] : 0;
+        // Excused: the time is over, or the worker is still at work in the last sixth of grace-s.
+        bool excused =
+            it.at - sent_at >= timeout_ms || ended >= stopped_at.back() + grace_ms * 5 / 6;
+        bool broken = at_work && is_own && !excused;
+        lost += broken ? 1 : 0;
+        d.rec.line(id + ": " + std::to_string(it.status) + (it.sealed ? " of its worker" : "") +
+                   " after " + std::to_string(it.at - sent_at) + " ms" +
+                   (broken ? ", its worker was at work, LOST" : ""));
+    }
+    d.rec.line("lost " + std::to_string(lost) + " of " + std::to_string(requests));
+    return lost > 0 ? 1 : 0;
+}
+
 }  // namespace
 
 int main(int argc, char **argv)
@@ -580,9 +670,9 @@
     std::map<std::string, int (*)(deployment &, bool)> cases{
         {"slow-reader-at-stop", slow_reader_at_stop},
         {"request-inside-request", request_inside_request},
-        {"uploads-beyond-memory", uploads_beyond_memory},
         {"uploads-one-after-the-other", uploads_one_after_the_other},
-        {"leaving-forgotten", leaving_forgotten}};
+        {"leaving-forgotten", leaving_forgotten},
+        {"stops-in-turn", stops_in_turn}};
     auto found = cases.find(argv[1]);
     if (found == cases.end()) {
         die("no such case");
