Review: the stand-ins under names that lint takes, and what it found in them

`./run lint` takes .cpp and .hpp only; cases.cc and kit.hh were not linted. As cases.cpp and kit.hpp they had eight findings of clang-tidy, which are mended; no check, bound or time of a case is changed.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,5 +4,5 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-g++ -std=c++20 -O1 -g -Wall -Wextra -pthread -include boost/json/src.hpp review/standins-2/cases.cc \
+g++ -std=c++20 -O1 -g -Wall -Wextra -pthread -include boost/json/src.hpp review/standins-2/cases.cpp \
   -o target/review-2/cases
--- a/review/standins-2/cases.cc
+++ b/review/standins-2/cases.cpp
@@ -1,6 +1,6 @@
 // The cases of this review that are scripts: case NAME FOLDER PROGRAM. TROUBLE=0 leaves the
 // disruption out. Ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-#include "kit.hh"
+#include "kit.hpp"
 
 using namespace kit;
 
@@ -160,9 +160,18 @@
             "POST /note/1 HTTP/1.1\r\nHost: calls.example\r\n"
             "Gullstall-Attempt-Id: " +
             id + "\r\nGullstall-Deadline-Ms: 4000\r\n";
-        bytes = trouble
-                    ? head + "Transfer-Encoding: " + coding + "\r\n\r\n" + text
-                    : head + "Transfer-Encoding: chunked\r\n\r\n" + size + text + "\r\n0\r\n\r\n";
+        bytes = head;
+        if (trouble) {
+            bytes += "Transfer-Encoding: ";
+            bytes += coding;
+            bytes += "\r\n\r\n";
+            bytes += text;
+        } else {
+            bytes += "Transfer-Encoding: chunked\r\n\r\n";
+            bytes += size;
+            bytes += text;
+            bytes += "\r\n0\r\n\r\n";
+        }
         {
             std::lock_guard hold(lock);
             sent[id] = "POST /note/1 body '" + text + "'";
@@ -180,9 +189,13 @@
             ++answers;
             std::string of = answer.field("gullstall-attempt-id");
             bool foreign = answer.status() / 100 == 2 && of != id;
-            d.rec.line("answer " + std::to_string(answers) + " to " + id + ": " +
-                       std::to_string(answer.status()) + " of " + of + " '" + answer.body + "'" +
-                       (foreign ? " MIXED, of another request" : ""));
+            std::string line = "answer " + std::to_string(answers);
+            line += " to " + id;
+            line += ": " + std::to_string(answer.status());
+            line += " of " + of;
+            line += " '" + answer.body;
+            line += foreign ? "' MIXED, of another request" : "'";
+            d.rec.line(line);
         }
         ::close(fd);
     }
@@ -435,8 +448,10 @@
 
     std::atomic<bool> over{false};
     std::atomic<int> failed{0};
+    constexpr int caller_count = 4;
     std::vector<std::thread> callers;
-    for (int i = 0; i < 4; ++i) {
+    callers.reserve(caller_count);
+    for (int i = 0; i < caller_count; ++i) {
         callers.emplace_back([&, i] {
             for (int n = 1; !over; ++n) {
                 std::string id = "call-" + std::to_string(i) + "-" + std::to_string(n);
--- a/review/standins-2/kit.hh
+++ b/review/standins-2/kit.hpp
@@ -102,7 +102,7 @@
 inline int connect_to(const std::string &ip, int port, int limit_ms = 1000)
 {
     int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    timeval limit{limit_ms / 1000, (limit_ms % 1000) * 1000};
+    timeval limit{limit_ms / 1000, (limit_ms % 1000) * 1000L};
     ::setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
     int on = 1;
     ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -219,7 +219,7 @@
 };
 
 /// Accepts connections and serves each on a thread of its own.
-inline void serve(int listener, std::function<void(int)> one)
+inline void serve(int listener, const std::function<void(int)> &one)
 {
     std::thread([listener, one] {
         while (true) {
@@ -579,7 +579,7 @@
             die("no port for a worker");
         }
         serve(fd, [this, &it](int connection) { work(it, connection); });
-        std::thread([this, &it] {
+        std::thread([&it] {
             while (it.up && it.beats) {
                 sleep_ms(beat(it) ? 1500 : 100);
             }
