Edge: a connection whose client has not taken its answer is neither idle nor done

The node was stopped 0.2 s after the request and had ended at 2.5 s; the client's next request at 3.0 s was answered by a reset, which dropped what the kernel still held of the first answer.

Cause: edge_connection took an answer for delivered once async_write had put it into the socket. is_idle(), has_work(), the idle time-out and the lingering close went by that, so that the connection was half-closed as "drained", closed 1 s later, and the process ended. A socket that is closed (or whose process is gone) answers further bytes of the client with a reset, and the kernel drops its send queue.

Why this works: the connection asks the kernel what its client has not acknowledged (SIOCOUTQ). Until that is nothing, the connection isn't idle, the process has work, the idle time hasn't begun, and the linger of a closing connection hasn't either; a client that takes nothing for 10 s is given up, as one whose answer is being written. A draining connection takes a further request and answers it with "Connection: close", and is half-closed once its client has all. What a stop may cost at most is its grace.

The other way that was weighed: half-close at once and wait for the client's end of the connection. A request that crosses the close then stays without an answer, which its client can't tell from one that may have run.

--- a/gullstall/src/edge/edge_connection.cpp
+++ b/gullstall/src/edge/edge_connection.cpp
@@ -23,9 +23,9 @@
 /// client that does not read its responses can't exhaust the memory.
 constexpr std::size_t max_pipelined_requests = 32;
 
-/// Time for which input is read and discarded after the last response. Closing a
-/// socket with unread input sends a reset, which can destroy the response before the
-/// client reads it.
+/// Time for which input is read and discarded after the client has received the last
+/// response. Closing a socket with unread input sends a reset, which can destroy the
+/// response before the client reads it.
 constexpr duration linger_time = seconds(1);
 
 /// Longest time in which a client takes no byte of a response.
@@ -201,6 +201,7 @@
         return;
     }
     writing_ = true;
+    delivered_ = false;
     write_since_ = now();
     exchange &front = pipeline_.front();
     front.close = closes_after(front);
@@ -221,6 +222,8 @@
     auto on_written = [self = shared_from_this()](const error_code &ec, auto) {
         self->writing_ = false;
         self->write_since_.reset();
+        self->unacknowledged_bytes_ = 0;
+        self->acknowledged_at_ = now();
         if (ec || self->closed_) {
             self->close_connection();
             return;
@@ -246,6 +249,7 @@
     report_loss(why);
     accepts_requests_ = false;
     closing_since_ = now();
+    delivered_ = false;  // the end of the stream isn't
     for (exchange &behind : pipeline_) {
         if (!behind.response) {
             owner_.pending_.erase(behind.id);
@@ -305,17 +309,48 @@
 
 bool edge_connection::has_work()
 {
-    return !pipeline_.empty() || (!closing_since_ && !is_idle());
+    return !pipeline_.empty() || !is_delivered(now()) || (!closing_since_ && !is_idle());
 }
 
-/// A request may wait in the socket's buffer, for long if the process was held up.
+/// A request may wait in the socket's buffer, for long if the process was held up, and so may a
+/// response to a client that reads slowly.
 bool edge_connection::is_idle()
 {
     if (!pipeline_.empty() || buf_.size() > 0 || (parser_ && parser_->got_some())) {
         return false;
     }
     error_code ec;
-    return socket_.available(ec) == 0;
+    return socket_.available(ec) == 0 && is_delivered(now());
+}
+
+/// A response that the socket has taken is lost if the process ends, or the client sends more
+/// after the close, before the client's system has acknowledged it.
+bool edge_connection::is_delivered(time_point at)
+{
+    if (delivered_ || writing_) {
+        return delivered_;
+    }
+    std::size_t n = runtime::unacknowledged_bytes(socket_);
+    if (n != unacknowledged_bytes_) {
+        unacknowledged_bytes_ = n;
+        acknowledged_at_ = at;
+    }
+    delivered_ = n == 0;
+    return delivered_;
+}
+
+bool edge_connection::is_stalled(time_point at)
+{
+    if (writing_) {
+        return write_since_ && at - *write_since_ > write_stall_timeout;
+    }
+    return !is_delivered(at) && at - acknowledged_at_ > write_stall_timeout;
+}
+
+bool edge_connection::has_lingered(time_point at)
+{
+    return closing_since_ && is_delivered(at) &&
+           at - std::max(*closing_since_, acknowledged_at_) > linger_time;
 }
 
 void edge_connection::start_draining()
@@ -334,10 +369,12 @@
     if (has_partial_request && !partial_request_since_) {
         partial_request_since_ = at;
     }
-    bool linger_expired = closing_since_ && at - *closing_since_ > linger_time;
-    bool write_stalled = write_since_ && at - *write_since_ > write_stall_timeout;
-    if (linger_expired || write_stalled) {
-        if (write_stalled) {
+    if (!is_delivered(at)) {
+        idle_since_ = at;
+    }
+    bool stalled = is_stalled(at);
+    if (stalled || has_lingered(at)) {
+        if (stalled) {
             report_loss("stalled");
         }
         close_connection();
@@ -347,6 +384,8 @@
         if (at - *partial_request_since_ > limit) {
             reject(408, "Request Timeout");
         }
+    } else if (owner_.draining_) {
+        start_draining();
     } else if (!closing_since_ && at - idle_since_ > owner_.limits_.idle_timeout && is_idle()) {
         begin_lingering_close("idle");
     }
--- a/gullstall/src/edge/edge_connection.hpp
+++ b/gullstall/src/edge/edge_connection.hpp
@@ -27,8 +27,8 @@
     /// Closes the connection; its unanswered requests are reported as abandoned.
     void close_connection();
 
-    /// \returns whether any request is unanswered or not yet read, or any response is not
-    /// fully written
+    /// \returns whether any request is unanswered or not yet read, or any response has not
+    /// reached the client
     bool has_work();
 
 private:
@@ -56,6 +56,9 @@
     void begin_lingering_close(const char *why);
     void report_loss(const char *why);
     bool is_idle();
+    bool is_delivered(time_point at);
+    bool is_stalled(time_point at);
+    bool has_lingered(time_point at);
     bool closes_after(const exchange &front) const;
 
     http_edge &owner_;
@@ -71,6 +74,9 @@
     std::optional<time_point>
         partial_request_since_;  ///< when an incomplete request was first seen
     std::optional<time_point> write_since_;
+    bool delivered_ = true;  ///< the client has acknowledged all that was written
+    std::size_t unacknowledged_bytes_ = 0;  ///< of these, as last seen
+    time_point acknowledged_at_{};          ///< when that last changed
     std::optional<time_point> closing_since_;
     time_point idle_since_;
 };
--- a/gullstall/src/edge/http_edge.hpp
+++ b/gullstall/src/edge/http_edge.hpp
@@ -100,8 +100,8 @@
         return acceptor_.is_open();
     }
 
-    /// \returns whether any request is unanswered or not yet read, or any response is not
-    /// fully written
+    /// \returns whether any request is unanswered or not yet read, or any response has not
+    /// reached its client
     bool has_work() const;
 
     /// \returns the number of requests that were dispatched and not answered
--- a/gullstall/src/runtime/tcp_options.cpp
+++ b/gullstall/src/runtime/tcp_options.cpp
@@ -1,8 +1,10 @@
 #include "gullstall/src/runtime/tcp_options.hpp"
 
 #include <linux/filter.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -57,6 +59,13 @@
     ::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter);
 }
 
+std::size_t unacknowledged_bytes(asio::ip::tcp::socket &socket)
+{
+    int n = 0;
+    bool known = ::ioctl(socket.native_handle(), SIOCOUTQ, &n) == 0;
+    return known ? static_cast<std::size_t>(n) : 0;
+}
+
 asio::ip::tcp::endpoint tcp_endpoint(const endpoint &it)
 {
     return {asio::ip::make_address(it.address), it.port};
--- a/gullstall/src/runtime/tcp_options.hpp
+++ b/gullstall/src/runtime/tcp_options.hpp
@@ -31,6 +31,10 @@
 /// the other side closed it or sent what nobody asked for
 bool is_fresh(boost::asio::ip::tcp::socket &socket);
 
+/// \returns the bytes that were written to the socket and that its peer's system has not yet
+/// acknowledged, an end of the stream included; 0 if that is not known
+std::size_t unacknowledged_bytes(boost::asio::ip::tcp::socket &socket);
+
 /// \returns \a it as Asio takes it; its address was checked by the settings
 boost::asio::ip::tcp::endpoint tcp_endpoint(const endpoint &it);
 
--- a/test/runtime/edge_closes.cpp
+++ b/test/runtime/edge_closes.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
@@ -80,6 +81,51 @@
     return text.find(part) != std::string::npos;
 }
 
+/// The client has an answer of which most waits in the sockets, since it hasn't read any yet.
+struct unread_answer_fixture : edge_fixture
+{
+    static constexpr int receive_buffer_bytes = 4096;
+    static constexpr std::size_t body_bytes = 100000;
+
+    void open(const std::string &fields)
+    {
+        client = tcp::socket(io, tcp::v4());
+        client.set_option(asio::socket_base::receive_buffer_size(receive_buffer_bytes));
+        client.connect(at);
+        write("GET /first HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n");
+        run();
+        server->respond(
+            requests.at(0),
+            edge::edge_answer{200, "One", "", std::vector<std::uint8_t>(body_bytes, 'x')});
+        run();
+    }
+
+    /// Reads while the server runs, until nothing more comes.
+    std::string read_slowly()
+    {
+        std::string out;
+        boost::system::error_code ec;
+        for (std::string more = " "; !ec && !more.empty(); out += more) {
+            more.assign(receive_buffer_bytes, '\0');
+            run();
+            more.resize(client.available(ec) > 0 ? client.read_some(asio::buffer(more), ec) : 0);
+        }
+        return out;
+    }
+
+    void write_if_open(const std::string &text)
+    {
+        boost::system::error_code ec;
+        asio::write(client, asio::buffer(text), ec);
+        run();
+    }
+
+    static bool has_whole_body(const std::string &got)
+    {
+        return static_cast<std::size_t>(std::count(got.begin(), got.end(), 'x')) >= body_bytes;
+    }
+};
+
 }  // namespace
 
 // Guards against a request that was sent before the close and gets no answer.
@@ -178,3 +224,70 @@
     answer(0, "One");
     CHECK(contains(received(), "408 "));
 }
+
+// Guards against an answer whose rest is lost when its reader sends the next request to a server
+// that is being stopped.
+TEST_CASE_FIXTURE(unread_answer_fixture, "server drained, answer not yet read, is whole")
+{
+    open("");
+    server->start_draining();
+    server->sweep(edge::now());
+    CHECK(server->has_work());
+    write_if_open("GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(requests.size() == 2);
+    answer(1, "Two");
+    std::string got = read_slowly();
+    CHECK(has_whole_body(got));
+    CHECK(contains(got, "200 Two"));
+    CHECK(contains(got, "Connection: close"));
+    CHECK_FALSE(server->has_work());
+}
+
+// Guards against a server that waits for more once the reader has all.
+TEST_CASE_FIXTURE(unread_answer_fixture, "server drained, answer read, connection ends")
+{
+    open("");
+    server->start_draining();
+    CHECK(has_whole_body(read_slowly()));
+    server->sweep(edge::now());
+    run();
+    CHECK_FALSE(server->has_work());
+    boost::system::error_code ec;
+    char byte = 0;
+    client.read_some(asio::buffer(&byte, 1), ec);
+    CHECK(ec == asio::error::eof);
+}
+
+// Guards against the idle time-out of a connection whose answer is being read.
+TEST_CASE_FIXTURE(unread_answer_fixture, "beyond idle time, answer not yet read, is whole")
+{
+    open("");
+    server->sweep(edge::now() + seconds(60));
+    write_if_open("GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(requests.size() == 2);
+    answer(1, "Two");
+    std::string got = read_slowly();
+    CHECK(has_whole_body(got));
+    CHECK(contains(got, "200 Two"));
+}
+
+// Guards against a last answer whose rest is lost when its reader sends more.
+TEST_CASE_FIXTURE(unread_answer_fixture, "connection closing, answer not yet read, is whole")
+{
+    open("Connection: close\r\n");
+    server->sweep(edge::now() + seconds(2));
+    write_if_open("GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(has_whole_body(read_slowly()));
+}
+
+// Guards against a reader that takes nothing and holds its connection for good.
+TEST_CASE_FIXTURE(unread_answer_fixture, "answer never read, connection is given up")
+{
+    open("");
+    server->start_draining();
+    time_point at = edge::now();
+    server->sweep(at);
+    CHECK(server->has_work());
+    server->sweep(at + seconds(11));
+    CHECK_FALSE(server->has_work());
+}
