Edge: a drain decides after the pending read has ended, not beside it

What callers saw: a request of an upstream, one connection with one request, came 2.4 s after SIGTERM while the node's loop was held up for 0.45 s.

Cause: a read that finds input when it is begun has emptied the socket, and its handler waits in the loop's queue. The socket has nothing then, the buffer has nothing yet, and is_idle() held: the drain half-closed the connection, and the read's handler dropped the request since the connection was closing. No line told of it, since nothing was unanswered or unread by the same look.

Evidence: edge_closes, "connection drained at any step of a read": with the drain after one step of the loop the request is never dispatched on the code before.

Why this works: a drain and the idle time-out cancel the pending read. A cancelled read has taken no byte, so that what the socket and the buffer hold then is all there is; a read that had ended goes its usual way. While a server drains, a connection that isn't closing yet counts as work, so that the process doesn't end in between.

--- a/gullstall/src/edge/edge_connection.cpp
+++ b/gullstall/src/edge/edge_connection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
+#include <utility>
 
 #include "gullstall/src/edge/clock.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
@@ -104,14 +105,7 @@
     parser_.emplace();
     parser_->header_limit(owner_.limits_.header_bytes);
     parser_->body_limit(owner_.limits_.body_bytes);
-    error_code ec;
-    co_await http::async_read_header(socket_, buf_, *parser_,
-                                     asio::redirect_error(asio::use_awaitable, ec));
-    if (!ec && !parser_->is_done()) {
-        co_await send_continue();
-        co_await http::async_read(socket_, buf_, *parser_,
-                                  asio::redirect_error(asio::use_awaitable, ec));
-    }
+    error_code ec = co_await read_message();
     partial_request_since_.reset();
     if (closing_since_ || !accepts_requests_) {
         co_return false;
@@ -123,6 +117,24 @@
     co_return dispatch_request();
 }
 
+asio::awaitable<error_code> edge_connection::read_message()
+{
+    error_code ec;
+    do {
+        co_await http::async_read_header(socket_, buf_, *parser_,
+                                         asio::redirect_error(asio::use_awaitable, ec));
+        if (const char *why = std::exchange(closes_if_idle_, nullptr); why && is_idle()) {
+            begin_lingering_close(why);
+        }
+    } while (ec == asio::error::operation_aborted && !closing_since_ && !closed_);
+    if (!ec && !parser_->is_done()) {
+        co_await send_continue();
+        co_await http::async_read(socket_, buf_, *parser_,
+                                  asio::redirect_error(asio::use_awaitable, ec));
+    }
+    co_return ec;
+}
+
 asio::awaitable<void> edge_connection::send_continue()
 {
     if (!boost::beast::iequals(parser_->get()[http::field::expect], "100-continue") ||
@@ -309,7 +321,8 @@
 
 bool edge_connection::has_work()
 {
-    return !pipeline_.empty() || !is_delivered(now()) || (!closing_since_ && !is_idle());
+    bool may_be_read = !closing_since_ && (owner_.draining_ || !is_idle());
+    return !pipeline_.empty() || !is_delivered(now()) || may_be_read;
 }
 
 /// A request may wait in the socket's buffer, for long if the process was held up, and so may a
@@ -355,9 +368,19 @@
 
 void edge_connection::start_draining()
 {
-    if (!closing_since_ && is_idle()) {
-        begin_lingering_close("drained");
+    close_if_idle("drained");
+}
+
+/// Input that the pending read has already taken shows only when that read has ended: it is
+/// cancelled first, which loses nothing, and read_message() decides.
+void edge_connection::close_if_idle(const char *why)
+{
+    if (closing_since_ || !is_idle()) {
+        return;
     }
+    closes_if_idle_ = why;
+    error_code ec;
+    socket_.cancel(ec);
 }
 
 void edge_connection::sweep(time_point at)
@@ -386,8 +409,8 @@
         }
     } else if (owner_.draining_) {
         start_draining();
-    } else if (!closing_since_ && at - idle_since_ > owner_.limits_.idle_timeout && is_idle()) {
-        begin_lingering_close("idle");
+    } else if (at - idle_since_ > owner_.limits_.idle_timeout) {
+        close_if_idle("idle");
     }
 }
 
--- a/gullstall/src/edge/edge_connection.hpp
+++ b/gullstall/src/edge/edge_connection.hpp
@@ -47,12 +47,14 @@
     };
 
     boost::asio::awaitable<bool> read_request();
+    boost::asio::awaitable<boost::system::error_code> read_message();
     boost::asio::awaitable<void> send_continue();
     boost::asio::awaitable<void> drain_input();
     bool dispatch_request();
     void reject(std::uint16_t status, const char *text);
     void reject_unparsable(const boost::system::error_code &ec);
     void write_next_response();
+    void close_if_idle(const char *why);
     void begin_lingering_close(const char *why);
     void report_loss(const char *why);
     bool is_idle();
@@ -77,6 +79,7 @@
     bool delivered_ = true;  ///< the client has acknowledged all that was written
     std::size_t unacknowledged_bytes_ = 0;  ///< of these, as last seen
     time_point acknowledged_at_{};          ///< when that last changed
+    const char *closes_if_idle_ = nullptr;  ///< why, once the pending read has ended
     std::optional<time_point> closing_since_;
     time_point idle_since_;
 };
--- a/test/runtime/edge_closes.cpp
+++ b/test/runtime/edge_closes.cpp
@@ -144,6 +144,28 @@
     CHECK(contains(got, "Connection: close"));
 }
 
+// Guards against a request that is dropped without an answer since the drain came between its
+// read and the handler of that read.
+TEST_CASE("connection drained at any step of a read, request, is answered")
+{
+    constexpr int max_steps = 12;
+    for (int steps = 0; steps < max_steps; ++steps) {
+        INFO(steps);
+        edge_fixture it;
+        tcp::socket late(it.io);
+        late.connect(it.at);
+        asio::write(late, asio::buffer(std::string("GET /late HTTP/1.1\r\nHost: h\r\n\r\n")));
+        it.io.restart();
+        for (int i = 0; i < steps; ++i) {
+            it.io.poll_one();
+        }
+        it.server->start_draining();
+        CHECK(it.server->has_work());
+        it.run();
+        CHECK(it.requests.size() == 1);
+    }
+}
+
 // Guards against the idle time-out of a process that was held up and has not read its input.
 TEST_CASE_FIXTURE(edge_fixture, "connection beyond idle time, request not yet read, is answered")
 {
