--- a/gullstall/src/edge/edge_connection.hpp
+++ b/gullstall/src/edge/edge_connection.hpp
@@ -76,7 +76,7 @@
     std::optional<time_point>
         partial_request_since_;  ///< when an incomplete request was first seen
     std::optional<time_point> write_since_;
-    bool delivered_ = true;  ///< the client has acknowledged all that was written
+    bool delivered_ = true;                 ///< the client has acknowledged all that was written
     std::size_t unacknowledged_bytes_ = 0;  ///< of these, as last seen
     time_point acknowledged_at_{};          ///< when that last changed
     const char *closes_if_idle_ = nullptr;  ///< why, once the pending read has ended
