Stop: a stopping node takes and starts only runs that end before it does

Cause: plan_stop() keeps a gate open until the end less a quarter of the time or four mean runs, by the mean of all runs, here 50 ms. refusal_reason() took a run whatever time it might need. The entry took calls that runs make late in a stop, passed them on, and they were cut at the end of the process.

Why this works: a stopping node compares the end of a run with its own: by twice the longest of the route's recent runs, or by the deadline where fewer than five were measured. The longest decays by a hundredth of the distance a run, so that a rare long run is remembered; one that expires counts too. What would outlast the node is answered 503 at once, as not run, and other nodes can take it. "gate held open, route of short runs, is served" guards against refusing all.

--- a/gullstall/src/mesh/entry.cpp
+++ b/gullstall/src/mesh/entry.cpp
@@ -279,7 +279,9 @@
     }
     call.deadline = t.now + request.time_left.value_or(route->timeout);
     call.expires = std::min(call.deadline, t.now + route->timeout);
-    if (!call.call.inner && !accepts_callers(t.n, t.now, call.expires)) {
+    bool is_accepted = call.call.inner ? accepts_call_of_run(t.n, route->name, t.now, call.expires)
+                                       : accepts_callers(t.n, t.now, call.expires);
+    if (!is_accepted) {
         refuse_request(t, id, request, reason::stopping);
         return;
     }
--- a/gullstall/src/mesh/entry_answers.cpp
+++ b/gullstall/src/mesh/entry_answers.cpp
@@ -189,7 +189,9 @@
     answer.body = std::move(reply.body);
     constexpr std::uint16_t first_error = 400;
     bool is_good = reply.status < first_error;
-    if (!is_good) {
+    if (is_good) {
+        record_held_time(t.n.call_times, call.route, t.now - call.received_at);
+    } else {
         mark_failed_call(t, call);
     }
     count_answer(t, call.route, is_good ? "answered" : "upstream-error", "none");
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -310,9 +310,11 @@
     }
     t.n.plan_outdated = true;
     refresh_plan(t);
-    std::erase_if(t.n.costs.by_route, [&](const auto &entry) {
-        return find_route_by_name(*t.n.policy, entry.first) == nullptr;
-    });
+    for (run_costs *it : {&t.n.costs, &t.n.call_times}) {
+        std::erase_if(it->by_route, [&](const auto &entry) {
+            return find_route_by_name(*t.n.policy, entry.first) == nullptr;
+        });
+    }
     apply_timeouts(t);
     if (source == policy_source::store) {
         send_status_nearby(t);  // the nodes of this zone wait for it
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -166,6 +166,7 @@
     run_gate gate;
     bool reported_errors = false;  ///< of the local upstream, by report_upstream_errors
     run_costs costs;               ///< of the local upstream
+    run_costs call_times;          ///< of the calls that this entry node has taken
     gate_demand demand;
     gate_capacity capacity;                            ///< of the local upstream in the last window
     std::vector<mesh_wire::demand_part> demand_parts;  ///< in the last window
@@ -390,6 +391,14 @@
 void stop_tick(mesh_turn &t);
 /// \returns whether the node accepts a caller's request that expires at \a expires
 bool accepts_callers(const mesh_node &n, time_point now, time_point expires);
+/// \returns whether a request that is taken now is answered before a stopping node ends, as far
+/// as the recent ones of its route tell; of a route without any, its deadline tells
+/// \param times of the route's requests
+bool ends_before_stop(const mesh_node &n, const run_costs &times, const std::string &route,
+                      time_point now, time_point deadline);
+/// \returns whether a call made by a run is taken: late in a stop only if it is answered in time
+bool accepts_call_of_run(const mesh_node &n, const std::string &route, time_point now,
+                         time_point deadline);
 /// \returns when each accepted request has its answer: before the end of a stopping node
 time_point latest_answer(const mesh_node &n);
 /// \returns whether callers should use another node from now on
--- a/gullstall/src/mesh/serve.cpp
+++ b/gullstall/src/mesh/serve.cpp
@@ -160,9 +160,20 @@
     refuse(t, run.link, run.call, why);
 }
 
-/// Starts a run that has a slot, unless its request may crash the upstream.
+/// A run that outlasts its node is broken off, and its caller can't tell whether it was completed.
+bool outlasts_node(const mesh_turn &t, const local_run &run)
+{
+    return !ends_before_stop(t.n, t.n.costs, run.call.route, t.now, run.deadline);
+}
+
+/// Starts a run that has a slot, unless its node ends before or its request may crash the upstream.
 void start_or_hold(mesh_turn &t, run_ref id)
 {
+    if (outlasts_node(t, t.n.runs.at(id))) {
+        return_slot(t.n.gate);
+        refuse_run(t, id, reason::stopping);
+        return;
+    }
     suspect_verdict verdict = judge_run(t.n, t.n.runs.at(id), t.now);
     if (verdict == suspect_verdict::start) {
         dispatch_run(t, id);
@@ -194,6 +205,10 @@
             refuse_run(t, id, reason::crashes_upstreams);
             continue;
         }
+        if (outlasts_node(t, found->second)) {
+            refuse_run(t, id, reason::stopping);
+            continue;
+        }
         gate_verdict slot = request_slot(t.n.gate, slot_request_of(t, found->second));
         if (slot == gate_verdict::granted) {
             dispatch_run(t, id);
@@ -347,6 +362,10 @@
         refuse(t, link, call, reason::too_late);
         return;
     }
+    if (!ends_before_stop(t.n, t.n.costs, call.route, t.now, t.now + left)) {
+        refuse(t, link, call, reason::stopping);
+        return;
+    }
     if (call.asks_grant && !grant_retry(t, call)) {
         refuse(t, link, call, reason::retry_limit);
         return;
@@ -460,6 +479,7 @@
         t.out.emplace_back(cancel_run{id});
         local_run run = forget_run(t, id);
         release_slot(t.n.gate, std::nullopt);
+        record_unfinished_run(t.n.costs, run.call.route, t.now - *run.started_at);
         mesh_wire::reply_message reply;
         reply.correlation = run.call.correlation;
         reply.outcome = outcome::unknown;
--- a/gullstall/src/mesh/stop.cpp
+++ b/gullstall/src/mesh/stop.cpp
@@ -5,6 +5,9 @@
 
 namespace {
 
+/// Factor on the longest of a route's recent requests that bounds the next one.
+constexpr int longest_time_margin = 2;
+
 /// \returns the number of other upstreams of the local service that keep accepting work
 std::size_t others_staying(const mesh_turn &t)
 {
@@ -67,6 +70,24 @@
     return !n.gate_closed && (now < n.stop.held_entry_close || expires <= n.stop.answer_deadline);
 }
 
+bool ends_before_stop(const mesh_node &n, const run_costs &times, const std::string &route,
+                      time_point now, time_point deadline)
+{
+    if (!n.stopping) {
+        return true;
+    }
+    std::optional<duration> longest = longest_held(times, route);
+    time_point end = longest ? std::min(deadline, now + longest_time_margin * *longest) : deadline;
+    return end <= latest_answer(n);
+}
+
+bool accepts_call_of_run(const mesh_node &n, const std::string &route, time_point now,
+                         time_point deadline)
+{
+    return !n.stopping || now < n.stop.held_entry_close ||
+           ends_before_stop(n, n.call_times, route, now, deadline);
+}
+
 time_point latest_answer(const mesh_node &n)
 {
     return n.stopping ? n.stop.answer_deadline : time_point::max();
--- a/gullstall/src/overload/run_costs.hpp
+++ b/gullstall/src/overload/run_costs.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "gullstall/src/core/time.hpp"
@@ -13,6 +14,7 @@
 struct held_time
 {
     double mean_us = 0;      ///< moving average, microseconds
+    double longest_us = 0;   ///< of the recent runs, microseconds
     std::uint32_t runs = 0;  ///< number of runs measured
 
     bool operator==(const held_time &) const = default;
@@ -28,6 +30,12 @@
 /// Records that a run of \a route \a held a slot until it was answered.
 void record_held_time(run_costs &it, const std::string &route, duration held);
 
+/// Records that a run of \a route was given up after it had \a held a slot.
+void record_unfinished_run(run_costs &it, const std::string &route, duration held);
+
+/// \returns the longest held time of the route's recent runs; none if too few were measured
+std::optional<duration> longest_held(const run_costs &it, const std::string &route);
+
 /// \returns the mean held time of the route's runs in microseconds; 0 if too few runs were
 /// measured
 double mean_held_us(const run_costs &it, const std::string &route);
--- a/test/unit/mesh_stop.cpp
+++ b/test/unit/mesh_stop.cpp
@@ -185,6 +185,98 @@
     CHECK(w.results.at("r1").status == 500);
 }
 
+// Guards against a run that is broken off at the end of its node, which took it at a gate held open
+// although nothing tells that it ends in time.
+TEST_CASE_FIXTURE(mesh_stop_fixture, "gate held open, run that may outlast its node, is refused")
+{
+    for (const char *name : {"a1", "b1"}) {
+        w.upstreams.at(name).run_time = milliseconds(1900);
+    }
+    stop_both();
+    w.run_for(milliseconds(4050));
+    REQUIRE(count_serving() == 1);
+    w.send_request("s1", "r1", "/title/x", long_deadline);
+    w.run_for(milliseconds(1450));
+    CHECK(w.runs_of("r1") == 0);
+    CHECK(w.results.at("r1").status == 503);
+}
+
+// Guards against a run that was queued in time and starts too late to end before its node.
+TEST_CASE_FIXTURE(mesh_stop_fixture, "stopping node, queued run that may outlast it, is refused")
+{
+    w.send_heartbeat("b1", upstream_state::draining);
+    std::map<std::string, duration> &run_times = w.upstreams.at("a1").run_times;
+    run_times["/title/x"] = milliseconds(1900);
+    for (int i = 0; i < 6; ++i) {
+        w.send_request("s1", "early" + std::to_string(i), "/title/x", long_deadline);
+        w.run_for(milliseconds(1));
+    }
+    w.run_for(seconds(2));
+    for (int i = 0; i < 100; ++i) {
+        w.send_request("s1", "short" + std::to_string(i), "/index/y", long_deadline);
+        w.run_for(milliseconds(20));
+    }
+    w.run_node("a1", [](mesh::mesh_turn &t) { stop_node(t); });
+    w.run_for(milliseconds(500));
+    constexpr duration slower = milliseconds(3000);
+    run_times["/title/x"] = slower;
+    for (int i = 0; i < 15; ++i) {
+        w.send_request("s1", "late" + std::to_string(i), "/title/x", long_deadline);
+        w.run_for(milliseconds(1));
+    }
+    time_point end = w.nodes.at("a1").stop.answer_deadline;
+    w.run_for(seconds(8));
+    int late_runs = 0;
+    for (const test::upstream_run &it : w.runs) {
+        bool is_late = it.request_id.compare(0, 4, "late") == 0;
+        late_runs += is_late ? 1 : 0;
+        CHECK((!is_late || it.at + slower <= end));
+    }
+    CHECK(late_runs == static_cast<int>(w.nodes.at("a1").gate.slots));
+}
+
+// Guards against a service that refuses all while its nodes are stopped in turn: short runs end in
+// time.
+TEST_CASE_FIXTURE(mesh_stop_fixture, "gate held open, route of short runs, is served")
+{
+    w.add_node("s2", "b", w.upstreams.at("s1"));
+    w.run_for(seconds(1));
+    for (int i = 0; i < 10; ++i) {
+        for (const char *entry : {"s1", "s2"}) {
+            w.send_request(entry, entry + std::to_string(i), "/title/x", long_deadline);
+        }
+        w.run_for(milliseconds(20));
+    }
+    stop_both();
+    w.run_for(milliseconds(4050));
+    w.send_request("s1", "r1", "/title/x", long_deadline);
+    w.run_for(milliseconds(200));
+    CHECK(w.results.at("r1").status == 200);
+}
+
+// Guards against calls of runs that are taken late in a stop, passed on, and cut at the end of the
+// node while an upstream works on them.
+TEST_CASE_FIXTURE(mesh_stop_fixture, "call made by a run late in a stop, may be cut, is refused")
+{
+    constexpr duration no_bound = seconds(30);
+    for (traffic_route &it : w.policy.routes) {
+        it.timeout = no_bound;
+    }
+    w.policy.version = 4;
+    w.run_node("s1", [&](mesh::mesh_turn &t) {
+        apply_policy(t, w.policy, "text", mesh::policy_source::store);
+    });
+    w.upstreams.at("s1").run_time = milliseconds(4900);
+    w.upstreams.at("a1").run_time = milliseconds(1500);
+    w.upstreams.at("b1").run_time = milliseconds(1500);
+    w.send_request("s1", "r1", "/order/x", no_bound);
+    w.run_for(milliseconds(1));
+    w.run_node("s1", [](mesh::mesh_turn &t) { stop_node(t); });
+    w.run_for(seconds(7));
+    REQUIRE(w.runs_of("r1") == 1);
+    CHECK(w.runs.size() == 1);
+}
+
 // Control: without ordered stops and waiting calls, orders are lost.
 TEST_CASE_FIXTURE(mesh_stop_fixture, "unordered stops and no waiting calls: orders are lost")
 {
