Answers: a status that HTTP doesn't have is a broken answer

What callers saw: answers with the statuses 600 and 999 were passed on; 000, 001, 099 and 101 were skipped as if interim, and the answer behind them was passed on.

Cause: a status below 200 counted as interim, every other one as final. http_client, which speaks with the store, took an interim response for the answer.

Evidence: odd_answers, "status that is none, answer, is not passed on", fails on the code before for each of the six. Blanks and control bytes in and behind field names, in the head and in trailers, at each position, were refused before; "line that is no field, answer, is not passed on" keeps it so.

Why this works: both readers ask http_status.hpp what is interim (100 to 199 but 101) and what is final (200 to 599).

--- a/gullstall/src/edge/upstream_exchange.cpp
+++ b/gullstall/src/edge/upstream_exchange.cpp
@@ -12,6 +12,7 @@
 #include "gullstall/src/edge/notice_fields.hpp"
 #include "gullstall/src/edge/time_fields.hpp"
 #include "gullstall/src/edge/upstream_connect.hpp"
+#include "gullstall/src/runtime/http_status.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
 
 namespace gullstall::edge {
@@ -164,7 +165,6 @@
 
 asio::awaitable<run_result> upstream_exchange::read_matching_response()
 {
-    constexpr unsigned first_final_status = 200;
     for (int i = 0; i <= max_stale_responses; ++i) {
         response_parser parser;
         bool has_header = co_await read_header(parser);
@@ -172,18 +172,23 @@
         std::string_view echoed(response[owner_.names_.request_id].data(),
                                 response[owner_.names_.request_id].size());
         bool is_stale = !echoed.empty() && echoed != order_.call.request_id;
-        if (has_header && response.result_int() >= first_final_status) {
+        bool is_final = runtime::is_final_status(response.result_int());
+        bool has_status = is_final || runtime::is_interim_status(response.result_int());
+        if (has_header && is_final) {
             report_notice(response, is_stale);
         }
-        bool is_anonymous = echoed.empty() && response.result_int() >= first_final_status &&
-                            !was_not_executed(response);
-        if (!has_header || is_anonymous || !co_await read_body(parser)) {
+        bool is_anonymous = echoed.empty() && is_final && !was_not_executed(response);
+        bool is_valid = has_header && has_status && !is_anonymous;
+        if (is_valid) {
+            is_valid = co_await read_body(parser);
+        }
+        if (!is_valid) {
             bool received_nothing = !parser.got_some();
             co_return run_result{
                 received_nothing ? run_end::lost : run_end::bad_answer, 0, "", "", {}};
         }
         return_response_bytes();
-        if (is_stale || response.result_int() < first_final_status) {
+        if (is_stale || !is_final) {
             continue;
         }
         evaluate_reuse(response, !parser.need_eof());
--- a/gullstall/src/runtime/http_client.cpp
+++ b/gullstall/src/runtime/http_client.cpp
@@ -1,5 +1,6 @@
 #include "gullstall/src/runtime/http_client.hpp"
 
+#include "gullstall/src/runtime/http_status.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
 
 #include <boost/asio/redirect_error.hpp>
@@ -8,6 +9,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <optional>
 
 namespace gullstall::runtime {
 
@@ -82,15 +84,19 @@
         request.prepare_payload();
         co_await http::async_write(*stream, request, asio::redirect_error(asio::use_awaitable, ec));
         beast::flat_buffer buf;
-        response_parser parser;
-        parser.body_limit(body_limit_);
-        if (!ec) {
-            co_await http::async_read(*stream, buf, parser,
+        std::optional<response_parser> parser;
+        for (int i = 0; !ec && i <= max_interim_responses; ++i) {
+            parser.emplace();
+            parser->body_limit(body_limit_);
+            co_await http::async_read(*stream, buf, *parser,
                                       asio::redirect_error(asio::use_awaitable, ec));
+            if (!is_interim_status(parser->get().result_int())) {
+                break;
+            }
         }
-        if (!ec && has_known_end(parser)) {
+        if (!ec && is_final_status(parser->get().result_int()) && has_known_end(*parser)) {
             out.end = exchange_end::answered;
-            out.response = parser.release();
+            out.response = parser->release();
             // Bytes beyond the answer would be taken for the next one.
             reusable = out.response.keep_alive() && buf.size() == 0;
         }
