Answers: a reset is not the end of an answer without a length

Cause: the upload is written beside the read. After a reset the write fails and takes the socket's error with it; the next read meets what looks like an orderly end of the stream, which ends an answer without a length.

Why this works: such an answer is whole only if no write has failed and the kernel does not hold the connection for closed (TCP_INFO): a reset closes it at once, a FIN leaves it in CLOSE-WAIT. The second condition covers a reset that arrives between the last write and the end.

--- a/gullstall/src/edge/upstream_exchange.cpp
+++ b/gullstall/src/edge/upstream_exchange.cpp
@@ -111,6 +111,7 @@
     // whole body.
     asio::async_write(socket_, bytes, [self = shared_from_this()](const error_code &ec, auto) {
         self->request_written_ = !ec;
+        self->write_failed_ = ec.failed();
     });
 }
 
@@ -163,6 +164,13 @@
     owner_.on_notice_(is_stale ? std::nullopt : std::optional(order_.run), notice);
 }
 
+/// A response without a length is whole if the upstream has ended its stream, which a reset can
+/// look like.
+bool upstream_exchange::is_whole(const response_parser &parser)
+{
+    return !parser.need_eof() || (!write_failed_ && !runtime::has_failed(socket_));
+}
+
 asio::awaitable<run_result> upstream_exchange::read_matching_response()
 {
     for (int i = 0; i <= max_stale_responses; ++i) {
@@ -181,6 +189,7 @@
         bool is_valid = has_header && has_status && !is_anonymous;
         if (is_valid) {
             is_valid = co_await read_body(parser);
+            is_valid = is_valid && is_whole(parser);
         }
         if (!is_valid) {
             bool received_nothing = !parser.got_some();
--- a/gullstall/src/edge/upstream_exchange.hpp
+++ b/gullstall/src/edge/upstream_exchange.hpp
@@ -39,6 +39,7 @@
     void return_response_bytes();
     void report_notice(const response_parser::value_type &response, bool is_stale);
     void write_request();
+    bool is_whole(const response_parser &parser);
     bool was_not_executed(const response_parser::value_type &response) const;
     mesh::run_result to_run_result(response_parser::value_type &&response) const;
     void evaluate_reuse(const response_parser::value_type &response, bool is_framed);
@@ -52,6 +53,7 @@
     std::uint64_t generation_;
     std::size_t response_bytes_ = 0;
     bool request_written_ = false;
+    bool write_failed_ = false;
     bool completed_ = false;
     bool reusable_ = false;
     duration keep_alive_time_{};
--- a/gullstall/src/runtime/tcp_options.cpp
+++ b/gullstall/src/runtime/tcp_options.cpp
@@ -66,6 +66,14 @@
     return known ? static_cast<std::size_t>(n) : 0;
 }
 
+bool has_failed(asio::ip::tcp::socket &socket)
+{
+    tcp_info info{};
+    socklen_t n = sizeof info;
+    bool known = ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &n) == 0;
+    return known && info.tcpi_state == TCP_CLOSE;
+}
+
 asio::ip::tcp::endpoint tcp_endpoint(const endpoint &it)
 {
     return {asio::ip::make_address(it.address), it.port};
--- a/gullstall/src/runtime/tcp_options.hpp
+++ b/gullstall/src/runtime/tcp_options.hpp
@@ -35,6 +35,10 @@
 /// acknowledged, an end of the stream included; 0 if that is not known
 std::size_t unacknowledged_bytes(boost::asio::ip::tcp::socket &socket);
 
+/// \returns whether the connection was reset or has timed out. A failed write takes the error with
+/// it, and the next read then meets what looks like an orderly end of the stream.
+bool has_failed(boost::asio::ip::tcp::socket &socket);
+
 /// \returns \a it as Asio takes it; its address was checked by the settings
 boost::asio::ip::tcp::endpoint tcp_endpoint(const endpoint &it);
 
--- a/test/runtime/odd_answers.cpp
+++ b/test/runtime/odd_answers.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include "test/support/upstream_orders.hpp"
@@ -18,6 +19,7 @@
     asio::io_context io;
     tcp::acceptor acceptor{io, {asio::ip::make_address("127.0.0.1"), 0}};
     tcp::socket peer{io};
+    asio::steady_timer timer{io};
     std::string request;
     std::vector<mesh::run_result> results;
     edge::upstream_client client{io, acceptor.local_endpoint(), test::short_names,
@@ -56,8 +58,30 @@
     {
         return exchange(test::make_order(7, "r"), text, [this] { peer.close(); });
     }
+
+    void reset_after(duration pause)
+    {
+        timer.expires_after(pause);
+        timer.async_wait([this](const boost::system::error_code &) {
+            peer.set_option(asio::socket_base::linger(true, 0));
+            peer.close();
+        });
+    }
 };
 
+mesh::start_run make_upload(std::size_t body_bytes)
+{
+    mesh::start_run out = test::make_order(7, "r");
+    out.call.method = "POST";
+    out.call.body.assign(body_bytes, 'x');
+    return out;
+}
+
+constexpr std::size_t large_body_bytes = 8U << 20U;
+constexpr std::size_t small_body_bytes = 100;
+
+const std::string endless_header = "HTTP/1.1 200 OK\r\nId: r\r\nSeal: s\r\n\r\n";
+
 bool is_passed_on(const mesh::run_result &it)
 {
     return it.end == mesh::run_end::answered || it.end == mesh::run_end::not_executed;
@@ -65,6 +89,41 @@
 
 }  // namespace
 
+// Guards against a part of an answer that is passed on as whole: a write to a connection that was
+// reset takes its error, and the next read meets an end of the stream.
+TEST_CASE_FIXTURE(odd_answer_fixture,
+                  "answer without a length, reset while the request is written, is no answer")
+{
+    for (int pause_ms : {0, 1, 5, 20, 60, 100}) {
+        INFO(pause_ms);
+        mesh::run_result got = exchange(make_upload(large_body_bytes), endless_header + "part",
+                                        [&] { reset_after(milliseconds(pause_ms)); });
+        CHECK(got.end == mesh::run_end::bad_answer);
+    }
+}
+
+TEST_CASE_FIXTURE(odd_answer_fixture,
+                  "answer without a length, reset after a small request, is no answer")
+{
+    for (int pause_ms : {0, 5, 20}) {
+        INFO(pause_ms);
+        mesh::run_result got = exchange(make_upload(small_body_bytes), endless_header + "part",
+                                        [&] { reset_after(milliseconds(pause_ms)); });
+        CHECK(got.end == mesh::run_end::bad_answer);
+    }
+}
+
+// Guards against a whole answer that is given up, since the upstream has read none of the request's
+// body and ends only its own stream.
+TEST_CASE_FIXTURE(odd_answer_fixture,
+                  "answer without a length, ended before the request is read, is whole")
+{
+    mesh::run_result got = exchange(make_upload(large_body_bytes), endless_header + "whole",
+                                    [&] { peer.shutdown(tcp::socket::shutdown_send); });
+    REQUIRE(got.end == mesh::run_end::answered);
+    CHECK(std::string(got.body.begin(), got.body.end()) == "whole");
+}
+
 // Guards against an answer whose status means nothing to a caller.
 TEST_CASE_FIXTURE(odd_answer_fixture, "status that is none, answer, is not passed on")
 {
