Upstream: an announced end is acknowledged once the store or other nodes keep it

Some 340 requests reached the upstream later than drain-ms, and four unsafe ones were lost when it exited.

Cause: the control server acknowledged an end that only its process knew of. The row was written afterwards, in five tries at most; the next process waits for it for 200 ms and then takes any heartbeat.

Why this works: up to three linked nodes are asked to remember the end, those of the own zone first, and tell it the next process in their greeting, which applies it as it does the store's row; the sequence of the heartbeat goes with it, so that an upstream that reports ready again is taken. The acknowledgement waits for the row or for two confirmations (one, if only one node is linked), at most 900 ms, then it is 503 and the upstream asks again. The row is written until the store has it.

The way that was tried first: the peers' notice of a leave in a response, which is final for an incarnation. mesh_stop, "call made by a run: waits while upstreams are briefly absent", failed with it: an upstream that had drained and was ready again got nothing more.

--- a/gullstall/src/edge/mesh_daemon.cpp
+++ b/gullstall/src/edge/mesh_daemon.cpp
@@ -228,6 +228,8 @@
                 if (save_end_) {
                     save_end_(std::move(it));
                 }
+            } else if constexpr (std::is_same_v<kind, mesh::end_kept>) {
+                on_end_kept_(it.upstream);
             } else {
                 static_assert(std::is_same_v<kind, write_line>, "unhandled action type");
                 log_.write(it);
@@ -300,6 +302,8 @@
         step("crash news", [&](mesh_turn &t) { handle_crash_news(t, node, *crash); });
     } else if (const mesh_wire::quota_grant_message *grant = frame.payload.Asquota_grant()) {
         step("quota grant", [&](mesh_turn &t) { handle_quota_grant(t, node, *grant); });
+    } else if (const auto *remembered = frame.payload.Asend_remembered()) {
+        step("end remembered", [&](mesh_turn &t) { handle_end_remembered(t, node, *remembered); });
     } else if (const mesh_wire::policy_content_message *it = frame.payload.Aspolicy_content()) {
         update_policy(std::string(it->content.begin(), it->content.end()),
                       mesh::policy_source::peer);
@@ -316,6 +320,8 @@
         step("hello", [&](mesh_turn &t) { handle_hello(t, link, *hello); });
     } else if (const mesh_wire::quota_ask_message *ask = frame.payload.Asquota_ask()) {
         step("quota ask", [&](mesh_turn &t) { handle_quota_ask(t, link, *ask); });
+    } else if (const mesh_wire::end_notice_message *end = frame.payload.Asend_notice()) {
+        step("end notice", [&](mesh_turn &t) { handle_end_notice(t, link, *end); });
     } else if (frame.payload.Asping() != nullptr) {
         step("ping", [&](mesh_turn &t) { handle_ping(t, link); });
     } else if (frame.payload.Aspolicy_fetch() != nullptr) {
--- a/gullstall/src/edge/mesh_daemon.hpp
+++ b/gullstall/src/edge/mesh_daemon.hpp
@@ -70,6 +70,14 @@
     /// Applies the announced end read from the store, none if there is no row.
     void update_stored_end(const std::optional<mesh::announced_end> &stored);
 
+    /// Records that the store has written the row of an announced end.
+    void set_end_stored(const mesh::announced_end &end);
+
+    /// Sets the function that is called when the announced end of an upstream is kept by the store
+    /// or by other nodes, and so can be acknowledged.
+    void set_end_kept_handler(std::function<void(const std::string &upstream)> handler);
+    bool is_end_kept(const std::string &upstream) const;
+
     /// Applies the suspects read from the store.
     void update_suspects(const std::vector<kept_suspect> &row);
 
@@ -122,6 +130,7 @@
     std::function<void(mesh::store_chain &&)> save_chain_;
     std::function<void(mesh::store_suspects &&)> save_suspects_;
     std::function<void(mesh::store_end &&)> save_end_;
+    std::function<void(const std::string &)> on_end_kept_ = [](const std::string &) {};
     loop_watch loop_;
     std::map<std::string, std::uint64_t> cut_requests_;  ///< by the reason of the close
     line_log log_;
--- a/gullstall/src/edge/mesh_daemon_store.cpp
+++ b/gullstall/src/edge/mesh_daemon_store.cpp
@@ -80,6 +80,21 @@
     step("stored end", [&](mesh_turn &t) { handle_stored_end(t, stored); });
 }
 
+void mesh_daemon::set_end_stored(const mesh::announced_end &end)
+{
+    step("end stored", [&](mesh_turn &t) { handle_end_stored(t, end); });
+}
+
+void mesh_daemon::set_end_kept_handler(std::function<void(const std::string &)> handler)
+{
+    on_end_kept_ = std::move(handler);
+}
+
+bool mesh_daemon::is_end_kept(const std::string &upstream) const
+{
+    return mesh::is_end_kept(node_, upstream);
+}
+
 void mesh_daemon::update_suspects(const std::vector<kept_suspect> &row)
 {
     step("stored suspects", [&](mesh_turn &t) { handle_stored_suspects(t, row); });
--- a/gullstall/src/edge/own_row.cpp
+++ b/gullstall/src/edge/own_row.cpp
@@ -5,13 +5,6 @@
 namespace asio = boost::asio;
 using mesh::write_line;
 
-namespace {
-
-/// Tries of a save. What is saved matters for as long as messages may be under way.
-constexpr std::uint32_t max_tries = 5;
-
-}  // namespace
-
 own_row::own_row(std::string key, store_call call,
                  std::function<void(const std::optional<std::string> &)> on_read,
                  std::function<void(const write_line &)> log, std::uint64_t seed)
@@ -50,10 +43,10 @@
     }
 }
 
-asio::awaitable<void> own_row::save(asio::io_context &io, std::string value)
+asio::awaitable<bool> own_row::save(asio::io_context &io, std::string value)
 {
     std::uint64_t own = ++saves_;
-    for (std::uint32_t tries = 1; tries <= max_tries && own == saves_; ++tries) {
+    for (std::uint32_t tries = 1; own == saves_; ++tries) {
         platform_request write = table_commit{{row_write{key_, version_, value}}};
         platform_answer written = co_await call_(write);
         bool is_done = written.status == platform_status::done;
@@ -65,12 +58,13 @@
                         is_done ? "row-saved" : "row-not-saved",
                         {{"table", key_}, {"tries", std::to_string(tries)}}});
         if (is_done) {
-            co_return;
+            co_return true;
         }
         co_await async_sleep(io, draw_store_backoff(random_, tries));
         // The write may have been performed, or have met a row of an earlier process.
         co_await read();
     }
+    co_return false;
 }
 
 }  // namespace gullstall::edge
--- a/gullstall/src/edge/own_row.hpp
+++ b/gullstall/src/edge/own_row.hpp
@@ -22,8 +22,9 @@
     /// Reads the row, retrying until the store responds.
     boost::asio::awaitable<void> load(boost::asio::io_context &io);
 
-    /// Writes the row, retrying a few times. A newer save() takes the place of this one.
-    boost::asio::awaitable<void> save(boost::asio::io_context &io, std::string value);
+    /// Writes the row, retrying until the store has it. A newer save() takes the place of this one.
+    /// \returns whether the row was written
+    boost::asio::awaitable<bool> save(boost::asio::io_context &io, std::string value);
 
 private:
     boost::asio::awaitable<bool> read();
--- a/gullstall/src/mesh/directory.hpp
+++ b/gullstall/src/mesh/directory.hpp
@@ -10,6 +10,7 @@
 #include "gullstall/core.hpp"
 #include "gullstall/generated/mesh_generated.h"
 #include "gullstall/settings.hpp"
+#include "gullstall/src/mesh/own_upstream.hpp"
 #include "gullstall/src/mesh/upstream_notice.hpp"
 
 namespace gullstall::mesh {
@@ -34,6 +35,8 @@
     /// What the node's upstream has last said of itself, as far as this node heard. It outlives
     /// the process of that node, which forgets it.
     std::optional<mesh_wire::upstream_notice_message> notice;
+    /// The end that the node's upstream has announced, kept for the node's next process.
+    std::optional<announced_end> end;
     time_point limit_free_at{};  ///< when the limit of the upstream allows one more call
     /// When the status was last heard, from the node itself or by the node that passed it
     /// on.
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -163,6 +163,9 @@
     if (receiver != n.nodes.nodes.end() && receiver->second.notice) {
         out.notice = std::make_unique<mesh_wire::upstream_notice_message>(*receiver->second.notice);
     }
+    if (receiver != n.nodes.nodes.end() && receiver->second.end) {
+        out.end = print_end(*receiver->second.end);
+    }
     return out;
 }
 
@@ -201,6 +204,9 @@
     if (hello.notice) {
         handle_remembered_notice(t, hello.node, *hello.notice);
     }
+    if (hello.end) {
+        handle_remembered_end(t, hello.node, *hello.end);
+    }
     t.out.emplace_back(send_to_link{link, mesh_frame(own_status(t))});
     greet_with_chains(t, link);
     greet_with_suspects(t, link);
@@ -401,6 +407,7 @@
     quota_tick(t);
     crash_guard_tick(t);
     upstream_limit_tick(t);
+    kept_end_tick(t);
     report_upstream_errors(t);
     admission_tick(t);
     stop_tick(t);
--- a/gullstall/src/mesh/mesh_actions.hpp
+++ b/gullstall/src/mesh/mesh_actions.hpp
@@ -155,6 +155,12 @@
     announced_end end;
 };
 
+/// The announced end of an upstream is kept and can be acknowledged.
+struct end_kept
+{
+    std::string upstream;
+};
+
 /// One field of a log line.
 struct log_field
 {
@@ -177,9 +183,10 @@
 };
 
 /// Any effect that a node requests of its runtime.
-using mesh_action = std::variant<answer_caller, send_to_node, send_to_link, send_to_links,
-                                 start_run, cancel_run, upstream_replaced, probe_upstream,
-                                 connect_node, store_chain, store_suspects, store_end, write_line>;
+using mesh_action =
+    std::variant<answer_caller, send_to_node, send_to_link, send_to_links, start_run, cancel_run,
+                 upstream_replaced, probe_upstream, connect_node, store_chain, store_suspects,
+                 store_end, end_kept, write_line>;
 
 /// Actions in execution order.
 using mesh_actions = std::vector<mesh_action>;
--- a/gullstall/src/mesh/mesh_node.hpp
+++ b/gullstall/src/mesh/mesh_node.hpp
@@ -18,6 +18,7 @@
 #include "gullstall/src/mesh/crash_watch.hpp"
 #include "gullstall/src/mesh/directory.hpp"
 #include "gullstall/src/mesh/gate_demand.hpp"
+#include "gullstall/src/mesh/kept_end.hpp"
 #include "gullstall/src/mesh/kept_suspects.hpp"
 #include "gullstall/src/mesh/mesh_actions.hpp"
 #include "gullstall/src/mesh/mesh_settings.hpp"
@@ -156,6 +157,7 @@
     time_point policy_at{};
     directory nodes;
     own_upstream upstream;
+    kept_end upstream_end;  ///< of the local upstream
     crash_watch crashes;
     crash_suspects suspects;
     std::vector<request_signature> cleared_suspects;  ///< not yet reported to the others
--- a/gullstall/src/mesh/own_upstream.cpp
+++ b/gullstall/src/mesh/own_upstream.cpp
@@ -1,6 +1,7 @@
 #include "gullstall/src/mesh/own_upstream.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace gullstall::mesh {
 
@@ -75,9 +76,17 @@
     }
 }
 
+bool is_newer_end(const announced_end &it, const announced_end &other)
+{
+    return std::tie(it.started_ms, it.has_departed, it.sequence) >
+           std::tie(other.started_ms, other.has_departed, other.sequence);
+}
+
 void restore_end(own_upstream &it, const announced_end &stored)
 {
-    it.stored_end = stored;
+    if (!it.stored_end || is_newer_end(stored, *it.stored_end)) {
+        it.stored_end = stored;
+    }
     if (stored.has_departed) {
         it.departed.push_front(departed_upstream{stored.upstream, stored.started_ms});
     }
--- a/gullstall/src/mesh/own_upstream.hpp
+++ b/gullstall/src/mesh/own_upstream.hpp
@@ -36,8 +36,8 @@
     departed   ///< the incarnation has announced its departure
 };
 
-/// What an incarnation has announced of its end, as the platform's store keeps it for the
-/// node's next process.
+/// What an incarnation has announced of its end, as the platform's store and other nodes keep it
+/// for the node's next process.
 struct announced_end
 {
     std::string upstream;
@@ -67,7 +67,7 @@
     time_point draining_since{};  ///< valid when the latest state is draining
     bool has_crashed = false;     ///< the incarnation of the latest heartbeat has
     std::deque<departed_upstream> departed;
-    std::optional<announced_end> stored_end;  ///< known from the store
+    std::optional<announced_end> stored_end;  ///< the newest that an earlier process has heard
     std::optional<named_limit> limit;         ///< of the incarnation of the latest heartbeat
     bool has_announced_leave = false;         ///< that incarnation has, in a response
     request_window requests;                  ///< sent to the upstream
@@ -92,8 +92,11 @@
 /// heartbeat, so that its delayed heartbeats are ignored
 void apply_leave(own_upstream &it, const std::string &upstream, std::uint64_t unix_ms);
 
-/// Applies what an earlier process of the node has stored. Heartbeats from before the
-/// announcement are outdated, also one that has arrived before the store's answer.
+/// \returns whether \a it was announced after \a other
+bool is_newer_end(const announced_end &it, const announced_end &other);
+
+/// Applies what an earlier process of the node has heard. Heartbeats from before the
+/// announcement are outdated, also one that has arrived before this is known.
 void restore_end(own_upstream &it, const announced_end &stored);
 
 /// \returns what the latest heartbeat announces, if it announces an end
--- a/gullstall/src/mesh/upstream_news.cpp
+++ b/gullstall/src/mesh/upstream_news.cpp
@@ -46,7 +46,7 @@
     }
     sync_gate(t);
     if (std::optional<announced_end> end = end_of(beat); end && has_changed) {
-        t.out.emplace_back(store_end{*end});
+        keep_end(t, *end);
     }
     if (has_changed) {
         t.out.emplace_back(write_line{write_line::severity::info,
@@ -67,9 +67,13 @@
 
 void handle_leave(mesh_turn &t, const std::string &upstream, std::uint64_t unix_ms)
 {
+    const std::optional<announced_end> &known = t.n.upstream_end.end;
+    bool is_present = t.n.upstream.latest && t.n.upstream.latest->upstream == upstream;
+    if (!is_present && known && known->has_departed && known->upstream == upstream) {
+        return;  // repeated, since it was not acknowledged in time
+    }
     apply_leave(t.n.upstream, upstream, unix_ms);
-    t.out.emplace_back(
-        store_end{announced_end{upstream, t.n.upstream.departed.back().started_ms, 0, true}});
+    keep_end(t, announced_end{upstream, t.n.upstream.departed.back().started_ms, 0, true});
     t.out.emplace_back(write_line{
         write_line::severity::info, "upstream", "upstream-left", {{"upstream", upstream}}});
     sync_gate(t);
--- a/test/support/mesh_world.hpp
+++ b/test/support/mesh_world.hpp
@@ -99,6 +99,7 @@
     time_point suspects_stored_at{};
     std::uint64_t suspect_writes = 0;
     std::map<std::string, mesh::announced_end> stored_ends;  ///< in the store, by node
+    std::vector<std::string> acknowledged_ends;              ///< upstreams, as they were kept
     duration store_delay = milliseconds(5);                  ///< of a read or write of the suspects
     time_point store_away_until{};     ///< until then no read or write of them succeeds
     bool policy_in_store = false;      ///< so that a node that starts then has none
@@ -440,6 +441,8 @@
                 handle_cancel(t, ref, it->correlation);
             } else if (const mesh_wire::quota_ask_message *ask = frame.payload.Asquota_ask()) {
                 handle_quota_ask(t, ref, *ask);
+            } else if (const mesh_wire::end_notice_message *end = frame.payload.Asend_notice()) {
+                handle_end_notice(t, ref, *end);
             } else if (frame.payload.Asping() != nullptr) {
                 handle_ping(t, ref);
             } else if (frame.payload.Aspolicy_fetch() != nullptr) {
@@ -464,6 +467,8 @@
                 handle_status_batch(t, from, *batch);
             } else if (const auto *crash = frame.payload.Ascrash_news()) {
                 handle_crash_news(t, from, *crash);
+            } else if (const auto *remembered = frame.payload.Asend_remembered()) {
+                handle_end_remembered(t, from, *remembered);
             } else if (const auto *grant = frame.payload.Asquota_grant()) {
                 handle_quota_grant(t, from, *grant);
             } else if (const auto *content = frame.payload.Aspolicy_content()) {
@@ -662,11 +667,22 @@
         });
     }
 
+    /// The process writes until the store has the row; the next one does not.
     void perform(const std::string &name, mesh::store_end &it)
     {
-        if (now >= store_away_until) {
-            stored_ends[name] = it.end;
-        }
+        schedule_at(std::max(now + store_delay, store_away_until),
+                    [this, name, end = it.end, incarnation = nodes.at(name).incarnation] {
+                        if (nodes.at(name).incarnation == incarnation) {
+                            stored_ends[name] = end;
+                            run_node(name,
+                                     [end](mesh::mesh_turn &t) { handle_end_stored(t, end); });
+                        }
+                    });
+    }
+
+    void perform(const std::string &, mesh::end_kept &it)
+    {
+        acknowledged_ends.push_back(it.upstream);
     }
 
     void perform(const std::string &name, mesh::store_suspects &it)
--- a/test/unit/mesh_announced_end.cpp
+++ b/test/unit/mesh_announced_end.cpp
@@ -84,6 +84,62 @@
     CHECK(w.send_heartbeat("a1", upstream_state::draining) == heartbeat_verdict::accepted);
 }
 
+// Guards against an end that is acknowledged and then forgotten with the process that has
+// acknowledged it, while the store is away.
+TEST_CASE_FIXTURE(announced_end_fixture,
+                  "store away, node restarted after an acknowledged leave, starts no run")
+{
+    w.store_away_until = w.now + milliseconds(4500);
+    leave();
+    REQUIRE(w.acknowledged_ends == std::vector<std::string>{early.upstream});
+    w.run_for(milliseconds(800));
+    restart();
+    w.run_for(seconds(1));
+    deliver(early);
+    CHECK(serve_requests() == 0);
+    w.run_for(seconds(4));
+    CHECK(serve_requests() == 0);
+}
+
+TEST_CASE_FIXTURE(announced_end_fixture,
+                  "store away, node restarted after an acknowledged draining, starts no run")
+{
+    w.store_away_until = w.now + milliseconds(4500);
+    w.send_heartbeat("a1", upstream_state::draining);
+    w.run_for(milliseconds(50));
+    REQUIRE(w.acknowledged_ends.size() == 1);
+    restart();
+    w.run_for(seconds(1));
+    deliver(early);
+    CHECK(serve_requests() == 0);
+}
+
+// Guards against an end that is acknowledged although nobody but the process knows of it.
+TEST_CASE_FIXTURE(announced_end_fixture,
+                  "store away and no peers, leave, is acknowledged when the store is back")
+{
+    w.store_away_until = w.now + seconds(2);
+    w.partitions = {{"a1", "s1"}, {"s1", "a1"}};
+    leave();
+    w.run_for(milliseconds(1500));
+    CHECK(w.acknowledged_ends.empty());
+    w.run_for(seconds(1));
+    CHECK(w.acknowledged_ends == std::vector<std::string>{early.upstream});
+}
+
+// Guards against a leave that is taken for the one of an earlier incarnation under the same id.
+TEST_CASE_FIXTURE(announced_end_fixture, "next incarnation under the same id, leaves again")
+{
+    leave();
+    mesh::upstream_heartbeat next = early;
+    next.started_ms += 1000;
+    deliver(next);
+    REQUIRE(w.nodes.at("a1").upstream.latest);
+    leave();
+    CHECK_FALSE(w.nodes.at("a1").upstream.latest);
+    CHECK(w.acknowledged_ends.size() == 2);
+}
+
 // Guards against calls that are taken before the store has answered.
 TEST_CASE_FIXTURE(announced_end_fixture,
                   "earlier heartbeat before the store's answer, starts no run")
