Runtime: read buffers have a limit

Here the extensions of a chunk and trailers without end were read on and on, in answers and in requests.

Cause: the parser limits headers and bodies. The line of a chunk and a trailer stay in the read buffer until they are complete, and the buffer had no limit.

Why this works: a buffer of a header and one read holds all that a parser may leave there. A read into a full buffer fails, which is 502 for an answer and 431 for a request.

--- a/gullstall/src/edge/edge_connection.cpp
+++ b/gullstall/src/edge/edge_connection.cpp
@@ -1,5 +1,6 @@
 #include "gullstall/src/edge/edge_connection.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -10,6 +11,7 @@
 #include <utility>
 
 #include "gullstall/src/edge/clock.hpp"
+#include "gullstall/src/runtime/read_buffer.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
 
 namespace gullstall::edge {
@@ -105,6 +107,9 @@
     parser_.emplace();
     parser_->header_limit(owner_.limits_.header_bytes);
     parser_->body_limit(owner_.limits_.body_bytes);
+    // Requests that have arrived behind one another may stand there already.
+    buf_.max_size(std::max(runtime::read_buffer_limit(owner_.limits_.header_bytes),
+                           buf_.size() + runtime::max_read_bytes));
     error_code ec = co_await read_message();
     partial_request_since_.reset();
     if (closing_since_ || !accepts_requests_) {
--- a/gullstall/src/edge/upstream_exchange.cpp
+++ b/gullstall/src/edge/upstream_exchange.cpp
@@ -13,6 +13,7 @@
 #include "gullstall/src/edge/time_fields.hpp"
 #include "gullstall/src/edge/upstream_connect.hpp"
 #include "gullstall/src/runtime/http_status.hpp"
+#include "gullstall/src/runtime/read_buffer.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
 
 namespace gullstall::edge {
@@ -55,7 +56,11 @@
 }  // namespace
 
 upstream_exchange::upstream_exchange(upstream_client &owner, mesh::start_run &&order)
-    : owner_(owner), order_(std::move(order)), socket_(owner.io_), generation_(owner.generation_)
+    : owner_(owner),
+      order_(std::move(order)),
+      socket_(owner.io_),
+      buf_(runtime::read_buffer_limit(max_response_header_bytes)),
+      generation_(owner.generation_)
 {
 }
 
--- a/gullstall/src/runtime/http_client.cpp
+++ b/gullstall/src/runtime/http_client.cpp
@@ -1,6 +1,7 @@
 #include "gullstall/src/runtime/http_client.hpp"
 
 #include "gullstall/src/runtime/http_status.hpp"
+#include "gullstall/src/runtime/read_buffer.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
 
 #include <boost/asio/redirect_error.hpp>
@@ -24,6 +25,9 @@
 /// and a long request, such as a feed, must not wait its whole time for that.
 constexpr duration connect_timeout = seconds(1);
 
+/// Limit of a response header; the parser's own default.
+constexpr std::uint32_t max_header_bytes = 8192;
+
 using response_parser = http::response_parser<http::vector_body<std::uint8_t>>;
 
 /// \returns whether the response says where it ends. One that ends with its
@@ -83,10 +87,11 @@
         out.end = exchange_end::lost;
         request.prepare_payload();
         co_await http::async_write(*stream, request, asio::redirect_error(asio::use_awaitable, ec));
-        beast::flat_buffer buf;
+        beast::flat_buffer buf(read_buffer_limit(max_header_bytes));
         std::optional<response_parser> parser;
         for (int i = 0; !ec && i <= max_interim_responses; ++i) {
             parser.emplace();
+            parser->header_limit(max_header_bytes);
             parser->body_limit(body_limit_);
             co_await http::async_read(*stream, buf, *parser,
                                       asio::redirect_error(asio::use_awaitable, ec));
--- a/gullstall/src/runtime/http_server.cpp
+++ b/gullstall/src/runtime/http_server.cpp
@@ -14,6 +14,7 @@
 #include <cerrno>
 
 #include "gullstall/src/runtime/accept_waiting.hpp"
+#include "gullstall/src/runtime/read_buffer.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
 
 namespace gullstall::runtime {
@@ -63,7 +64,7 @@
     if (ec == http::error::body_limit) {
         return read_refusal{http::status::payload_too_large, "body-too-large"};
     }
-    if (ec == http::error::header_limit) {
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
         return read_refusal{http::status::request_header_fields_too_large, "header-too-large"};
     }
     if (ec == http::error::partial_message) {
@@ -337,7 +338,7 @@
         co_return;
     }
     ++open_;
-    beast::flat_buffer buf;
+    beast::flat_buffer buf(read_buffer_limit(limits_.header_bytes));
     error_code ec;
     bool keep = true;
     while (keep && !ec) {
--- a/test/runtime/bodies.cpp
+++ b/test/runtime/bodies.cpp
@@ -234,6 +234,16 @@
     CHECK(has(answer, "header-too-large"));
 }
 
+// Guards against a node that is ended for its memory by a chunk whose extensions never end.
+TEST_CASE_FIXTURE(bodies_fixture, "chunk extensions, above the limit, refused with 431")
+{
+    std::string answer = exchange_text(
+        "POST /call/photodesk/photo HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;" +
+            std::string(200000, 'x'),
+        true);
+    CHECK(has(answer, "431"));
+}
+
 TEST_CASE_FIXTURE(bodies_fixture, "request, not HTTP, refused with 400 and the connection closes")
 {
     const std::string start = "POST /call/photodesk/photo HTTP/1.1\r\n";
--- a/test/runtime/endless_answers.cpp
+++ b/test/runtime/endless_answers.cpp
@@ -68,6 +68,10 @@
             begin = "HTTP/1.1 200 OK\r\n\r\n";
         } else if (path == "/interim") {
             begin = "HTTP/1.1 103 Early Hints\r\n\r\n";
+        } else if (path == "/extension") {
+            begin += "Transfer-Encoding: chunked\r\n\r\n1;";
+        } else if (path == "/trailer") {
+            begin += "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Long: ";
         } else {
             begin += "X-Long: ";
         }
@@ -126,9 +130,9 @@
 
 // Guards against bytes that are no answer and are read until the deadline.
 TEST_CASE_FIXTURE(endless_answer_fixture,
-                  "header without end or no answer at all, is given up soon")
+                  "header, chunk or trailer without end, or no answer at all, is given up soon")
 {
-    for (const char *path : {"/header", "/anonymous", "/interim"}) {
+    for (const char *path : {"/header", "/anonymous", "/interim", "/extension", "/trailer"}) {
         INFO(path);
         results.clear();
         sent_bytes = 0;
