--- a/test/runtime/odd_answers.cpp
+++ b/test/runtime/odd_answers.cpp
@@ -150,6 +150,8 @@
     const std::string null_byte(1, '\0');
     const std::vector<std::string> odd_parts{" ",  "\t",      "\x01", "\x7f", "\r",
                                              "\n", null_byte, "(",    "\xc3"};
+    const std::vector<std::string> odd_values{"2\x01", "\0022", "2\x7f",
+                                              "2\r3",  "2\n 3", "2" + null_byte};
     std::vector<std::string> lines;
     for (const char *name : {"X-Odd", "Content-Length"}) {
         std::string text = name;
@@ -158,13 +160,10 @@
                 lines.push_back(text.substr(0, at) + part + text.substr(at) + ": 2\r\n");
             }
         }
-        for (const char *value : {"2\x01",
-                                  "\x02"
-                                  "2",
-                                  "2\x7f", "2\r3", "2\n 3"}) {
-            lines.push_back(text + ": " + value + "\r\n");
+        for (const std::string &value : odd_values) {
+            lines.push_back(text);
+            lines.back().append(": ").append(value).append("\r\n");
         }
-        lines.push_back(text + ": 2" + null_byte + "\r\n");
         lines.push_back(text + "\r\n");
         lines.push_back(": 2\r\n");
     }
