Review of the change: one place for an earlier end, delivery and rejections apart from the connection

Cause: read again as a newcomer. handle_remembered_end() wrote handle_stored_end() again: both call apply_earlier_end() now. An end that peers tell at each connection was pushed onto the departed incarnations each time: once now. The interim responses of http_client are skipped in read_response(). Two comments told where a value came from or restated; four tests lacked the line that says what they guard against; two pairs of tests repeated six lines.

--- a/gullstall/src/edge/edge_connection.cpp
+++ b/gullstall/src/edge/edge_connection.cpp
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "gullstall/src/edge/clock.hpp"
+#include "gullstall/src/edge/request_rejection.hpp"
 #include "gullstall/src/runtime/read_buffer.hpp"
 #include "gullstall/src/runtime/tcp_options.hpp"
 
@@ -39,41 +40,6 @@
 /// The timeout for a request with a body, as a multiple of the header timeout.
 constexpr int body_timeout_factor = 4;
 
-struct rejection
-{
-    std::uint16_t status;
-    const char *text;
-};
-
-/// \returns the error response to a request that can't be parsed, or none when the
-/// client has closed the connection
-std::optional<rejection> rejection_for(const error_code &ec)
-{
-    if (ec == http::error::body_limit) {
-        return rejection{413, "Payload Too Large"};
-    }
-    if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
-        return rejection{431, "Request Header Fields Too Large"};
-    }
-    bool is_protocol = ec.category() == http::make_error_code(http::error::bad_method).category();
-    if (!is_protocol || ec == http::error::end_of_stream || ec == http::error::partial_message) {
-        return std::nullopt;
-    }
-    return rejection{400, "Bad Request"};
-}
-
-/// \returns whether the header has conflicting body lengths or several Host fields,
-/// which allow request smuggling to a server behind this one
-bool is_ambiguous(const http::fields &fields)
-{
-    auto count = [&](http::field name) {
-        auto range = fields.equal_range(name);
-        return std::distance(range.first, range.second);
-    };
-    return (count(http::field::transfer_encoding) > 0 && count(http::field::content_length) > 0) ||
-           count(http::field::content_length) > 1 || count(http::field::host) > 1;
-}
-
 }  // namespace
 
 edge_connection::edge_connection(http_edge &owner, std::uint64_t id, asio::ip::tcp::socket &&socket)
@@ -107,7 +73,7 @@
     parser_.emplace();
     parser_->header_limit(owner_.limits_.header_bytes);
     parser_->body_limit(owner_.limits_.body_bytes);
-    // Requests that have arrived behind one another may stand there already.
+    // Pipelined requests that have arrived stay in the buffer, whatever the limit is now.
     buf_.max_size(std::max(runtime::read_buffer_limit(owner_.limits_.header_bytes),
                            buf_.size() + runtime::max_read_bytes));
     error_code ec = co_await read_message();
@@ -218,7 +184,7 @@
         return;
     }
     writing_ = true;
-    delivered_ = false;
+    delivery_.is_complete = false;
     write_since_ = now();
     exchange &front = pipeline_.front();
     front.close = closes_after(front);
@@ -239,8 +205,7 @@
     auto on_written = [self = shared_from_this()](const error_code &ec, auto) {
         self->writing_ = false;
         self->write_since_.reset();
-        self->unacknowledged_bytes_ = 0;
-        self->acknowledged_at_ = now();
+        self->delivery_ = delivery{false, 0, now()};
         if (ec || self->closed_) {
             self->close_connection();
             return;
@@ -266,7 +231,7 @@
     report_loss(why);
     accepts_requests_ = false;
     closing_since_ = now();
-    delivered_ = false;  // the end of the stream isn't
+    delivery_.is_complete = false;  // the end of the stream is to be acknowledged, too
     for (exchange &behind : pipeline_) {
         if (!behind.response) {
             owner_.pending_.erase(behind.id);
@@ -341,20 +306,9 @@
     return socket_.available(ec) == 0 && is_delivered(now());
 }
 
-/// A response that the socket has taken is lost if the process ends, or the client sends more
-/// after the close, before the client's system has acknowledged it.
 bool edge_connection::is_delivered(time_point at)
 {
-    if (delivered_ || writing_) {
-        return delivered_;
-    }
-    std::size_t n = runtime::unacknowledged_bytes(socket_);
-    if (n != unacknowledged_bytes_) {
-        unacknowledged_bytes_ = n;
-        acknowledged_at_ = at;
-    }
-    delivered_ = n == 0;
-    return delivered_;
+    return !writing_ && update_delivery(delivery_, socket_, at);
 }
 
 bool edge_connection::is_stalled(time_point at)
@@ -362,13 +316,13 @@
     if (writing_) {
         return write_since_ && at - *write_since_ > write_stall_timeout;
     }
-    return !is_delivered(at) && at - acknowledged_at_ > write_stall_timeout;
+    return !is_delivered(at) && at - delivery_.progressed_at > write_stall_timeout;
 }
 
 bool edge_connection::has_lingered(time_point at)
 {
     return closing_since_ && is_delivered(at) &&
-           at - std::max(*closing_since_, acknowledged_at_) > linger_time;
+           at - std::max(*closing_since_, delivery_.progressed_at) > linger_time;
 }
 
 void edge_connection::start_draining()
--- a/gullstall/src/edge/edge_connection.hpp
+++ b/gullstall/src/edge/edge_connection.hpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <optional>
 
+#include "gullstall/src/edge/delivery.hpp"
 #include "gullstall/src/edge/http_edge.hpp"
 
 namespace gullstall::edge {
@@ -76,9 +77,7 @@
     std::optional<time_point>
         partial_request_since_;  ///< when an incomplete request was first seen
     std::optional<time_point> write_since_;
-    bool delivered_ = true;                 ///< the client has acknowledged all that was written
-    std::size_t unacknowledged_bytes_ = 0;  ///< of these, as last seen
-    time_point acknowledged_at_{};          ///< when that last changed
+    delivery delivery_;                     ///< of the responses and of the end of the stream
     const char *closes_if_idle_ = nullptr;  ///< why, once the pending read has ended
     std::optional<time_point> closing_since_;
     time_point idle_since_;
--- a/gullstall/src/mesh/kept_end.cpp
+++ b/gullstall/src/mesh/kept_end.cpp
@@ -9,11 +9,11 @@
 
 namespace {
 
-/// Nodes that have to remember an end which the store does not keep, or all that are linked if
-/// they are fewer: one of them may be killed, too.
+/// Number of nodes that have to remember an end that the store does not keep, or all linked ones
+/// if they are fewer: one of them may be killed, too.
 constexpr std::size_t required_peers = 2;
 
-/// Nodes that are asked to remember an end.
+/// Number of nodes that are asked at a time to remember an end.
 constexpr std::size_t max_asked_peers = 3;
 
 /// Time without enough confirmations after which other nodes are asked again.
@@ -148,6 +148,21 @@
     }
 }
 
+void apply_earlier_end(mesh_turn &t, const announced_end &end, const char *event,
+                       const std::vector<log_field> &source)
+{
+    restore_end(t.n.upstream, end);
+    std::vector<log_field> fields{{"upstream", end.upstream},
+                                  {"state", end.has_departed ? "departed" : "draining"},
+                                  {"born", std::to_string(end.started_ms)},
+                                  {"sequence", std::to_string(end.sequence)}};
+    fields.insert(fields.end(), source.begin(), source.end());
+    t.out.emplace_back(
+        write_line{write_line::severity::info, "upstream", event, std::move(fields)});
+    sync_gate(t);
+    send_status_to_callers(t);
+}
+
 void handle_remembered_end(mesh_turn &t, const std::string &from,
                            const mesh_wire::announced_end_message &what)
 {
@@ -155,17 +170,7 @@
     if (t.n.upstream_end.end || (t.n.upstream.stored_end && *t.n.upstream.stored_end == end)) {
         return;
     }
-    restore_end(t.n.upstream, end);
-    t.out.emplace_back(write_line{write_line::severity::info,
-                                  "upstream",
-                                  "remembered-end-read",
-                                  {{"upstream", end.upstream},
-                                   {"peer", from},
-                                   {"state", end.has_departed ? "departed" : "draining"},
-                                   {"born", std::to_string(end.started_ms)},
-                                   {"sequence", std::to_string(end.sequence)}}});
-    sync_gate(t);
-    send_status_to_callers(t);
+    apply_earlier_end(t, end, "remembered-end-read", {log_field{"peer", from}});
 }
 
 void kept_end_tick(mesh_turn &t)
--- a/gullstall/src/mesh/kept_end.hpp
+++ b/gullstall/src/mesh/kept_end.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "gullstall/generated/mesh_generated.h"
 #include "gullstall/src/mesh/mesh_actions.hpp"
@@ -47,6 +48,12 @@
 void handle_end_remembered(mesh_turn &t, const std::string &from,
                            const mesh_wire::end_remembered_message &what);
 
+/// Applies an end that an earlier process of this node has heard.
+/// \param event of the log line
+/// \param source fields of the line that tell who remembered it
+void apply_earlier_end(mesh_turn &t, const announced_end &end, const char *event,
+                       const std::vector<log_field> &source);
+
 /// Applies the end that the node \a from has remembered for this process.
 void handle_remembered_end(mesh_turn &t, const std::string &from,
                            const mesh_wire::announced_end_message &what);
--- a/gullstall/src/mesh/members.cpp
+++ b/gullstall/src/mesh/members.cpp
@@ -160,11 +160,15 @@
     out.relays_statuses = n.features.relayed_statuses;
     out.reads_crash_news = n.features.crash_guard;
     auto receiver = n.nodes.nodes.find(to);
-    if (receiver != n.nodes.nodes.end() && receiver->second.notice) {
-        out.notice = std::make_unique<mesh_wire::upstream_notice_message>(*receiver->second.notice);
+    if (receiver == n.nodes.nodes.end()) {
+        return out;
     }
-    if (receiver != n.nodes.nodes.end() && receiver->second.end) {
-        out.end = print_end(*receiver->second.end);
+    const node_view &view = receiver->second;
+    if (view.notice) {
+        out.notice = std::make_unique<mesh_wire::upstream_notice_message>(*view.notice);
+    }
+    if (view.end) {
+        out.end = print_end(*view.end);
     }
     return out;
 }
--- a/gullstall/src/mesh/own_upstream.cpp
+++ b/gullstall/src/mesh/own_upstream.cpp
@@ -87,8 +87,10 @@
     if (!it.stored_end || is_newer_end(stored, *it.stored_end)) {
         it.stored_end = stored;
     }
-    if (stored.has_departed) {
-        it.departed.push_front(departed_upstream{stored.upstream, stored.started_ms});
+    departed_upstream gone{stored.upstream, stored.started_ms};
+    if (stored.has_departed &&
+        std::find(it.departed.begin(), it.departed.end(), gone) == it.departed.end()) {
+        it.departed.push_front(std::move(gone));
     }
     if (it.latest && (has_departed(it, *it.latest) || precedes_stored_end(it, *it.latest))) {
         it.latest.reset();
--- a/gullstall/src/mesh/upstream_news.cpp
+++ b/gullstall/src/mesh/upstream_news.cpp
@@ -89,19 +89,9 @@
 void handle_stored_end(mesh_turn &t, const std::optional<announced_end> &stored)
 {
     t.n.has_read_stored_end = true;
-    if (!stored) {
-        return;
+    if (stored) {
+        apply_earlier_end(t, *stored, "stored-end-read", {});
     }
-    restore_end(t.n.upstream, *stored);
-    t.out.emplace_back(write_line{write_line::severity::info,
-                                  "upstream",
-                                  "stored-end-read",
-                                  {{"upstream", stored->upstream},
-                                   {"state", stored->has_departed ? "departed" : "draining"},
-                                   {"born", std::to_string(stored->started_ms)},
-                                   {"sequence", std::to_string(stored->sequence)}}});
-    sync_gate(t);
-    send_status_to_callers(t);
 }
 
 }  // namespace gullstall::mesh
--- a/gullstall/src/overload/run_costs.cpp
+++ b/gullstall/src/overload/run_costs.cpp
@@ -12,8 +12,8 @@
 /// Number of runs from which the measures are used.
 constexpr std::uint32_t min_runs = 5;
 
-/// Part of the distance to the longest run by which a shorter one lowers it: a rare long run is
-/// remembered for some hundred runs.
+/// Fraction of the distance to the longest run by which a shorter one lowers it: a rare long run
+/// is remembered for some hundred runs.
 constexpr double longest_decay = 0.01;
 
 void record_longest(held_time &it, duration held)
--- a/gullstall/src/runtime/http_client.cpp
+++ b/gullstall/src/runtime/http_client.cpp
@@ -25,7 +25,7 @@
 /// and a long request, such as a feed, must not wait its whole time for that.
 constexpr duration connect_timeout = seconds(1);
 
-/// Limit of a response header; the parser's own default.
+/// Limit of a response header.
 constexpr std::uint32_t max_header_bytes = 8192;
 
 using response_parser = http::response_parser<http::vector_body<std::uint8_t>>;
@@ -39,6 +39,25 @@
            parser.get().result() == http::status::not_modified;
 }
 
+/// Reads the response that follows the interim ones, or the last of too many of these.
+asio::awaitable<error_code> read_response(beast::tcp_stream &stream, beast::flat_buffer &buf,
+                                          std::uint64_t body_limit,
+                                          std::optional<response_parser> &parser)
+{
+    error_code ec;
+    for (int i = 0; !ec && i <= max_interim_responses; ++i) {
+        parser.emplace();
+        parser->header_limit(max_header_bytes);
+        parser->body_limit(body_limit);
+        co_await http::async_read(stream, buf, *parser,
+                                  asio::redirect_error(asio::use_awaitable, ec));
+        if (!is_interim_status(parser->get().result_int())) {
+            break;
+        }
+    }
+    co_return ec;
+}
+
 }  // namespace
 
 http_client::http_client(asio::io_context &io, asio::ip::tcp::endpoint to, std::uint64_t body_limit,
@@ -89,15 +108,8 @@
         co_await http::async_write(*stream, request, asio::redirect_error(asio::use_awaitable, ec));
         beast::flat_buffer buf(read_buffer_limit(max_header_bytes));
         std::optional<response_parser> parser;
-        for (int i = 0; !ec && i <= max_interim_responses; ++i) {
-            parser.emplace();
-            parser->header_limit(max_header_bytes);
-            parser->body_limit(body_limit_);
-            co_await http::async_read(*stream, buf, *parser,
-                                      asio::redirect_error(asio::use_awaitable, ec));
-            if (!is_interim_status(parser->get().result_int())) {
-                break;
-            }
+        if (!ec) {
+            ec = co_await read_response(*stream, buf, body_limit_, parser);
         }
         if (!ec && is_final_status(parser->get().result_int()) && has_known_end(*parser)) {
             out.end = exchange_end::answered;
--- a/test/platform/upstream_end.cpp
+++ b/test/platform/upstream_end.cpp
@@ -83,6 +83,16 @@
         io.restart();
         io.run_for(d);
     }
+
+    void check_acknowledged_once_stored()
+    {
+        run_for(std::chrono::milliseconds(300));
+        REQUIRE(saves.size() == 1);
+        CHECK(status.empty());
+        daemon.set_end_stored(saves.front());
+        run_for(std::chrono::milliseconds(100));
+        CHECK(status == "HTTP/1.1 200");
+    }
 };
 
 }  // namespace
@@ -91,24 +101,15 @@
 TEST_CASE_FIXTURE(upstream_end_fixture, "leave, is acknowledged once the store has it")
 {
     send("DELETE", "");
-    run_for(std::chrono::milliseconds(300));
-    REQUIRE(saves.size() == 1);
-    CHECK(status.empty());
-    daemon.set_end_stored(saves.front());
-    run_for(std::chrono::milliseconds(100));
-    CHECK(status == "HTTP/1.1 200");
+    check_acknowledged_once_stored();
 }
 
+// The same of an end that a heartbeat announces.
 TEST_CASE_FIXTURE(upstream_end_fixture, "draining, is acknowledged once the store has it")
 {
     send("PUT", R"({"service":"books","address":"127.0.0.1:9","zone":"z1","state":"draining",)"
                 R"("slots":9,"cold-remaining-ms":0,"seq":4,"born":1700000000000})");
-    run_for(std::chrono::milliseconds(300));
-    REQUIRE(saves.size() == 1);
-    CHECK(status.empty());
-    daemon.set_end_stored(saves.front());
-    run_for(std::chrono::milliseconds(100));
-    CHECK(status == "HTTP/1.1 200");
+    check_acknowledged_once_stored();
 }
 
 // Guards against an upstream that waits in vain and exits unheard: it is told to ask again.
--- a/test/runtime/edge_closes.cpp
+++ b/test/runtime/edge_closes.cpp
@@ -120,6 +120,15 @@
         run();
     }
 
+    /// Sends a second request and answers it. \returns all that the client then reads
+    std::string exchange_second()
+    {
+        write_if_open("GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+        REQUIRE(requests.size() == 2);
+        answer(1, "Two");
+        return read_slowly();
+    }
+
     static bool has_whole_body(const std::string &got)
     {
         return static_cast<std::size_t>(std::count(got.begin(), got.end(), 'x')) >= body_bytes;
@@ -255,10 +264,7 @@
     server->start_draining();
     server->sweep(edge::now());
     CHECK(server->has_work());
-    write_if_open("GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
-    REQUIRE(requests.size() == 2);
-    answer(1, "Two");
-    std::string got = read_slowly();
+    std::string got = exchange_second();
     CHECK(has_whole_body(got));
     CHECK(contains(got, "200 Two"));
     CHECK(contains(got, "Connection: close"));
@@ -285,10 +291,7 @@
 {
     open("");
     server->sweep(edge::now() + seconds(60));
-    write_if_open("GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
-    REQUIRE(requests.size() == 2);
-    answer(1, "Two");
-    std::string got = read_slowly();
+    std::string got = exchange_second();
     CHECK(has_whole_body(got));
     CHECK(contains(got, "200 Two"));
 }
--- a/test/runtime/endless_requests.cpp
+++ b/test/runtime/endless_requests.cpp
@@ -56,13 +56,14 @@
 {
     send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;");
     CHECK(taken_bytes < most_bytes);
-    CHECK(answer.compare(0, 12, "HTTP/1.1 431") == 0);
+    CHECK(answer.rfind("HTTP/1.1 431", 0) == 0);
 }
 
+// Guards against the same behind the body.
 TEST_CASE_FIXTURE(endless_request_fixture, "trailer without end, request, is refused")
 {
     send(
         "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Long: ");
     CHECK(taken_bytes < most_bytes);
-    CHECK(answer.compare(0, 12, "HTTP/1.1 431") == 0);
+    CHECK(answer.rfind("HTTP/1.1 431", 0) == 0);
 }
--- a/test/runtime/odd_answers.cpp
+++ b/test/runtime/odd_answers.cpp
@@ -102,6 +102,7 @@
     }
 }
 
+// Guards against the same where no write is under way.
 TEST_CASE_FIXTURE(odd_answer_fixture,
                   "answer without a length, reset after a small request, is no answer")
 {
--- a/test/unit/mesh_announced_end.cpp
+++ b/test/unit/mesh_announced_end.cpp
@@ -101,6 +101,7 @@
     CHECK(serve_requests() == 0);
 }
 
+// The same of an end that a heartbeat announces.
 TEST_CASE_FIXTURE(announced_end_fixture,
                   "store away, node restarted after an acknowledged draining, starts no run")
 {
